docs, internal/controller: design page, wire schema and control state machine

Change: the design page with its invariants, the protobuf schema, the deterministic control state machine (contracts, keys, queues, data centres, pools, hosts, maintenance, allotments, view) and the clock interface. Conclusion: other parts can be written against these interfaces.

--- /dev/null
+++ b/internal/controller/hosts.go
@@ -0,0 +1,147 @@
+package controller
+
+import "github.com/heathermux/heathermux/internal/wire"
+
+func (s State) addHosts(hosts []*wire.Host) verdict {
+	if len(hosts) == 0 {
+		return rejected("hosts: none is named")
+	}
+	next := s
+	for _, h := range hosts {
+		if h.GetName() == "" {
+			return rejected("host: name is missing")
+		}
+		if _, ok := next.hosts.Get(h.GetName()); ok {
+			return rejected("host %q exists", h.GetName())
+		}
+		if _, ok := s.pools.Get(h.GetPool()); !ok {
+			return rejected("host %q: pool %q is not known", h.GetName(), h.GetPool())
+		}
+		if _, ok := s.dataCentres.Get(h.GetDataCentre()); !ok {
+			return rejected("host %q: data centre %q is not known", h.GetName(), h.GetDataCentre())
+		}
+		h = clone(h)
+		h.State = wire.HostState_HOST_STATE_ACTIVE
+		h.MovingTo = ""
+		// A host that returns under an old name must not reuse a pool epoch.
+		h.PoolEpoch = s.revision
+		h.Revision = s.revision
+		next = next.WithHost(h)
+	}
+	return accepted(next, "hosts")
+}
+
+// budgetLeft returns how many more hosts of the pool may become unavailable.
+// Hosts that failed are not known here; the planner counts them in addition.
+func (s State) budgetLeft(pool string) int64 {
+	p, _ := s.pools.Get(pool)
+	return p.GetAvailabilityBudget() - s.Unavailable(pool)
+}
+
+func (s State) activeHost(cmd *wire.Command, name string) (*wire.Host, verdict, bool) {
+	h, ok := s.hosts.Get(name)
+	if !ok {
+		return nil, rejected("host %q is not known", name), false
+	}
+	if v, ok := s.checkRevision(cmd, "host/"+name, h.GetRevision()); !ok {
+		return nil, v, false
+	}
+	if h.GetState() != wire.HostState_HOST_STATE_ACTIVE {
+		return nil, rejected("host %q is not active", name), false
+	}
+	if s.budgetLeft(h.GetPool()) < 1 {
+		return nil, rejected("host %q: the availability budget of pool %q is used up", name, h.GetPool()), false
+	}
+	return h, verdict{}, true
+}
+
+func (s State) moveHost(cmd *wire.Command, c *wire.MoveHost) verdict {
+	old, v, ok := s.activeHost(cmd, c.GetHost())
+	if !ok {
+		return v
+	}
+	target, ok := s.pools.Get(c.GetPool())
+	if !ok {
+		return rejected("pool %q is not known", c.GetPool())
+	}
+	if c.GetPool() == old.GetPool() {
+		return rejected("host %q is in pool %q already", c.GetHost(), c.GetPool())
+	}
+	if target.GetState() != wire.ServiceState_SERVICE_STATE_IN {
+		return rejected("pool %q is out of service", c.GetPool())
+	}
+	h := clone(old)
+	h.State = wire.HostState_HOST_STATE_DRAINING
+	h.MovingTo = c.GetPool()
+	h.Revision = s.revision
+	return accepted(s.WithHost(h), "host/"+c.GetHost())
+}
+
+func (s State) drainHost(cmd *wire.Command, name string) verdict {
+	old, v, ok := s.activeHost(cmd, name)
+	if !ok {
+		return v
+	}
+	h := clone(old)
+	h.State = wire.HostState_HOST_STATE_DRAINING
+	h.Revision = s.revision
+	return accepted(s.WithHost(h), "host/"+name)
+}
+
+func (s State) confirmEmpty(c *wire.ConfirmEmpty) verdict {
+	old, ok := s.hosts.Get(c.GetHost())
+	if !ok {
+		return rejected("host %q is not known", c.GetHost())
+	}
+	if old.GetState() != wire.HostState_HOST_STATE_DRAINING {
+		return rejected("host %q does not drain", c.GetHost())
+	}
+	if old.GetPoolEpoch() != c.GetPoolEpoch() {
+		return rejected("host %q is at pool epoch %d, the confirmation is for epoch %d", c.GetHost(), old.GetPoolEpoch(), c.GetPoolEpoch())
+	}
+	h := clone(old)
+	h.Revision = s.revision
+	if h.GetMovingTo() != "" {
+		h.Pool = h.GetMovingTo()
+		h.MovingTo = ""
+		h.PoolEpoch = s.revision
+		h.State = wire.HostState_HOST_STATE_ACTIVE
+	} else {
+		h.State = wire.HostState_HOST_STATE_MAINTENANCE
+	}
+	return accepted(s.WithHost(h), "host/"+c.GetHost())
+}
+
+func (s State) returnHost(cmd *wire.Command, name string) verdict {
+	old, ok := s.hosts.Get(name)
+	if !ok {
+		return rejected("host %q is not known", name)
+	}
+	if v, ok := s.checkRevision(cmd, "host/"+name, old.GetRevision()); !ok {
+		return v
+	}
+	if old.GetState() == wire.HostState_HOST_STATE_ACTIVE {
+		return rejected("host %q is in service already", name)
+	}
+	h := clone(old)
+	grant, granted := s.grants.Get(name)
+	if granted && h.GetState() == wire.HostState_HOST_STATE_MAINTENANCE {
+		h.MaintainedWave = grant.GetWave()
+	}
+	h.State = wire.HostState_HOST_STATE_ACTIVE
+	h.MovingTo = ""
+	h.Revision = s.revision
+	next := s.WithHost(h).WithoutGrant(name)
+	return accepted(next.withFinishedMaintenances(), "host/"+name)
+}
+
+func (s State) removeHost(cmd *wire.Command, name string) verdict {
+	old, ok := s.hosts.Get(name)
+	if !ok {
+		return rejected("host %q is not known", name)
+	}
+	if v, ok := s.checkRevision(cmd, "host/"+name, old.GetRevision()); !ok {
+		return v
+	}
+	return accepted(s.WithoutHost(name).withFinishedMaintenances(), "host/"+name)
+}
--- /dev/null
+++ b/internal/controller/table.go
@@ -0,0 +1,99 @@
+package controller
+
+import (
+	"iter"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tableShards is the number of maps that a Table is split into. A change
+// copies one of them, so that it costs 1/64 of the table's size.
+const tableShards = 64
+
+// Table is an immutable map from names to values. With and Without return a
+// changed copy that shares all untouched shards. The zero value is an empty
+// table. A Table may be read from any number of goroutines.
+type Table[V any] struct {
+	// Invariant: a map is never changed once it is reachable from a Table.
+	shards [tableShards]map[string]V
+	// Invariant: the total number of entries over all shards.
+	size int
+}
+
+func shardOf(name string) int {
+	return int(xxhash.Sum64String(name) % tableShards)
+}
+
+// Get returns the value under name and whether there is one.
+func (t Table[V]) Get(name string) (V, bool) {
+	v, ok := t.shards[shardOf(name)][name]
+	return v, ok
+}
+
+// Len returns the number of entries.
+func (t Table[V]) Len() int {
+	return t.size
+}
+
+// With returns a copy of the table that holds v under name.
+func (t Table[V]) With(name string, v V) Table[V] {
+	i := shardOf(name)
+	shard := maps.Clone(t.shards[i])
+	if shard == nil {
+		shard = make(map[string]V, 1)
+	}
+	if _, ok := shard[name]; !ok {
+		t.size++
+	}
+	shard[name] = v
+	t.shards[i] = shard
+	return t
+}
+
+// Without returns a copy of the table that holds nothing under name.
+func (t Table[V]) Without(name string) Table[V] {
+	i := shardOf(name)
+	if _, ok := t.shards[i][name]; !ok {
+		return t
+	}
+	shard := maps.Clone(t.shards[i])
+	delete(shard, name)
+	t.shards[i] = shard
+	t.size--
+	return t
+}
+
+// All yields every entry in no particular order.
+func (t Table[V]) All() iter.Seq2[string, V] {
+	return func(yield func(string, V) bool) {
+		for _, shard := range t.shards {
+			for name, v := range shard {
+				if !yield(name, v) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Names returns all names in ascending order.
+func (t Table[V]) Names() []string {
+	names := make([]string, 0, t.size)
+	for name := range t.All() {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Values returns all values in ascending order of their names.
+func (t Table[V]) Values() []V {
+	values := make([]V, 0, t.size)
+	for _, name := range t.Names() {
+		v, _ := t.Get(name)
+		values = append(values, v)
+	}
+	return values
+}
