internal/messenger: calls between entry hosts over net/rpc with protobuf

Cause: a peer that freezes must cost its callers a timeout and nothing else; plain net/rpc blocks every caller of a connection in one write and keeps unanswered calls for ever.

--- /dev/null
+++ b/internal/messenger/frame.go
@@ -0,0 +1,58 @@
+package messenger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+
+	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/propagation"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// maxFrameBytes bounds one message. The largest are snapshots of the control
+// state and stored answers of up to 8 MiB.
+const maxFrameBytes = 64 << 20
+
+const bufferBytes = 32 << 10
+
+var propagator = propagation.TraceContext{}
+
+// encodeFrame returns header and body, each preceded by its length.
+func encodeFrame(header *wire.CallHeader, body proto.Message) ([]byte, error) {
+	var buf bytes.Buffer
+	if _, err := protodelim.MarshalTo(&buf, header); err != nil {
+		return nil, errors.Wrap(err, "messenger: encode header")
+	}
+	if _, err := protodelim.MarshalTo(&buf, body); err != nil {
+		return nil, errors.Wrap(err, "messenger: encode body")
+	}
+	if buf.Len() > maxFrameBytes {
+		return nil, errors.Errorf("messenger: message of %d bytes is above the limit of %d", buf.Len(), maxFrameBytes)
+	}
+	return buf.Bytes(), nil
+}
+
+func readMessage(r *bufio.Reader, m proto.Message) error {
+	return protodelim.UnmarshalOptions{
+		MaxSize: maxFrameBytes,
+	}.UnmarshalFrom(r, m)
+}
+
+func traceparentOf(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	propagator.Inject(ctx, carrier)
+	return carrier["traceparent"]
+}
+
+func withTraceparent(ctx context.Context, traceparent string) context.Context {
+	if traceparent == "" {
+		return ctx
+	}
+	return propagator.Extract(ctx, propagation.MapCarrier{
+		"traceparent": traceparent,
+	})
+}
--- /dev/null
+++ b/internal/messenger/server.go
@@ -0,0 +1,105 @@
+package messenger
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// maxConnections bounds the connections that a server has open. Each entry
+// host makes one connection to each other one.
+const maxConnections = 1024
+
+// Server offers methods to peers. Make one with NewServer.
+type Server struct {
+	rpc      *rpc.Server
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+
+	mu sync.Mutex
+	// Invariant: holds the connections that are being served.
+	codecs map[*serverCodec]struct{}
+}
+
+// NewServer returns a server that will accept connections from the listener.
+// A nil configuration means plain TCP.
+func NewServer(listener net.Listener, cfg *tls.Config) *Server {
+	if cfg != nil {
+		listener = tls.NewListener(listener, cfg)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		rpc:      rpc.NewServer(),
+		listener: listener,
+		ctx:      ctx,
+		cancel:   cancel,
+		codecs:   make(map[*serverCodec]struct{}),
+	}
+}
+
+// Register offers the methods of service under name. Each takes a *Request
+// and a pointer to its answer. It must be called before Serve.
+func (s *Server) Register(name string, service any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, service), "messenger: register %s", name)
+}
+
+// Serve accepts connections until Close is called.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if s.ctx.Err() != nil {
+				return nil
+			}
+			return errors.Wrap(err, "messenger: accept")
+		}
+		s.serveConn(conn)
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	codec := newServerCodec(s.ctx, conn)
+	if !s.add(codec) {
+		_ = codec.Close()
+		return
+	}
+	s.group.Go(func() {
+		defer s.remove(codec)
+		s.rpc.ServeCodec(codec)
+	})
+}
+
+func (s *Server) add(codec *serverCodec) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil || len(s.codecs) >= maxConnections {
+		return false
+	}
+	s.codecs[codec] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(codec *serverCodec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.codecs, codec)
+}
+
+// Close stops accepting, closes all connections and waits for their calls.
+func (s *Server) Close() error {
+	s.cancel()
+	err := s.listener.Close()
+	s.mu.Lock()
+	for codec := range s.codecs {
+		_ = codec.Close()
+	}
+	s.mu.Unlock()
+	s.group.Wait()
+	return errors.Wrap(err, "messenger: close listener")
+}
