internal/registrar: make the test for old pull answers able to fail

Change: the old answer is 1 ms old when it arrives. Figures: with the guard removed, 'an old pull answer after the expiry' fails; with it all cases pass.

--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -89,9 +89,10 @@
 			p.sync()
 		},
 		"an old pull answer after the expiry": func(p *pair) {
+			p.advance(registrar.TTL - time.Millisecond)
 			sent := p.clock.Now()
 			old := p.a.ServePull(&wire.PullRequest{})
-			p.advance(registrar.TTL)
+			p.advance(time.Millisecond)
 			p.sync()
 			p.b.Pulled(sent, old)
 		},
