--- /dev/null
+++ b/internal/announcer/client.go
@@ -0,0 +1,89 @@
+package announcer
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// RenewInterval is the time between two announcements or polls.
+const RenewInterval = 500 * time.Millisecond
+
+// callTimeout bounds one call, so that another entry host is tried well
+// before an announcement expires.
+const callTimeout = 400 * time.Millisecond
+
+// Client calls entry hosts. It stays with one as long as that one answers. It
+// may be used from any number of goroutines; make one with NewClient.
+type Client struct {
+	http *resty.Client
+	// urls are the entry hosts, the preferred one first.
+	urls []string
+	next atomic.Uint64
+}
+
+// NewClient returns a client for the entry hosts at the URLs, such as
+// "http://127.0.0.1:8080", the nearest first.
+func NewClient(urls ...string) *Client {
+	return &Client{
+		http: resty.New().SetTimeout(callTimeout),
+		urls: urls,
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.GetClient().CloseIdleConnections()
+}
+
+// Announce adds or renews an upstream.
+func (c *Client) Announce(ctx context.Context, u Upstream) error {
+	_, err := c.post(ctx, "/v1/upstreams", u, nil)
+	return err
+}
+
+// Leave ends the announcement of an upstream.
+func (c *Client) Leave(ctx context.Context, u Upstream) error {
+	_, err := c.post(ctx, "/v1/upstreams/"+u.ID+"/leave", u, nil)
+	return err
+}
+
+// Poll reports for a worker and returns its orders.
+func (c *Client) Poll(ctx context.Context, poll *wire.WorkerPoll) (*wire.WorkerOrders, error) {
+	var orders Orders
+	_, err := c.post(ctx, "/v1/workers/"+poll.GetWorker()+"/poll", PollOf(poll), &orders)
+	if err != nil {
+		return nil, err
+	}
+	return orders.Wire(), nil
+}
+
+// post tries the entry hosts in turn, beginning with the one that answered last.
+func (c *Client) post(ctx context.Context, path string, body, answer any) (*resty.Response, error) {
+	var last error
+	for range c.urls {
+		url := c.urls[c.next.Load()%uint64(len(c.urls))]
+		request := c.http.R().SetContext(ctx).SetBody(body)
+		if answer != nil {
+			request.SetResult(answer)
+		}
+		response, err := request.Post(url + path)
+		if err == nil && response.IsSuccess() {
+			return response, nil
+		}
+		if err == nil {
+			err = errors.Errorf("announcer: %s answered %s: %s", url, response.Status(), response.String())
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		last = err
+		c.next.Add(1)
+	}
+	return nil, last
+}
--- /dev/null
+++ b/internal/announcer/handler.go
@@ -0,0 +1,134 @@
+package announcer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// maxBody bounds an announcement or a poll in bytes. A worker of 64 cores with
+// a task on each thousandth of a core would still fit.
+const maxBody = 4 << 20
+
+// Directory takes the announcements of upstreams.
+type Directory interface {
+	// Announce adds or renews an upstream.
+	Announce(u *wire.Upstream) error
+	// Leave ends the announcement.
+	Leave(u *wire.Upstream)
+}
+
+// Workers takes the polls of workers.
+type Workers interface {
+	// Poll returns the orders, or a message whose error field says why there are none.
+	Poll(ctx context.Context, poll *wire.WorkerPoll) *wire.WorkerOrders
+}
+
+// problem is an RFC 9457 problem details object.
+type problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+}
+
+// Handler serves /v1/upstreams and /v1/workers.
+type Handler struct {
+	directory Directory
+	workers   Workers
+	mux       *http.ServeMux
+}
+
+// NewHandler returns the handler of the announcement interface.
+func NewHandler(directory Directory, workers Workers) *Handler {
+	h := &Handler{
+		directory: directory,
+		workers:   workers,
+		mux:       http.NewServeMux(),
+	}
+	h.mux.HandleFunc("POST /v1/upstreams", h.announce)
+	h.mux.HandleFunc("POST /v1/upstreams/{id}/leave", h.leave)
+	h.mux.HandleFunc("POST /v1/workers/{id}/poll", h.poll)
+	return h
+}
+
+// ServeHTTP answers one call.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.mux.ServeHTTP(w, r)
+}
+
+func (h *Handler) announce(w http.ResponseWriter, r *http.Request) {
+	var u Upstream
+	if err := decode(w, r, &u); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	if err := u.Check(); err != nil {
+		refuse(w, http.StatusUnprocessableEntity, err)
+		return
+	}
+	if err := h.directory.Announce(u.Wire()); err != nil {
+		refuse(w, http.StatusConflict, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Handler) leave(w http.ResponseWriter, r *http.Request) {
+	var u Upstream
+	if err := decode(w, r, &u); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	u.ID = r.PathValue("id")
+	if err := u.Check(); err != nil {
+		refuse(w, http.StatusUnprocessableEntity, err)
+		return
+	}
+	h.directory.Leave(u.Wire())
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Handler) poll(w http.ResponseWriter, r *http.Request) {
+	var p Poll
+	if err := decode(w, r, &p); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	if p.Worker != r.PathValue("id") {
+		refuse(w, http.StatusUnprocessableEntity, errors.Errorf("worker %q does not match the path", p.Worker))
+		return
+	}
+	if err := p.Check(); err != nil {
+		refuse(w, http.StatusUnprocessableEntity, err)
+		return
+	}
+	orders := h.workers.Poll(r.Context(), p.Wire())
+	if orders.GetError() != "" {
+		refuse(w, http.StatusServiceUnavailable, errors.New(orders.GetError()))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(OrdersOf(orders))
+}
+
+func decode(w http.ResponseWriter, r *http.Request, into any) error {
+	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	d.DisallowUnknownFields()
+	return errors.Wrap(d.Decode(into), "announcer: body")
+}
+
+func refuse(w http.ResponseWriter, status int, err error) {
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(problem{
+		Type:   "about:blank",
+		Title:  http.StatusText(status),
+		Status: status,
+		Detail: err.Error(),
+	})
+}
