internal/loader: settings and deployment files

Cause: the daemon and the demo need typed settings, and the first leader needs a control state to start from. Change: Settings and Deployment, read from JSON with comments. Conclusion: the types are usable by other parts.

--- /dev/null
+++ b/internal/loader/check_settings.go
@@ -0,0 +1,65 @@
+package loader
+
+import "fmt"
+
+// checkSettings reports rules that span several members.
+func (d *document) checkSettings(s Settings) {
+	d.checkSelf(s)
+	d.checkVoters(s)
+	d.checkAddresses(s)
+	if s.TLS.Peers != nil && s.TLS.Peers.CA == "" {
+		d.add("Settings.tls.peers.ca", "tls.peers.ca is missing; allowed: %s", d.allowedAt("Settings.tls.peers.ca"))
+	}
+}
+
+func (d *document) checkSelf(s Settings) {
+	self, ok := s.Peer(s.Name)
+	if !ok {
+		d.add("Settings.name", "name %q is not listed in peers; allowed: the name of one of the peers", s.Name)
+		return
+	}
+	if self.PeerAddress != s.PeerAddress {
+		d.add("Settings.peer-address", "peer-address differs from the one in peers; allowed: %q", self.PeerAddress)
+	}
+	if self.DataCentre != s.DataCentre {
+		d.add("Settings.data-centre", "data-centre differs from the one in peers; allowed: %q", self.DataCentre)
+	}
+}
+
+// checkVoters refuses voters that the loss of one data centre would leave
+// without a majority, because the control state would stop with it.
+func (d *document) checkVoters(s Settings) {
+	if len(s.Voters)%2 == 0 {
+		d.add("Settings.voters", "voters are %d in number; allowed: 1, 3 or 5", len(s.Voters))
+	}
+	if s.IsVoter() && s.DataFolder == "" {
+		d.add("Settings.data-folder", "data-folder is missing although the host is a voter; allowed: the path of a folder on a disk")
+	}
+	voters := make(map[string]int)
+	for i, name := range s.Voters {
+		path := fmt.Sprintf("Settings.voters[%d]", i)
+		peer, ok := s.Peer(name)
+		if !ok {
+			d.add(path, "voters has %q, which is not listed in peers; allowed: the name of one of the peers", name)
+			continue
+		}
+		voters[peer.DataCentre]++
+		if len(s.Voters) > 1 && voters[peer.DataCentre] == len(s.Voters)/2+1 {
+			d.add(path, "voters has its majority in data centre %q; allowed: a minority in each data centre", peer.DataCentre)
+		}
+	}
+}
+
+func (d *document) checkAddresses(s Settings) {
+	first := make(map[string]string, len(s.Peers))
+	for i, p := range s.Peers {
+		path := fmt.Sprintf("Settings.peers[%d].peer-address", i)
+		if other, ok := first[p.PeerAddress]; ok {
+			d.add(path, "peer-address %q is that of %q already; allowed: an address of its own", p.PeerAddress, other)
+		}
+		first[p.PeerAddress] = p.Name
+	}
+	if s.HTTPAddress == s.PeerAddress {
+		d.add("Settings.http-address", "http-address is the same as peer-address; allowed: an address or port of its own")
+	}
+}
--- /dev/null
+++ b/internal/loader/snapshot.go
@@ -0,0 +1,159 @@
+package loader
+
+import (
+	"encoding/hex"
+	"fmt"
+
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// Snapshot returns the control state of a deployment without problems, for a
+// wire.Bootstrap command.
+func (dep Deployment) Snapshot() *wire.Snapshot {
+	snap := &wire.Snapshot{
+		Hosts: dep.hosts(),
+	}
+	for _, c := range dep.DataCentres {
+		snap.DataCentres = append(snap.DataCentres, &wire.DataCentre{
+			Name:   c.Name,
+			Region: c.Region,
+		})
+	}
+	for _, p := range dep.Pools {
+		snap.Pools = append(snap.Pools, p.wire())
+	}
+	for _, q := range dep.Queues {
+		snap.Queues = append(snap.Queues, q.wire())
+	}
+	for _, c := range dep.Contracts {
+		snap.Contracts = append(snap.Contracts, c.Wire())
+	}
+	for _, k := range dep.Keys {
+		snap.Keys = append(snap.Keys, k.wire())
+	}
+	return snap
+}
+
+func (p Pool) wire() *wire.Pool {
+	policy := wire.PlanPolicy_PLAN_POLICY_FAVOUR_SHARES
+	if p.Favour == "cost" {
+		policy = wire.PlanPolicy_PLAN_POLICY_FAVOUR_COST
+	}
+	return &wire.Pool{
+		Name:               p.Name,
+		AvailabilityBudget: p.AvailabilityBudget,
+		MinHosts:           p.MinHosts,
+		MaxHosts:           p.MaxHosts,
+		Spare:              p.Spare,
+		Policy:             policy,
+	}
+}
+
+func (q Queue) wire() *wire.Queue {
+	kind := wire.QueueKind_QUEUE_KIND_REQUESTS
+	if q.Kind == "tasks" {
+		kind = wire.QueueKind_QUEUE_KIND_TASKS
+	}
+	return &wire.Queue{
+		Name: q.Name,
+		Kind: kind,
+		Pool: q.Pool,
+		Open: q.Open,
+	}
+}
+
+// Wire returns the contract as the control state has it.
+func (c Contract) Wire() *wire.Contract {
+	contract := &wire.Contract{
+		Customer:   c.Customer,
+		HomeRegion: c.HomeRegion,
+	}
+	for _, t := range c.Teams {
+		contract.Teams = append(contract.Teams, &wire.Team{
+			Name:               t.Name,
+			Share:              t.Share,
+			Limit:              t.Limit.Wire(),
+			RequestRate:        int64(t.RequestRate),
+			RequestConcurrency: t.RequestConcurrency,
+			Queues:             t.Queues,
+		})
+	}
+	return contract
+}
+
+// ContractOf returns the contract in the form of deployment files.
+func ContractOf(c *wire.Contract) Contract {
+	contract := Contract{
+		Customer:   c.GetCustomer(),
+		HomeRegion: c.GetHomeRegion(),
+		Teams:      make([]Team, 0, len(c.GetTeams())),
+	}
+	for _, t := range c.GetTeams() {
+		contract.Teams = append(contract.Teams, Team{
+			Name:               t.GetName(),
+			Share:              t.GetShare(),
+			Limit:              CapacityOf(t.GetLimit()),
+			RequestRate:        Rate(t.GetRequestRate()),
+			RequestConcurrency: t.GetRequestConcurrency(),
+			Queues:             t.GetQueues(),
+		})
+	}
+	return contract
+}
+
+// Wire returns the capacity as the control state has it.
+func (c Capacity) Wire() *wire.Resources {
+	return &wire.Resources{
+		MilliCores:   int64(c.Processors),
+		MemoryBytes:  int64(c.Memory),
+		Accelerators: c.Accelerators,
+	}
+}
+
+// CapacityOf returns the resources in the form of deployment files.
+func CapacityOf(r *wire.Resources) Capacity {
+	return Capacity{
+		Processors:   MilliCores(r.GetMilliCores()),
+		Memory:       Bytes(r.GetMemoryBytes()),
+		Accelerators: r.GetAccelerators(),
+	}
+}
+
+func (k Key) wire() *wire.KeyRecord {
+	role := wire.Role_ROLE_SUBMITTER
+	if k.Role == "operator" {
+		role = wire.Role_ROLE_OPERATOR
+	}
+	// A deployment without problems has only valid digits.
+	hash, _ := hex.DecodeString(k.SHA256)
+	return &wire.KeyRecord{
+		Id:   k.ID,
+		Team: k.Team,
+		Hash: hash,
+		Role: role,
+	}
+}
+
+func (dep Deployment) hosts() []*wire.Host {
+	var hosts []*wire.Host
+	for _, h := range dep.Hosts {
+		expanded, _ := expandName(h.Name)
+		for i, name := range expanded {
+			hosts = append(hosts, &wire.Host{
+				Name:       name,
+				DataCentre: h.DataCentre,
+				Rack:       h.rack(i),
+				Pool:       h.Pools[i%len(h.Pools)],
+				Capacity:   h.Capacity.Wire(),
+			})
+		}
+	}
+	return hosts
+}
+
+func (h Hosts) rack(i int) string {
+	if h.PerRack == 0 {
+		return h.Rack
+	}
+	return fmt.Sprintf("%s%d", h.Rack, 1+int64(i)/h.PerRack)
+}
--- /dev/null
+++ b/internal/loader/units.go
@@ -0,0 +1,147 @@
+package loader
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Bytes is an amount of memory. In a file it is a whole number with a unit,
+// such as "64GiB".
+type Bytes int64
+
+// Units of Bytes.
+const (
+	KiB Bytes = 1 << 10
+	MiB Bytes = 1 << 20
+	GiB Bytes = 1 << 30
+	TiB Bytes = 1 << 40
+)
+
+// MilliCores is an amount of processors in thousandths of a core. In a file
+// it is "16 cores", "1 core" or "500 millicores".
+type MilliCores int64
+
+// Rate is a number of requests a second. In a file it is "200/s".
+type Rate int64
+
+// unit is one suffix of a quantity and its factor.
+type unit struct {
+	suffix string
+	factor int64
+}
+
+// The first suffix that fits decides, so a suffix comes before its own endings.
+var (
+	byteUnits = []unit{
+		{"TiB", int64(TiB)},
+		{"GiB", int64(GiB)},
+		{"MiB", int64(MiB)},
+		{"KiB", int64(KiB)},
+		{"B", 1},
+	}
+	coreUnits = []unit{
+		{"millicores", 1},
+		{"millicore", 1},
+		{"cores", 1000},
+		{"core", 1000},
+	}
+	rateUnits = []unit{
+		{"/s", 1},
+	}
+)
+
+// parseUnit returns the whole number of base units that text stands for.
+func parseUnit(text string, units []unit) (int64, bool) {
+	for _, u := range units {
+		digits, ok := strings.CutSuffix(text, u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(strings.TrimSuffix(digits, " "), 10, 63)
+		if err != nil || int64(n) > math.MaxInt64/u.factor {
+			return 0, false
+		}
+		return int64(n) * u.factor, true
+	}
+	return 0, false
+}
+
+// formatUnit writes n in the largest unit that divides it.
+func formatUnit(n int64, units []unit, space string) string {
+	for _, u := range units {
+		if n != 0 && n%u.factor == 0 {
+			return fmt.Sprintf("%d%s%s", n/u.factor, space, u.suffix)
+		}
+	}
+	return fmt.Sprintf("%d%s%s", n, space, units[len(units)-1].suffix)
+}
+
+// ParseBytes returns the amount of memory that text such as "64GiB" stands for.
+func ParseBytes(text string) (Bytes, error) {
+	n, ok := parseUnit(text, byteUnits)
+	if !ok {
+		return 0, fmt.Errorf("loader: %q is not an amount of memory such as \"64GiB\"", text)
+	}
+	return Bytes(n), nil
+}
+
+// ParseMilliCores returns the processors that text such as "16 cores" stands for.
+func ParseMilliCores(text string) (MilliCores, error) {
+	n, ok := parseUnit(text, coreUnits)
+	if !ok {
+		return 0, fmt.Errorf("loader: %q is not an amount of processors such as \"16 cores\"", text)
+	}
+	return MilliCores(n), nil
+}
+
+// ParseRate returns the requests a second that text such as "200/s" stands for.
+func ParseRate(text string) (Rate, error) {
+	n, ok := parseUnit(text, rateUnits)
+	if !ok {
+		return 0, fmt.Errorf("loader: %q is not a rate such as \"200/s\"", text)
+	}
+	return Rate(n), nil
+}
+
+// String returns the amount in the largest unit that divides it.
+func (b Bytes) String() string { return formatUnit(int64(b), byteUnits, "") }
+
+// String returns whole cores where possible, else millicores.
+func (m MilliCores) String() string {
+	if m%1000 == 0 {
+		return formatUnit(int64(m)/1000, []unit{{"cores", 1}}, " ")
+	}
+	return formatUnit(int64(m), []unit{{"millicores", 1}}, " ")
+}
+
+// String returns the rate with its unit.
+func (r Rate) String() string { return formatUnit(int64(r), rateUnits, "") }
+
+// UnmarshalText accepts what ParseBytes accepts.
+func (b *Bytes) UnmarshalText(text []byte) (err error) {
+	*b, err = ParseBytes(string(text))
+	return err
+}
+
+// MarshalText writes what String returns.
+func (b Bytes) MarshalText() ([]byte, error) { return []byte(b.String()), nil }
+
+// UnmarshalText accepts what ParseMilliCores accepts.
+func (m *MilliCores) UnmarshalText(text []byte) (err error) {
+	*m, err = ParseMilliCores(string(text))
+	return err
+}
+
+// MarshalText writes what String returns.
+func (m MilliCores) MarshalText() ([]byte, error) { return []byte(m.String()), nil }
+
+// UnmarshalText accepts what ParseRate accepts.
+func (r *Rate) UnmarshalText(text []byte) (err error) {
+	*r, err = ParseRate(string(text))
+	return err
+}
+
+// MarshalText writes what String returns.
+func (r Rate) MarshalText() ([]byte, error) { return []byte(r.String()), nil }
