--- /dev/null
+++ b/internal/forwarder/header.go
@@ -0,0 +1,60 @@
+package forwarder
+
+import (
+	"net/http"
+	"strings"
+)
+
+// hopByHop lists the fields that concern one connection only (RFC 9110,
+// section 7.6.1), with those that older senders use.
+var hopByHop = [...]string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Authorization",
+	"Proxy-Connection",
+	"Te",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
+// StripHopByHop removes the fields that concern one connection only, and the
+// ones that Connection names.
+func StripHopByHop(h http.Header) {
+	for _, list := range h["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopByHop {
+		delete(h, name)
+	}
+}
+
+// idempotencyKey and lowerIdempotencyKey are the same field on the wire.
+// http.Transport sends a request a second time when its header has the
+// canonical name, which at-most-once forbids; the lower-case name hides it.
+const (
+	idempotencyKey      = "Idempotency-Key"
+	lowerIdempotencyKey = "idempotency-key"
+)
+
+// upstreamHeader returns the header that goes to the upstream.
+func upstreamHeader(from http.Header) http.Header {
+	h := make(http.Header, len(from)+2)
+	for name, values := range from {
+		h[name] = values
+	}
+	StripHopByHop(h)
+	delete(h, "Expect")
+	if key, ok := h[idempotencyKey]; ok {
+		delete(h, idempotencyKey)
+		h[lowerIdempotencyKey] = key
+	}
+	if _, ok := h["User-Agent"]; !ok {
+		// Without a value the transport would add its own name.
+		h["User-Agent"] = nil
+	}
+	return h
+}
