internal/daemon: assemble the process of one entry host (does not build yet)

Cause: the whole path needs one process that joins control state, directory, registry, tasks, ingress and the operators' API. Change: services and calls between entry hosts, the supervisor of the leader (view, scheduler assignment, bootstrap), tracing, metrics, certificates.

--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,277 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/internal/certifier"
+	"github.com/heathermux/heathermux/internal/dispatcher"
+	"github.com/heathermux/heathermux/internal/follower"
+	"github.com/heathermux/heathermux/internal/ingress"
+	"github.com/heathermux/heathermux/internal/loader"
+	"github.com/heathermux/heathermux/internal/messenger"
+	"github.com/heathermux/heathermux/internal/meter"
+	"github.com/heathermux/heathermux/internal/recorder"
+	"github.com/heathermux/heathermux/internal/registrar"
+	"github.com/heathermux/heathermux/internal/supervisor"
+	"github.com/heathermux/heathermux/internal/tracer"
+	"github.com/heathermux/heathermux/internal/voter"
+	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+// tickInterval is the time between two rounds of directory and dispatcher.
+const tickInterval = 100 * time.Millisecond
+
+// Daemon is the process of one entry host. Make one with New, start it with
+// Run; Run returns when its context has ended and the planned stop is over.
+type Daemon struct {
+	opts  Options
+	self  *wire.Member
+	clock timer.Clock
+
+	tracer     *tracer.Provider
+	meter      *meter.Meter
+	client     *messenger.Client
+	calls      *calls
+	transport  *transport
+	voter      *voter.Voter
+	follower   *follower.Follower
+	control    *control
+	directory  *registrar.Registrar
+	recorder   *recorder.Recorder
+	dispatcher *dispatcher.Dispatcher
+	ingress    *ingress.Ingress
+	supervisor *supervisor.Supervisor
+	peers      *messenger.Server
+	http       *http.Server
+	listener   net.Listener
+
+	ready atomic.Bool
+	tasks sync.WaitGroup
+}
+
+// New opens files and listeners. Nothing is served before Run.
+func New(ctx context.Context, opts Options) (*Daemon, error) {
+	if opts.Clock == nil {
+		opts.Clock = timer.System()
+	}
+	if opts.Traces == nil {
+		opts.Traces = os.Stdout
+	}
+	d := &Daemon{
+		opts:  opts,
+		self:  opts.self(uuid.NewString()),
+		clock: opts.Clock,
+		meter: meter.New(opts.Clock),
+	}
+	for _, step := range []func(context.Context) error{
+		d.openTracer,
+		d.openClient,
+		d.openVoter,
+		d.openParts,
+		d.openIngress,
+		d.openPeers,
+		d.openHTTP,
+	} {
+		if err := step(ctx); err != nil {
+			d.release()
+			return nil, errors.Wrap(err, "daemon")
+		}
+	}
+	d.openMetrics()
+	return d, nil
+}
+
+func (d *Daemon) openTracer(ctx context.Context) error {
+	var err error
+	d.tracer, err = tracer.New(ctx, tracer.Options{
+		Exporter:   d.opts.Settings.Trace.Exporter,
+		Endpoint:   d.opts.Settings.Trace.Endpoint,
+		EntryHost:  d.opts.Settings.Name,
+		DataCentre: d.opts.Settings.DataCentre,
+		Output:     d.opts.Traces,
+	})
+	return err
+}
+
+func (d *Daemon) certifier(c *loader.Certificate) (*certifier.Certifier, error) {
+	if c == nil {
+		return nil, nil
+	}
+	return certifier.New(certifier.Options{
+		Certificate: c.Certificate,
+		Key:         c.Key,
+		CA:          c.CA,
+		Clock:       d.clock,
+		Logger:      d.opts.Logger,
+	})
+}
+
+func (d *Daemon) openClient(context.Context) error {
+	certificates, err := d.certifier(d.opts.Settings.TLS.Peers)
+	if err != nil {
+		return err
+	}
+	var cfg func() *tls.Config
+	if certificates != nil {
+		cfg = certificates.Client
+	}
+	d.client = messenger.NewClient(cfg)
+	d.calls = &calls{
+		client: d.client,
+	}
+	return nil
+}
+
+func (d *Daemon) openVoter(context.Context) error {
+	s := d.opts.Settings
+	if !s.IsVoter() {
+		return nil
+	}
+	d.transport = newTransport(d.calls, voters(s))
+	var err error
+	d.voter, err = voter.Open(voter.Options{
+		Name:      s.Name,
+		Peers:     s.Voters,
+		Dir:       s.DataFolder,
+		Clock:     d.clock,
+		Transport: d.transport,
+		Logger:    d.opts.Logger,
+	})
+	return err
+}
+
+func (d *Daemon) openParts(context.Context) error {
+	s := d.opts.Settings
+	d.directory = registrar.New(registrar.Options{
+		Self:  d.self,
+		Clock: d.clock,
+	})
+	d.recorder = recorder.New(recorder.Options{
+		Self:      d.self,
+		Clock:     d.clock,
+		Peers:     registryCalls{d.calls},
+		Logger:    d.opts.Logger,
+		MemoryCap: int64(s.Idempotency.MemoryCap),
+		Retention: s.Idempotency.Retention,
+		Live:      func() bool { return d.follower.View().Live(d.clock.Now()) },
+	})
+	d.dispatcher = dispatcher.New(dispatcher.Options{
+		Self:   d.self,
+		Clock:  d.clock,
+		View:   func() follower.View { return d.follower.View() },
+		Peers:  taskCalls{d.calls},
+		Logger: d.opts.Logger,
+	})
+	d.follower = follower.New(follower.Options{
+		Self:   d.self,
+		Voters: voters(s),
+		Clock:  d.clock,
+		Source: &localSource{
+			self:  d.self,
+			voter: d.voter,
+			calls: d.calls,
+		},
+		Logger:   d.opts.Logger,
+		Demands:  func() []*wire.TeamDemand { return d.ingress.Demands() },
+		Report:   d.dispatcher.Report,
+		OnChange: d.viewChanged,
+	})
+	d.control = &control{
+		self:     d.self,
+		voters:   voters(s),
+		voter:    d.voter,
+		calls:    d.calls,
+		follower: d.follower,
+	}
+	return d.openSupervisor()
+}
+
+func (d *Daemon) openSupervisor() error {
+	if d.voter == nil {
+		return nil
+	}
+	bootstrap, err := d.opts.deployment()
+	if err != nil {
+		return err
+	}
+	d.supervisor = supervisor.New(supervisor.Options{
+		Control:   d.voter,
+		Clock:     d.clock,
+		Logger:    d.opts.Logger,
+		Bootstrap: bootstrap,
+	})
+	return nil
+}
+
+// viewChanged tells the registry about a new view of entry hosts.
+func (d *Daemon) viewChanged(v follower.View) {
+	d.recorder.SetView(v.State.View(), v.State.PreviousView())
+}
+
+func (d *Daemon) openIngress(context.Context) error {
+	var err error
+	d.ingress, err = ingress.New(ingress.Config{
+		Self:       d.self,
+		View:       d.follower.View,
+		Clock:      d.clock,
+		Logger:     d.opts.Logger,
+		Tracer:     d.tracer,
+		Registry:   d.recorder,
+		Directory:  d.directory,
+		Tasks:      d.dispatcher,
+		Allotments: d.follower,
+	})
+	return err
+}
+
+func (d *Daemon) openPeers(context.Context) error {
+	listener := d.opts.Peers
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", d.opts.Settings.PeerAddress); err != nil {
+			return errors.Wrap(err, "peer-address")
+		}
+	}
+	certificates, err := d.certifier(d.opts.Settings.TLS.Peers)
+	if err != nil {
+		return err
+	}
+	var cfg *tls.Config
+	if certificates != nil {
+		cfg = certificates.Server()
+	}
+	d.peers = messenger.NewServer(listener, cfg)
+	for name, service := range map[string]any{
+		"Replication": &replicationService{
+			voter: d.voter,
+		},
+		"Control": &controlService{
+			voter: d.voter,
+		},
+		"Directory": &directoryService{
+			directory: d.directory,
+		},
+		"Registry": &registryService{
+			recorder: d.recorder,
+		},
+		"Tasks": &taskService{
+			dispatcher: d.dispatcher,
+		},
+	} {
+		if err := d.peers.Register(name, service); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/http.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
+
+	"github.com/heathermux/heathermux/internal/announcer"
+	"github.com/heathermux/heathermux/internal/operator"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+const (
+	// headerTimeout bounds the reading of a request header, so that slow
+	// clients do not hold connections.
+	headerTimeout = 10 * time.Second
+
+	// idleTimeout is longer than the usual interval of pollers.
+	idleTimeout = 2 * time.Minute
+)
+
+func (d *Daemon) openHTTP(context.Context) error {
+	listener := d.opts.HTTP
+	if listener == nil {
+		var err error
+		if listener, err = net.Listen("tcp", d.opts.Settings.HTTPAddress); err != nil {
+			return errors.Wrap(err, "http-address")
+		}
+	}
+	d.listener = netutil.LimitListener(listener, d.opts.Settings.Limits.Connections)
+	certificates, err := d.certifier(d.opts.Settings.TLS.HTTP)
+	if err != nil {
+		return err
+	}
+	d.http = &http.Server{
+		Handler:           d.meter.Wrap(d.routes()),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    int(d.opts.Settings.Limits.Header),
+	}
+	if certificates != nil {
+		d.http.TLSConfig = certificates.Server()
+	}
+	return nil
+}
+
+func (d *Daemon) routes() http.Handler {
+	mux := http.NewServeMux()
+	callers := d.ingress.Handler()
+	mux.Handle("/q/", callers)
+	mux.Handle("/v1/tasks", callers)
+	mux.Handle("/v1/tasks/", callers)
+	announcements := announcer.NewHandler(d.directory, d.dispatcher)
+	mux.Handle("/v1/upstreams", announcements)
+	mux.Handle("/v1/upstreams/", announcements)
+	mux.Handle("/v1/workers/", announcements)
+	mux.Handle("/v1/", operator.New(operator.Config{
+		Control: d.control,
+		Status:  d,
+		Clock:   d.clock,
+	}))
+	mux.Handle("/metrics", d.meter.Handler())
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("/readyz", d.serveReady)
+	return mux
+}
+
+// serveReady tells the load balancer whether to send new connections here.
+// Without a lease the host still serves open queues, so it stays ready.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// Status returns what this host knows besides the control state.
+func (d *Daemon) Status(context.Context) operator.Local {
+	local := operator.Local{
+		EntryHost:  d.self.GetName(),
+		DataCentre: d.self.GetDataCentre(),
+		Leader:     d.follower.Leader().GetName(),
+		Voters:     d.opts.Settings.Voters,
+	}
+	state := d.follower.View().State
+	for _, q := range state.Queues() {
+		if q.GetKind() != wire.QueueKind_QUEUE_KIND_REQUESTS {
+			continue
+		}
+		local.Queues = append(local.Queues, operator.QueueStatus{
+			Queue:     q.GetName(),
+			Upstreams: len(d.directory.Upstreams(q.GetName())),
+		})
+	}
+	return local
+}
+
+// openMetrics adds the gauges of the parts.
+func (d *Daemon) openMetrics() {
+	d.meter.Gauge("control_revision", "Revision of the control state on this host.", func() float64 {
+		return float64(d.follower.View().State.Revision())
+	})
+	d.meter.Gauge("authority_lease_seconds", "Rest of the authority lease; 0 or less without one.", func() float64 {
+		return d.follower.View().LeaseUntil.Sub(d.clock.Now()).Seconds()
+	})
+	d.meter.Gauge("leader", "1 on the host that leads the control state.", func() float64 {
+		if d.voter == nil {
+			return 0
+		}
+		if _, self := d.voter.Leader(); self {
+			return 1
+		}
+		return 0
+	})
+	d.meter.Gauge("directory_generation", "Changes of the directory of upstreams.", func() float64 {
+		return float64(d.directory.Generation())
+	})
+}
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -11,15 +11,16 @@
 // Client calls peers by address and keeps one connection to each. It may be
 // used from any number of goroutines; make one with NewClient.
 type Client struct {
-	tls *tls.Config
+	tls func() *tls.Config
 
 	mu sync.Mutex
 	// Invariant: holds one peer for each address that was called since the start.
 	peers map[string]*peer
 }
 
-// NewClient returns a client. A nil configuration means plain TCP.
-func NewClient(cfg *tls.Config) *Client {
+// NewClient returns a client. The function returns the configuration of each
+// new connection; nil means plain TCP.
+func NewClient(cfg func() *tls.Config) *Client {
 	return &Client{
 		tls:   cfg,
 		peers: make(map[string]*peer),
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -30,12 +30,12 @@
 
 // ErrUnreachable is returned when there is no connection to the peer. The
 // call was not sent.
-var ErrUnreachable = errors.New("messenger: the peer is not reachable")
+var ErrUnreachable error = unsentError("messenger: the peer is not reachable")
 
 // peer holds the connection to one address.
 type peer struct {
 	address string
-	tls     *tls.Config
+	tls     func() *tls.Config
 	slots   chan struct{}
 	heardAt atomic.Int64
 
@@ -47,7 +47,7 @@
 	closed   bool
 }
 
-func newPeer(address string, cfg *tls.Config) *peer {
+func newPeer(address string, cfg func() *tls.Config) *peer {
 	return &peer{
 		address: address,
 		tls:     cfg,
@@ -155,7 +155,7 @@
 		return d.DialContext(ctx, "tcp", p.address)
 	}
 	d := tls.Dialer{
-		Config: p.tls,
+		Config: p.tls(),
 	}
 	return d.DialContext(ctx, "tcp", p.address)
 }
--- a/internal/messenger/writer.go
+++ b/internal/messenger/writer.go
@@ -5,8 +5,6 @@
 	"net"
 	"sync"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // queuedFrames bounds the frames that wait for a connection to take them.
@@ -17,7 +15,7 @@
 
 // ErrBusy is returned when a connection has its bounded number of calls or
 // frames waiting. The call was not sent.
-var ErrBusy = errors.New("messenger: too many calls wait for this peer")
+var ErrBusy error = unsentError("messenger: too many calls wait for this peer")
 
 // frameWriter writes frames to a connection from one goroutine, so that a
 // caller never blocks on a peer that does not read. Frames that wait together
