internal/operator, internal/commander, cmd/heathermux: operators' API and command line

Cause: operators need to read and change contracts, keys, data centres, pools, hosts and maintenance. Change: an http.Handler over the Control interface, and a command line that calls it. Each change carries an operation ID, and the command line resends the same one after a lost answer. Conclusion: the daemon and the demo can be supplied through Programs.

--- /dev/null
+++ b/cmd/heathermux/main.go
@@ -0,0 +1,21 @@
+// Command heathermux is the daemon, the demo and the operators' command line.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/heathermux/heathermux/internal/commander"
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return commander.Run(ctx, os.Args[1:], commander.Programs{}, os.Stdin, os.Stdout, os.Stderr)
+}
--- /dev/null
+++ b/internal/commander/check.go
@@ -0,0 +1,72 @@
+package commander
+
+import (
+	"fmt"
+
+	"github.com/heathermux/heathermux/internal/loader"
+)
+
+type check struct {
+	session    *session
+	Config     string `long:"config" value-name:"FILE" description:"Settings file of an entry host; the deployment file that it names is checked too"`
+	Deployment string `long:"deployment" value-name:"FILE" description:"Deployment file"`
+}
+
+// checkOutput is the result of a check in the form of --output json.
+type checkOutput struct {
+	Problems []checkProblem `json:"problems"`
+}
+
+type checkProblem struct {
+	File   string `json:"file"`
+	Line   int    `json:"line"`
+	Column int    `json:"column"`
+	Text   string `json:"text"`
+}
+
+// Execute reports all problems of the files.
+func (c *check) Execute([]string) error {
+	if c.Config == "" && c.Deployment == "" {
+		return usage("name a file with --config or --deployment")
+	}
+	_, problems := readAll(c.Config, c.Deployment)
+	err := c.session.show(checkOutputOf(problems), func() {
+		if len(problems) > 0 {
+			c.session.print("%s\n", problems)
+		} else {
+			c.session.print("no problems\n")
+		}
+	})
+	if err == nil && len(problems) > 0 {
+		return failed(fmt.Errorf("%d problems", len(problems)))
+	}
+	return err
+}
+
+func checkOutputOf(problems loader.Problems) checkOutput {
+	out := checkOutput{
+		Problems: make([]checkProblem, 0, len(problems)),
+	}
+	for _, p := range problems {
+		out.Problems = append(out.Problems, checkProblem(p))
+	}
+	return out
+}
+
+// readAll reads the settings and the deployment file, which the settings name
+// unless one is given. An empty path is passed over.
+func readAll(config, deployment string) (loader.Settings, loader.Problems) {
+	var settings loader.Settings
+	var problems loader.Problems
+	if config != "" {
+		settings, problems = loader.ReadSettings(config)
+	}
+	if deployment == "" {
+		deployment = settings.Bootstrap
+	}
+	if deployment != "" {
+		_, more := loader.ReadDeployment(deployment)
+		problems = append(problems, more...)
+	}
+	return settings, problems
+}
--- /dev/null
+++ b/internal/commander/pools.go
@@ -0,0 +1,158 @@
+package commander
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+
+	"github.com/heathermux/heathermux/internal/operator"
+)
+
+func poolCommands(s *session) command {
+	return command{
+		name:  "pool",
+		short: "Take pools out of service and back",
+		long:  "Lists pools, takes them out of service, drains and returns them.",
+		children: []command{
+			{
+				name:  "list",
+				short: "List pools",
+				long:  "Lists the pools with their hosts and budgets.",
+				data: &poolList{
+					session: s,
+				},
+			},
+			{
+				name:  "out",
+				short: "Take a pool out of service",
+				long:  "Takes a pool out of service; its queues take no new work.",
+				data: &poolSet{
+					session: s,
+					state:   "out",
+				},
+			},
+			{
+				name:  "in",
+				short: "Return a pool to service",
+				long:  "Returns a pool to service.",
+				data: &poolIn{
+					session: s,
+				},
+			},
+			{
+				name:  "drain",
+				short: "Take a pool out and drain its hosts",
+				long:  "Takes a pool out of service and drains as many of its hosts as the availability budget allows.",
+				data: &poolSet{
+					session: s,
+					state:   "drain",
+				},
+			},
+		},
+	}
+}
+
+type poolList struct {
+	session *session
+}
+
+// Execute lists the pools.
+func (c *poolList) Execute([]string) error {
+	api, err := c.session.client()
+	if err != nil {
+		return err
+	}
+	var list operator.PoolList
+	if err := api.get("/v1/pools", &list); err != nil {
+		return err
+	}
+	return c.session.show(list, func() { c.session.showPools(list.Pools) })
+}
+
+func (s *session) showPools(pools []operator.Pool) {
+	s.table("POOL\tSTATE\tHOSTS\tUNAVAILABLE\tBUDGET\tMIN\tMAX\tFAVOURS\tSPARE\tREVISION", func(row func(...any)) {
+		for _, p := range pools {
+			row(p.Name, p.State, p.Hosts, p.Unavailable, p.AvailabilityBudget, p.MinHosts, p.MaxHosts, p.Favour, p.Spare, p.Revision)
+		}
+	})
+}
+
+// poolArgs names the pool of a command.
+type poolArgs struct {
+	Pool string `positional-arg-name:"POOL" description:"Name of the pool"`
+}
+
+type poolSet struct {
+	session *session
+	state   string
+	changeOptions
+	revisionOption
+	Args poolArgs `positional-args:"yes" required:"yes"`
+}
+
+// Execute takes the pool out of service, and drains it when asked to.
+func (c *poolSet) Execute([]string) error {
+	api, err := c.session.client()
+	if err != nil {
+		return err
+	}
+	revision, err := c.or(func() (uint64, error) { return api.poolRevision(c.Args.Pool) })
+	if err != nil {
+		return err
+	}
+	body := c.change(revision)
+	return api.changePool(c.Args.Pool, c.state, body.OperationID, body)
+}
+
+type poolIn struct {
+	session *session
+	changeOptions
+	revisionOption
+	ReturnHosts bool     `long:"return-hosts" description:"Also return the hosts of the pool that were drained by operators"`
+	Args        poolArgs `positional-args:"yes" required:"yes"`
+}
+
+// Execute returns the pool to service.
+func (c *poolIn) Execute([]string) error {
+	api, err := c.session.client()
+	if err != nil {
+		return err
+	}
+	revision, err := c.or(func() (uint64, error) { return api.poolRevision(c.Args.Pool) })
+	if err != nil {
+		return err
+	}
+	body := operator.PoolReturn{
+		Change:      c.change(revision),
+		ReturnHosts: c.ReturnHosts,
+	}
+	return api.changePool(c.Args.Pool, "in", body.OperationID, body)
+}
+
+func (c *client) changePool(pool, state, operation string, body any) error {
+	answer, err := c.change("/v1/pools/"+url.PathEscape(pool)+"/"+state, operation, body)
+	if err != nil {
+		return err
+	}
+	text := "pool " + pool + stateTexts[state]
+	if len(answer.Hosts) > 0 {
+		text += "\nhosts changed: " + strings.Join(answer.Hosts, ", ")
+	}
+	if answer.HostsLeft > 0 {
+		text += fmt.Sprintf("\nhosts left as they were: %d; repeat the command when the others are done", answer.HostsLeft)
+	}
+	return c.session.showAnswer(answer, text)
+}
+
+func (c *client) poolRevision(name string) (uint64, error) {
+	var list operator.PoolList
+	if err := c.get("/v1/pools", &list); err != nil {
+		return 0, err
+	}
+	for _, p := range list.Pools {
+		if p.Name == name {
+			return p.Revision, nil
+		}
+	}
+	return 0, nil
+}
--- a/internal/loader/units.go
+++ b/internal/loader/units.go
@@ -35,20 +35,50 @@
 // The first suffix that fits decides, so a suffix comes before its own endings.
 var (
 	byteUnits = []unit{
-		{"TiB", int64(TiB)},
-		{"GiB", int64(GiB)},
-		{"MiB", int64(MiB)},
-		{"KiB", int64(KiB)},
-		{"B", 1},
+		{
+			suffix: "TiB",
+			factor: int64(TiB),
+		},
+		{
+			suffix: "GiB",
+			factor: int64(GiB),
+		},
+		{
+			suffix: "MiB",
+			factor: int64(MiB),
+		},
+		{
+			suffix: "KiB",
+			factor: int64(KiB),
+		},
+		{
+			suffix: "B",
+			factor: 1,
+		},
 	}
 	coreUnits = []unit{
-		{"millicores", 1},
-		{"millicore", 1},
-		{"cores", 1000},
-		{"core", 1000},
+		{
+			suffix: "millicores",
+			factor: 1,
+		},
+		{
+			suffix: "millicore",
+			factor: 1,
+		},
+		{
+			suffix: "cores",
+			factor: 1000,
+		},
+		{
+			suffix: "core",
+			factor: 1000,
+		},
 	}
 	rateUnits = []unit{
-		{"/s", 1},
+		{
+			suffix: "/s",
+			factor: 1,
+		},
 	}
 )
 
@@ -69,13 +99,13 @@
 }
 
 // formatUnit writes n in the largest unit that divides it.
-func formatUnit(n int64, units []unit, space string) string {
+func formatUnit(n int64, units []unit) string {
 	for _, u := range units {
 		if n != 0 && n%u.factor == 0 {
-			return fmt.Sprintf("%d%s%s", n/u.factor, space, u.suffix)
+			return fmt.Sprintf("%d%s", n/u.factor, u.suffix)
 		}
 	}
-	return fmt.Sprintf("%d%s%s", n, space, units[len(units)-1].suffix)
+	return fmt.Sprintf("%d%s", n, units[len(units)-1].suffix)
 }
 
 // ParseBytes returns the amount of memory that text such as "64GiB" stands for.
@@ -106,18 +136,18 @@
 }
 
 // String returns the amount in the largest unit that divides it.
-func (b Bytes) String() string { return formatUnit(int64(b), byteUnits, "") }
+func (b Bytes) String() string { return formatUnit(int64(b), byteUnits) }
 
 // String returns whole cores where possible, else millicores.
 func (m MilliCores) String() string {
 	if m%1000 == 0 {
-		return formatUnit(int64(m)/1000, []unit{{"cores", 1}}, " ")
+		return fmt.Sprintf("%d cores", m/1000)
 	}
-	return formatUnit(int64(m), []unit{{"millicores", 1}}, " ")
+	return fmt.Sprintf("%d millicores", m)
 }
 
 // String returns the rate with its unit.
-func (r Rate) String() string { return formatUnit(int64(r), rateUnits, "") }
+func (r Rate) String() string { return formatUnit(int64(r), rateUnits) }
 
 // UnmarshalText accepts what ParseBytes accepts.
 func (b *Bytes) UnmarshalText(text []byte) (err error) {
--- /dev/null
+++ b/internal/operator/maintenance.go
@@ -0,0 +1,91 @@
+package operator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// Maintenance is one roll-out as operators see it.
+type Maintenance struct {
+	Wave uint64 `json:"wave"`
+	// Pool that is maintained; empty means every pool.
+	Pool      string     `json:"pool,omitempty"`
+	Done      bool       `json:"done"`
+	StartedAt *time.Time `json:"started-at,omitempty"`
+	// HostsDone, HostsDown and HostsWaiting add up to all hosts that the
+	// roll-out covers now; all are 0 when it is done.
+	HostsDone    int    `json:"hosts-done"`
+	HostsDown    int    `json:"hosts-down"`
+	HostsWaiting int    `json:"hosts-waiting"`
+	Revision     uint64 `json:"revision"`
+}
+
+// MaintenanceList is the answer to GET /v1/maintenance, the oldest first.
+type MaintenanceList struct {
+	Revision    uint64        `json:"revision"`
+	Maintenance []Maintenance `json:"maintenance"`
+}
+
+// MaintenanceStart is the body of POST /v1/maintenance.
+type MaintenanceStart struct {
+	Change
+	// Pool to maintain; empty means every pool.
+	Pool string `json:"pool,omitempty"`
+}
+
+func (a *api) listMaintenance(*http.Request, string) (any, *Problem) {
+	state := a.Control.View().State
+	list := MaintenanceList{
+		Revision:    state.Revision(),
+		Maintenance: make([]Maintenance, 0),
+	}
+	for _, m := range state.Maintenances() {
+		list.Maintenance = append(list.Maintenance, maintenanceOf(state, m))
+	}
+	return list, nil
+}
+
+func maintenanceOf(state controller.State, m *wire.Maintenance) Maintenance {
+	shown := Maintenance{
+		Wave:      m.GetWave(),
+		Pool:      m.GetPool(),
+		Done:      m.GetDone(),
+		StartedAt: timeOf(m.GetStartedAtUnixNanos()),
+		Revision:  m.GetRevision(),
+	}
+	if m.GetDone() {
+		return shown
+	}
+	for _, h := range state.Hosts() {
+		if m.GetPool() != "" && m.GetPool() != h.GetPool() {
+			continue
+		}
+		grant, granted := state.Grant(h.GetName())
+		switch {
+		case h.GetMaintainedWave() >= m.GetWave():
+			shown.HostsDone++
+		case granted && grant.GetWave() == m.GetWave():
+			shown.HostsDown++
+		default:
+			shown.HostsWaiting++
+		}
+	}
+	return shown
+}
+
+func (a *api) startMaintenance(r *http.Request, actor string) (any, *Problem) {
+	var body MaintenanceStart
+	if problem := decode(r, &body, &body.Change, false); problem != nil {
+		return nil, problem
+	}
+	cmd := body.command(actor)
+	cmd.Change = &wire.Command_StartMaintenance{
+		StartMaintenance: &wire.StartMaintenance{
+			Pool: body.Pool,
+		},
+	}
+	return orProblem(a.propose(r.Context(), cmd))
+}
