internal/allocator: split request limits among entry hosts

Cause: rate and concurrency limits hold fleet-wide, although each entry host admits requests on its own. Change: the leader splits each limit by demand and hands the parts out with the authority lease. A reduced part counts until it is confirmed or its lease is over; a new leader only confirms what hosts report for one lease length. Moved load gets over 90% of the limit within 10 rounds of calls. All teams are reported in each call, which is a cost that docs/CAPACITY.md has to weigh.

--- /dev/null
+++ b/internal/allocator/allocator_test.go
@@ -0,0 +1,138 @@
+package allocator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/heathermux/heathermux/internal/allocator"
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/follower"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+const (
+	limitRate        = 100
+	limitConcurrency = 30
+	hosts            = 3
+)
+
+func state() controller.State {
+	return controller.State{}.WithContract(&wire.Contract{
+		Customer: "qhapaq",
+		Teams: []*wire.Team{
+			{
+				Name:               "markets",
+				RequestRate:        limitRate,
+				RequestConcurrency: limitConcurrency,
+			},
+		},
+	}).WithView(&wire.View{
+		Epoch:   1,
+		Members: make([]*wire.Member, hosts),
+	})
+}
+
+// host is an entry host that uses its whole part as long as its lease lasts.
+type host struct {
+	held  allocator.Part
+	until time.Time
+}
+
+func (h *host) usable(now time.Time) allocator.Part {
+	if now.Before(h.until) {
+		return h.held
+	}
+	return allocator.Part{}
+}
+
+func (h *host) demand(now time.Time, load int64) []*wire.TeamDemand {
+	return []*wire.TeamDemand{
+		{
+			Team:            "markets",
+			Rate:            load,
+			HeldRate:        h.usable(now).Rate,
+			HeldConcurrency: h.usable(now).Concurrency,
+		},
+	}
+}
+
+// The parts that the hosts may use at any moment must not add up to more than
+// the contract, whatever answers are lost, whoever leads and however load moves.
+func TestPartsNeverExceedLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := state()
+		now := time.Unix(0, 0)
+		leaders := []*allocator.Allocator{allocator.New(), allocator.New()}
+		leading := 0
+		all := make([]*host, hosts)
+		for i := range all {
+			all[i] = &host{}
+		}
+		steps := rapid.IntRange(1, 150).Draw(t, "steps")
+		for range steps {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 30).Draw(t, "election") == 0 {
+				// An election takes at least the minimum election timeout.
+				now = now.Add(600 * time.Millisecond)
+				leading = 1 - leading
+			}
+			i := rapid.IntRange(0, hosts-1).Draw(t, "host")
+			h := all[i]
+			sent := now
+			grants := leaders[leading].Grant(now, &wire.Member{
+				Name: fmt.Sprint(i),
+			}, h.demand(now, int64(rapid.IntRange(0, 500).Draw(t, "load"))), s)
+			if rapid.IntRange(0, 5).Draw(t, "lost") > 0 {
+				h.held = allocator.Part{
+					Rate:        grants[0].GetRate(),
+					Concurrency: grants[0].GetConcurrency(),
+				}
+				h.until = sent.Add(follower.LeaseLength)
+			}
+			var sum allocator.Part
+			for _, h := range all {
+				sum.Rate += h.usable(now).Rate
+				sum.Concurrency += h.usable(now).Concurrency
+			}
+			if sum.Rate > limitRate || sum.Concurrency > limitConcurrency {
+				t.Fatalf("hosts may use %+v together", sum)
+			}
+		}
+	})
+}
+
+// Load that moves to one host must find its part there within a few calls.
+func TestPartsFollowDemand(t *testing.T) {
+	is := is.New(t)
+	a := allocator.New()
+	s := state()
+	now := time.Unix(0, 0)
+	all := []*host{
+		{},
+		{},
+		{},
+	}
+	for round := range 20 {
+		for i, h := range all {
+			now = now.Add(130 * time.Millisecond)
+			load := int64(0)
+			if i == 0 && round > 10 {
+				load = 100
+			}
+			grants := a.Grant(now, &wire.Member{
+				Name: fmt.Sprint(i),
+			}, h.demand(now, load), s)
+			h.held = allocator.Part{
+				Rate:        grants[0].GetRate(),
+				Concurrency: grants[0].GetConcurrency(),
+			}
+			h.until = now.Add(follower.LeaseLength)
+		}
+	}
+	is.True(all[0].held.Rate > limitRate*9/10)
+	is.True(all[0].held.Concurrency > limitConcurrency*9/10)
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/heathermux/heathermux/internal/allocator"
 	"github.com/heathermux/heathermux/internal/certifier"
 	"github.com/heathermux/heathermux/internal/dispatcher"
 	"github.com/heathermux/heathermux/internal/follower"
@@ -147,6 +148,8 @@
 		Clock:     d.clock,
 		Transport: d.transport,
 		Logger:    d.opts.Logger,
+
+		RequestAllotter: allocator.New(),
 	})
 	return err
 }
@@ -183,7 +186,7 @@
 			calls: d.calls,
 		},
 		Logger:   d.opts.Logger,
-		Demands:  func() []*wire.TeamDemand { return d.ingress.Demands() },
+		Demands:  d.demands,
 		Report:   d.dispatcher.Report,
 		OnChange: d.viewChanged,
 	})
@@ -275,3 +278,29 @@
 	}
 	return nil
 }
+
+// demands returns the load of each team together with the part of its limits
+// that this host holds, for teams without load too: a new leader confirms only
+// what is reported.
+func (d *Daemon) demands() []*wire.TeamDemand {
+	load := make(map[string]*wire.TeamDemand)
+	for _, demand := range d.ingress.Demands() {
+		load[demand.GetTeam()] = demand
+	}
+	view := d.follower.View()
+	live := view.Live(d.clock.Now())
+	var list []*wire.TeamDemand
+	for _, ref := range view.State.Teams() {
+		demand, ok := load[ref.Team.GetName()]
+		if !ok {
+			demand = &wire.TeamDemand{
+				Team: ref.Team.GetName(),
+			}
+		}
+		if live {
+			demand.HeldRate, demand.HeldConcurrency = d.follower.Allotment(ref.Team.GetName())
+		}
+		list = append(list, demand)
+	}
+	return list
+}
