--- /dev/null
+++ b/internal/voter/proposal.go
@@ -0,0 +1,62 @@
+package voter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/voter/replica"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+type answer struct {
+	result *wire.Result
+	err    error
+}
+
+// proposal is one call of Propose. Its caller may give up before or after the
+// command is appended.
+type proposal struct {
+	answer chan answer
+
+	mu sync.Mutex
+	// Invariant: at most one of the two becomes true.
+	appended  bool
+	abandoned bool
+}
+
+func newProposal() *proposal {
+	return &proposal{
+		answer: make(chan answer, 1),
+	}
+}
+
+// run appends the command unless the caller has given up.
+func (p *proposal) run(now time.Time, r *replica.Replica, cmd *wire.Command, await bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.abandoned {
+		return
+	}
+	p.appended = r.Propose(now, cmd, await, func(result *wire.Result, err error) {
+		p.answer <- answer{
+			result: result,
+			err:    err,
+		}
+	})
+}
+
+// abandon returns what the caller may conclude when it gives up because of err.
+func (p *proposal) abandon(err error) (*wire.Result, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case a := <-p.answer:
+		return a.result, a.err
+	default:
+	}
+	if p.appended {
+		return nil, ErrOutcomeUnknown
+	}
+	p.abandoned = true
+	return nil, err
+}
--- a/internal/voter/status.go
+++ b/internal/voter/replica/status.go
@@ -1,4 +1,4 @@
-package voter
+package replica
 
 import (
 	"time"
