pkg/deduplicator, internal/recorder: at-most-once registry

Cause: resends with an Idempotency-Key must not run a request twice, also while entry hosts fail and views change.

--- /dev/null
+++ b/internal/recorder/transfer.go
@@ -0,0 +1,192 @@
+package recorder
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/deduplicator"
+)
+
+func durationOf(nanos int64) time.Duration {
+	return time.Duration(nanos)
+}
+
+// Transfer makes one pass over the slots that this host owns and that accept no
+// Begin yet: it fetches each from an earlier holder, pushes it to the copy
+// holder and opens it. It returns the number of slots that remain. Run repeats
+// it; tests may call it themselves.
+func (r *Recorder) Transfer(ctx context.Context) int {
+	pass := &pass{
+		r:         r,
+		placement: r.placement.Load(),
+		number:    r.passes.Add(1),
+		failed:    make(map[deduplicator.Host]bool),
+	}
+	pool := pond.NewPool(r.opts.Workers)
+	for _, slot := range r.table.Pending() {
+		pool.Submit(func() {
+			pass.transfer(ctx, slot)
+		})
+	}
+	pool.StopAndWait()
+	left := len(r.table.Pending())
+	if left > 0 {
+		r.opts.Logger.Info("registry: slots are not transferred yet", "slots", left, "epoch", pass.placement.present.Epoch())
+	}
+	return left
+}
+
+// pass is one pass over the pending slots. It calls a host that did not answer
+// only once, so that a frozen host costs one timeout for each worker.
+type pass struct {
+	r         *Recorder
+	placement *placement
+	number    int64
+
+	mu     sync.Mutex
+	failed map[deduplicator.Host]bool
+}
+
+func (p *pass) transfer(ctx context.Context, slot int) {
+	epoch := p.placement.present.Epoch()
+	var taken deduplicator.Content
+	lost := false
+	if !p.r.table.Installed(epoch, slot) {
+		var verdict deduplicator.Verdict
+		taken, verdict = p.survey(ctx, slot)
+		lost = verdict == deduplicator.Lost
+		if verdict == deduplicator.Wait || (lost && p.number < lostPasses) {
+			return
+		}
+	}
+	content, ok := p.r.table.Install(p.r.opts.Clock.Now(), epoch, slot, taken, lost)
+	if !ok {
+		return
+	}
+	if lost {
+		p.r.opts.Logger.Warn("registry: both holders of a slot were lost, its keys are unknown for the retention time", "slot", slot, "epoch", epoch)
+	}
+	if p.push(ctx, slot, content) {
+		p.r.table.Open(epoch, slot)
+	}
+}
+
+// survey asks the earlier holders of a slot, from the newest view to older
+// ones, until their answers decide.
+func (p *pass) survey(ctx context.Context, slot int) (deduplicator.Content, deduplicator.Verdict) {
+	present := p.placement.present
+	answers := make(map[deduplicator.Host]deduplicator.Content)
+	for _, m := range p.placement.history {
+		for _, h := range p.order(m.Holders(slot).List()) {
+			if _, asked := answers[h]; asked {
+				continue
+			}
+			if content, ok := p.fetch(ctx, h, slot); ok {
+				answers[h] = content
+			}
+			if content, verdict := deduplicator.Survey(present, p.placement.history, slot, answers); verdict == deduplicator.Take {
+				return content, verdict
+			}
+		}
+	}
+	return deduplicator.Survey(present, p.placement.history, slot, answers)
+}
+
+// order returns the hosts in the order of asking: this host, then those in the
+// view, then those that have left it.
+func (p *pass) order(hosts []deduplicator.Host) []deduplicator.Host {
+	cost := func(h deduplicator.Host) int {
+		switch {
+		case h == p.r.self:
+			return 0
+		case p.placement.present.Has(h):
+			return 1
+		}
+		return 2
+	}
+	slices.SortStableFunc(hosts, func(a, b deduplicator.Host) int {
+		return cost(a) - cost(b)
+	})
+	return hosts
+}
+
+func (p *pass) fetch(ctx context.Context, from deduplicator.Host, slot int) (deduplicator.Content, bool) {
+	epoch := p.placement.present.Epoch()
+	if from == p.r.self {
+		return p.r.table.Fetch(p.r.opts.Clock.Now(), epoch, slot)
+	}
+	if p.hasFailed(from) {
+		return deduplicator.Content{}, false
+	}
+	resp, err := bounded(ctx, p.r, transferTimeout, func(ctx context.Context) (*wire.FetchResponse, error) {
+		return p.r.opts.Peers.Fetch(ctx, p.placement.members[from], &wire.FetchRequest{
+			Epoch: epoch,
+			Slot:  uint32(slot),
+		})
+	})
+	if err != nil {
+		p.fail(from)
+		return deduplicator.Content{}, false
+	}
+	if resp.GetIncarnation() != from.Incarnation {
+		// A restarted process answers at the address; its table is empty.
+		return deduplicator.Content{}, false
+	}
+	entries, err := entriesFromWire(p.r.opts.Clock.Now(), resp.GetEntries())
+	if err != nil {
+		p.r.opts.Logger.Error("registry: fetched slot can't be decoded", "slot", slot, "error", err)
+		return deduplicator.Content{}, false
+	}
+	return deduplicator.Content{
+		Complete: resp.GetCompleteEpoch(),
+		Lost:     durationOf(resp.GetLostNanos()),
+		Entries:  entries,
+	}, true
+}
+
+// push sends the whole slot to its copy holder and reports whether it is stored.
+func (p *pass) push(ctx context.Context, slot int, content deduplicator.Content) bool {
+	to := p.placement.present.Holders(slot)
+	if !to.HasCopy() {
+		return true
+	}
+	if p.hasFailed(to.Copy) {
+		return false
+	}
+	entries, err := entriesToWire(p.r.opts.Clock.Now(), content.Entries)
+	if err != nil {
+		p.r.opts.Logger.Error("registry: slot can't be encoded", "slot", slot, "error", err)
+		return false
+	}
+	resp, err := bounded(ctx, p.r, transferTimeout, func(ctx context.Context) (*wire.CopyResponse, error) {
+		return p.r.opts.Peers.Copy(ctx, p.placement.members[to.Copy], &wire.CopyRequest{
+			Epoch:     p.placement.present.Epoch(),
+			Slot:      uint32(slot),
+			Entries:   entries,
+			Whole:     true,
+			LostNanos: int64(content.Lost),
+		})
+	})
+	if err != nil {
+		p.fail(to.Copy)
+		return false
+	}
+	return resp.GetStored()
+}
+
+func (p *pass) hasFailed(h deduplicator.Host) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.failed[h]
+}
+
+func (p *pass) fail(h deduplicator.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failed[h] = true
+}
