--- /dev/null
+++ b/pkg/queuer/examples/main.go
@@ -0,0 +1,30 @@
+// Command examples shares a service between two accounts at 3 to 1.
+package main
+
+import (
+	"fmt"
+
+	"github.com/heathermux/heathermux/pkg/queuer"
+)
+
+func main() {
+	q := queuer.New[string](queuer.Options{
+		MaxAccount: 100,
+	})
+	for i := range 8 {
+		q.Push(queuer.Entry[string]{
+			Account: "credits",
+			Weight:  3,
+			Value:   fmt.Sprint("credit ", i),
+		})
+		q.Push(queuer.Entry[string]{
+			Account: "reports",
+			Weight:  1,
+			Value:   fmt.Sprint("report ", i),
+		})
+	}
+	for range 8 {
+		next, _ := q.Pop()
+		fmt.Println(next.Value)
+	}
+}
