--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -68,8 +68,8 @@
 		return o.Bootstrap, nil
 	}
 	d, problems := loader.ReadDeployment(o.Settings.Bootstrap)
-	if len(problems) > 0 {
-		return nil, problems
+	if err := problems.Err(); err != nil {
+		return nil, err
 	}
 	return d.Snapshot(), nil
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -50,8 +50,9 @@
 		err = errors.Wrap(err, "daemon: server")
 	}
 	cancel()
-	d.release()
+	d.closeServers()
 	d.tasks.Wait()
+	d.release()
 	d.opts.Logger.Info("daemon: stopped", "entry-host", d.self.GetName())
 	return err
 }
@@ -99,17 +100,22 @@
 	return errors.Wrap(d.http.Shutdown(ctx), "daemon: shutdown")
 }
 
-// release closes what New opened.
-func (d *Daemon) release() {
+// closeServers ends what still serves, so that the goroutines of Run return.
+func (d *Daemon) closeServers() {
 	if d.http != nil {
 		_ = d.http.Close()
 	}
-	if d.ingress != nil {
-		d.ingress.Close()
-	}
 	if d.peers != nil {
 		_ = d.peers.Close()
 	}
+}
+
+// release closes what New opened.
+func (d *Daemon) release() {
+	d.closeServers()
+	if d.ingress != nil {
+		d.ingress.Close()
+	}
 	if d.recorder != nil {
 		d.recorder.Close()
 	}
