--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -64,6 +64,13 @@
 
 	// mu guards the fields below; it is never held during a call to a peer.
 	mu sync.Mutex
+	// lead is set while this host schedules a data centre.
+	lead *lead
+	// Invariant: keyed by data centre.
+	copies map[string]*copySet
+
+	// copyMu is held while changes are sent, and is taken before mu.
+	copyMu sync.Mutex
 }
 
 // New returns a dispatcher that schedules nothing until Tick has seen this
@@ -73,6 +80,7 @@
 		opts.NewID = randomID
 	}
 	return &Dispatcher{
-		opts: opts,
+		opts:   opts,
+		copies: make(map[string]*copySet),
 	}
 }
--- /dev/null
+++ b/internal/runner/task.go
@@ -0,0 +1,132 @@
+package runner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// accept takes a start order. A task ID that this incarnation has seen is
+// passed over; what became of it is in the reports.
+func (r *Runner) accept(task *wire.Task, epoch uint64, startBy time.Time) {
+	id := task.GetId()
+	if r.running[id] != nil || r.ended[id] != nil || r.seen.has(id) {
+		return
+	}
+	r.running[id] = &run{
+		task:    task,
+		epoch:   epoch,
+		startBy: startBy,
+	}
+}
+
+// startWaiting starts accepted tasks for which there is memory and
+// accelerators, and hands back those that waited too long. The clock is read
+// before each start, because the process may have been frozen.
+func (r *Runner) startWaiting(time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(r.running)) {
+		run := r.running[id]
+		if !run.startedAt.IsZero() {
+			continue
+		}
+		now := r.opts.Clock.Now()
+		if !now.Before(run.startBy) || !now.Before(r.leaseUntil) {
+			r.end(id, &wire.EndedTask{
+				Task:   id,
+				State:  wire.TaskState_TASK_STATE_QUEUED,
+				Reason: "it was not started in time",
+			})
+			continue
+		}
+		if r.hasRoom(run) {
+			r.start(now, id, run)
+		}
+	}
+}
+
+// hasRoom reports whether memory and accelerators are free. Processors may be
+// over-committed for a moment, while throttled tasks end.
+func (r *Runner) hasRoom(next *run) bool {
+	free := r.capacity().Minus(controller.AmountOf(next.task.GetSize()))
+	for _, run := range r.running {
+		if !run.startedAt.IsZero() {
+			free = free.Minus(controller.AmountOf(run.task.GetSize()))
+		}
+	}
+	return free.MemoryBytes >= 0 && free.Accelerators >= 0
+}
+
+func (r *Runner) start(now time.Time, id string, run *run) {
+	run.startedAt = now
+	r.seen.add(now, id)
+	if err := r.opts.Executor.Start(run.task); err != nil {
+		r.end(id, &wire.EndedTask{
+			Task:   id,
+			State:  wire.TaskState_TASK_STATE_FAILED,
+			Reason: err.Error(),
+		})
+	}
+}
+
+// collect takes in the tasks that ended by themselves.
+func (r *Runner) collect(now time.Time) {
+	for _, e := range r.opts.Executor.Ended() {
+		run := r.running[e.GetTask()]
+		if run == nil {
+			continue
+		}
+		if e.GetRunNanos() == 0 {
+			e.RunNanos = int64(now.Sub(run.startedAt))
+		}
+		r.end(e.GetTask(), e)
+	}
+}
+
+func (r *Runner) end(id string, e *wire.EndedTask) {
+	delete(r.running, id)
+	r.ended[id] = e
+}
+
+// stop ends a task and keeps its report.
+func (r *Runner) stop(id, reason string) {
+	run := r.running[id]
+	if run == nil {
+		return
+	}
+	e := &wire.EndedTask{
+		Task:   id,
+		State:  wire.TaskState_TASK_STATE_QUEUED,
+		Reason: reason,
+	}
+	if !run.startedAt.IsZero() {
+		r.opts.Executor.Stop(id)
+		e.State = wire.TaskState_TASK_STATE_STOPPED
+	}
+	r.end(id, e)
+}
+
+func (r *Runner) stopAll(reason string) {
+	for _, id := range slices.Sorted(maps.Keys(r.running)) {
+		r.stop(id, reason)
+	}
+}
+
+// acknowledge drops the report of an ended task that the scheduler has
+// recorded. An idempotent task that was put off, or never started, may come
+// back to this worker; any other stays barred.
+func (r *Runner) acknowledge(now time.Time, id string) {
+	e := r.ended[id]
+	if e == nil {
+		return
+	}
+	delete(r.ended, id)
+	switch e.GetState() {
+	case wire.TaskState_TASK_STATE_SUCCEEDED, wire.TaskState_TASK_STATE_FAILED:
+		r.seen.bar(now, id)
+	default:
+		r.seen.release(id)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/adopt.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// adopt takes over tasks of a former scheduler. What a worker or a newer copy
+// already told takes precedence. The oldest tasks are queued first.
+func (s *Scheduler) adopt(now time.Time, e Adopt) {
+	s.unheardUntil = e.UnheardUntil
+	tasks := slices.Clone(e.Tasks)
+	slices.SortFunc(tasks, func(a, b *wire.TaskStatus) int {
+		return cmp.Or(cmp.Compare(b.GetAgeNanos(), a.GetAgeNanos()), cmp.Compare(a.GetTask().GetId(), b.GetTask().GetId()))
+	})
+	for _, status := range tasks {
+		known, ok := s.tasks[status.GetTask().GetId()]
+		if ok {
+			s.correct(now, known, status, e.Stale)
+			continue
+		}
+		t := s.newTask(status.GetTask(), now.Add(-time.Duration(status.GetAgeNanos())))
+		t.attempts = status.GetAttempts()
+		t.ranOn = status.GetWorker()
+		t.incarnation = status.GetIncarnation()
+		s.restore(now, t, status, e.Stale)
+	}
+}
+
+// correct completes a task that a worker reported before its copy was fetched.
+func (s *Scheduler) correct(now time.Time, t *task, status *wire.TaskStatus, stale bool) {
+	if stale {
+		return
+	}
+	if !final(t.state) {
+		// The worker knows only the granted size; the copy has the declared one.
+		t.spec = status.GetTask()
+		t.attempts = max(t.attempts, status.GetAttempts())
+		t.acceptedAt = now.Add(-time.Duration(status.GetAgeNanos()))
+		t.cancelled = t.cancelled || status.GetCancelled()
+	}
+}
+
+func (s *Scheduler) restore(now time.Time, t *task, status *wire.TaskStatus, stale bool) {
+	switch {
+	case final(status.GetState()):
+		s.finish(now, t, status.GetState(), status.GetReason())
+	case stale && !t.spec.GetIdempotent():
+		s.finish(now, t, wire.TaskState_TASK_STATE_UNKNOWN, "the hosts that held its newest copy were lost")
+	case status.GetState() == wire.TaskState_TASK_STATE_RUNNING && !stale:
+		w := s.workerNamed(status.GetWorker())
+		s.assign(t, w, controller.AmountOf(status.GetGranted()))
+		t.incarnation = status.GetIncarnation()
+		t.handedOut = true
+		t.cancelled = status.GetCancelled()
+	default:
+		s.enqueue(t, false)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/report.go
@@ -0,0 +1,87 @@
+package scheduler
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// Report returns what runs and waits, by team, host and pool. A host whose
+// lease has ended is reported with no tasks and not alive; one that has not
+// been heard from since the rebuild is left out until then.
+func (s *Scheduler) Report(now time.Time) *wire.SchedulerReport {
+	r := &wire.SchedulerReport{
+		DataCentre: s.opts.DataCentre,
+		Epoch:      s.opts.Epoch,
+	}
+	running := make(map[string]controller.Amount)
+	for _, w := range s.sortedWorkers() {
+		alive := now.Before(w.leaseUntil)
+		if w.host == nil || (w.incarnation == "" && alive) {
+			continue
+		}
+		running[w.pool()] = running[w.pool()].Plus(w.charged)
+		r.Hosts = append(r.Hosts, &wire.HostUse{
+			Host:        w.name,
+			PoolEpoch:   w.host.GetPoolEpoch(),
+			Running:     w.charged.Wire(),
+			Tasks:       int64(len(w.tasks)),
+			Alive:       alive,
+			Quarantined: w.quarantined(now),
+		})
+	}
+	waiting := make(map[string]controller.Amount)
+	for _, team := range slices.Sorted(maps.Keys(s.accounts)) {
+		a := s.accounts[team]
+		var sum controller.Amount
+		for pool, amount := range a.waiting {
+			sum = sum.Plus(amount)
+			waiting[pool] = waiting[pool].Plus(amount)
+		}
+		r.Teams = append(r.Teams, &wire.TeamUse{
+			Team:    team,
+			Running: a.charged.Wire(),
+			Waiting: sum.Wire(),
+		})
+	}
+	r.Pools = poolUses(running, waiting)
+	return r
+}
+
+func poolUses(running, waiting map[string]controller.Amount) []*wire.PoolUse {
+	pools := maps.Clone(running)
+	for pool := range waiting {
+		pools[pool] = pools[pool].Plus(controller.Amount{})
+	}
+	var uses []*wire.PoolUse
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		uses = append(uses, &wire.PoolUse{
+			Pool:    pool,
+			Running: running[pool].Wire(),
+			Waiting: waiting[pool].Wire(),
+		})
+	}
+	return uses
+}
+
+// AllHeard reports whether every host that may run tasks has polled.
+func (s *Scheduler) AllHeard() bool {
+	pools := make(map[string]bool)
+	for _, q := range s.facts.state.Queues() {
+		if q.GetKind() == wire.QueueKind_QUEUE_KIND_TASKS {
+			pools[q.GetPool()] = true
+		}
+	}
+	for _, h := range s.facts.state.Hosts() {
+		if h.GetDataCentre() != s.opts.DataCentre || !pools[h.GetPool()] {
+			continue
+		}
+		if w := s.workers[h.GetName()]; w == nil || w.incarnation == "" {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/scheduler/submit.go
@@ -0,0 +1,155 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+func (s *Scheduler) submit(now time.Time, spec *wire.Task) []Action {
+	if !s.complete {
+		return refused(retryAfter, "the scheduler of %s is being rebuilt", s.opts.DataCentre)
+	}
+	if t, ok := s.tasks[spec.GetId()]; ok {
+		return s.answered(now, t)
+	}
+	if refusal := s.reject(spec); refusal != nil {
+		return refusal
+	}
+	t := s.newTask(spec, now)
+	s.enqueue(t, false)
+	return s.answered(now, t)
+}
+
+func (s *Scheduler) answered(now time.Time, t *task) []Action {
+	return []Action{
+		Answered{
+			Status: s.status(now, t),
+		},
+	}
+}
+
+func refused(after time.Duration, format string, args ...any) []Action {
+	return []Action{
+		Refused{
+			Reason:     fmt.Sprintf(format, args...),
+			RetryAfter: after,
+		},
+	}
+}
+
+// reject returns why a task is not accepted, or nil.
+func (s *Scheduler) reject(spec *wire.Task) []Action {
+	queue, ok := s.facts.state.Queue(spec.GetQueue())
+	if !ok || queue.GetKind() != wire.QueueKind_QUEUE_KIND_TASKS {
+		return refused(0, "queue %q takes no tasks", spec.GetQueue())
+	}
+	ref, ok := s.facts.state.Team(spec.GetTeam())
+	if !ok {
+		return refused(0, "team %q is not known", spec.GetTeam())
+	}
+	if !queue.GetOpen() && !slices.Contains(ref.Team.GetQueues(), spec.GetQueue()) {
+		return refused(0, "team %q may not use queue %q", spec.GetTeam(), spec.GetQueue())
+	}
+	if a := s.accounts[spec.GetTeam()]; a != nil && a.queued >= MaxQueued {
+		return refused(retryAfter, "team %q has %d tasks queued", spec.GetTeam(), MaxQueued)
+	}
+	return s.rejectSize(spec, queue.GetPool(), controller.AmountOf(ref.Team.GetLimit()))
+}
+
+// rejectSize finds tasks that could never run. The smaller of declared and
+// learned size decides, as declared sizes are often far too large.
+func (s *Scheduler) rejectSize(spec *wire.Task, pool string, limit controller.Amount) []Action {
+	declared := controller.AmountOf(spec.GetSize())
+	if declared.Negative() || spec.GetDeadlineNanos() < 0 {
+		return refused(0, "the size or deadline is negative")
+	}
+	if declared == (controller.Amount{}) {
+		return refused(0, "the size is missing")
+	}
+	size := s.estimates.Estimate(estimatorKey(spec), declared, 0).Size
+	if !s.facts.runnable(pool, size) {
+		size = declared
+	}
+	if !size.FitsIn(limit) {
+		return refused(0, "the size is above the limit of team %q", spec.GetTeam())
+	}
+	if len(s.facts.sizes[pool]) == 0 {
+		return refused(retryAfter, "pool %q has no host in %s", pool, s.opts.DataCentre)
+	}
+	if !s.facts.runnable(pool, size) {
+		return refused(0, "no host of pool %q in %s is large enough", pool, s.opts.DataCentre)
+	}
+	return nil
+}
+
+// cancel ends a queued task at once and asks the worker to stop a running one.
+func (s *Scheduler) cancel(now time.Time, e Cancel) []Action {
+	t, ok := s.tasks[e.ID]
+	if !ok || t.spec.GetTeam() != e.Team {
+		return nil
+	}
+	var actions []Action
+	switch t.state {
+	case wire.TaskState_TASK_STATE_QUEUED:
+		actions = append(actions, s.finish(now, t, wire.TaskState_TASK_STATE_CANCELLED, ""))
+	case wire.TaskState_TASK_STATE_RUNNING:
+		if t.handedOut {
+			t.cancelled = true
+			s.touch(t)
+		} else {
+			actions = append(actions, s.finish(now, t, wire.TaskState_TASK_STATE_CANCELLED, ""))
+		}
+	}
+	return append(actions, s.answered(now, t)...)
+}
+
+// watchDeadline lets the task be stopped if it is still queued at its deadline.
+func (s *Scheduler) watchDeadline(t *task) {
+	if t.spec.GetDeadlineNanos() > 0 {
+		heap.Push(&s.deadlines, deadline{
+			task: t,
+			at:   t.acceptedAt.Add(time.Duration(t.spec.GetDeadlineNanos())),
+		})
+	}
+}
+
+// missDeadlines stops the queued tasks whose deadline has passed. Running ones
+// go on, as a stop half-way would waste the work and leave its effects.
+func (s *Scheduler) missDeadlines(now time.Time) []Action {
+	var actions []Action
+	for len(s.deadlines) > 0 && !s.deadlines[0].at.After(now) {
+		t := heap.Pop(&s.deadlines).(deadline).task
+		if t.state == wire.TaskState_TASK_STATE_QUEUED {
+			actions = append(actions, s.finish(now, t, wire.TaskState_TASK_STATE_STOPPED, "it was not started before its deadline"))
+		}
+	}
+	return actions
+}
+
+type deadline struct {
+	task *task
+	at   time.Time
+}
+
+type deadlineHeap []deadline
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h deadlineHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) { *h = append(*h, x.(deadline)) }
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	last := len(*h) - 1
+	d := (*h)[last]
+	(*h)[last] = deadline{}
+	*h = (*h)[:last]
+	return d
+}
