cmd/heathermux: serve and demo run the whole path

Cause: the daemon could not be started and the path had not been seen working. Tasks are still refused, so the demo exits with an error.

--- a/cmd/heathermux/main.go
+++ b/cmd/heathermux/main.go
@@ -17,5 +17,5 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return commander.Run(ctx, os.Args[1:], commander.Programs{}, os.Stdin, os.Stdout, os.Stderr)
+	return commander.Run(ctx, os.Args[1:], programs(), os.Stdin, os.Stdout, os.Stderr)
 }
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/heathermux/heathermux/internal/announcer"
 	"github.com/heathermux/heathermux/internal/wire"
@@ -103,66 +104,53 @@
 	}
 }
 
-// Every field of a poll and of its orders must survive the JSON form.
+// fill sets every field of a message to a value of its own.
+func fill(m protoreflect.Message, next *uint64) {
+	fields := m.Descriptor().Fields()
+	for i := range fields.Len() {
+		f := fields.Get(i)
+		*next++
+		if f.IsList() {
+			list := m.Mutable(f).List()
+			if f.Message() != nil {
+				fill(list.AppendMutable().Message(), next)
+				continue
+			}
+			list.Append(protoreflect.ValueOfString(fmt.Sprint(*next)))
+			continue
+		}
+		switch f.Kind() {
+		case protoreflect.MessageKind:
+			fill(m.Mutable(f).Message(), next)
+		case protoreflect.BoolKind:
+			m.Set(f, protoreflect.ValueOfBool(true))
+		case protoreflect.BytesKind:
+			m.Set(f, protoreflect.ValueOfBytes([]byte{0, 255}))
+		case protoreflect.EnumKind:
+			m.Set(f, protoreflect.ValueOfEnum(protoreflect.EnumNumber(wire.TaskState_TASK_STATE_SUCCEEDED)))
+		case protoreflect.Int64Kind:
+			m.Set(f, protoreflect.ValueOfInt64(int64(*next)))
+		case protoreflect.Uint64Kind:
+			m.Set(f, protoreflect.ValueOfUint64(*next))
+		default:
+			m.Set(f, protoreflect.ValueOfString(fmt.Sprint(*next)))
+		}
+	}
+}
+
+// Every field of a poll and of its orders must survive the JSON form, also
+// fields that are added to the schema later.
 func TestPollRoundTrip(t *testing.T) {
 	is := is.New(t)
-	size := &wire.Resources{
-		MilliCores:   1500,
-		MemoryBytes:  1 << 30,
-		Accelerators: 2,
-	}
-	task := &wire.Task{
-		Id:             "t-1",
-		Team:           "markets",
-		Queue:          "reconcile",
-		Size:           size,
-		DeadlineNanos:  int64(time.Minute),
-		RunTimeNanos:   int64(time.Second),
-		Idempotent:     true,
-		Urgent:         true,
-		Payload:        []byte{0, 255},
-		IdempotencyKey: "k",
-	}
 	r := &recorder{
-		orders: &wire.WorkerOrders{
-			Epoch:        7,
-			LeaseNanos:   int64(15 * time.Second),
-			Start:        []*wire.Task{task},
-			Stop:         []string{"a"},
-			Checkpoint:   []string{"b"},
-			Throttle:     []string{"c"},
-			Acknowledged: []string{"d"},
-		},
-	}
-	poll := &wire.WorkerPoll{
-		Worker:      "w-1",
-		Incarnation: "1",
-		DataCentre:  "lima-1",
-		Rack:        "r-1",
-		Capacity:    size,
-		PoolEpoch:   3,
-		Epoch:       7,
-		Leaving:     true,
-		Running: []*wire.RunningTask{
-			{
-				Task:     "t-1",
-				Used:     size,
-				RunNanos: 5,
-				Epoch:    6,
-				Detail:   task,
-			},
-		},
-		Ended: []*wire.EndedTask{
-			{
-				Task:         "t-0",
-				State:        wire.TaskState_TASK_STATE_SUCCEEDED,
-				Reason:       "done",
-				Peak:         size,
-				RunNanos:     9,
-				Checkpointed: true,
-			},
-		},
+		orders: &wire.WorkerOrders{},
 	}
+	poll := &wire.WorkerPoll{}
+	number := uint64(0)
+	fill(r.orders.ProtoReflect(), &number)
+	fill(poll.ProtoReflect(), &number)
+	// An error is sent as a problem and not with the orders.
+	r.orders.Error = ""
 	down := httptest.NewServer(http.NotFoundHandler())
 	down.Close()
 	up := httptest.NewServer(announcer.NewHandler(r, r))
@@ -172,6 +160,6 @@
 	defer c.Close()
 	orders, err := c.Poll(context.Background(), poll)
 	is.NoErr(err)
-	is.True(proto.Equal(orders, r.orders))
-	is.True(proto.Equal(r.poll, poll))
+	is.Equal(protojson.Format(orders), protojson.Format(r.orders))
+	is.Equal(protojson.Format(r.poll), protojson.Format(poll))
 }
--- a/internal/announcer/convert.go
+++ b/internal/announcer/convert.go
@@ -34,6 +34,7 @@
 		PoolEpoch:   p.PoolEpoch,
 		Epoch:       p.Epoch,
 		Leaving:     p.Leaving,
+		Sequence:    p.Sequence,
 	}
 	for _, r := range p.Running {
 		running := &wire.RunningTask{
@@ -71,6 +72,7 @@
 		PoolEpoch:   w.GetPoolEpoch(),
 		Epoch:       w.GetEpoch(),
 		Leaving:     w.GetLeaving(),
+		Sequence:    w.GetSequence(),
 	}
 	for _, r := range w.GetRunning() {
 		running := Running{
@@ -137,6 +139,8 @@
 		Checkpoint:   w.GetCheckpoint(),
 		Throttle:     w.GetThrottle(),
 		Acknowledged: w.GetAcknowledged(),
+		Pool:         w.GetPool(),
+		PoolEpoch:    w.GetPoolEpoch(),
 	}
 	for _, t := range w.GetStart() {
 		o.Start = append(o.Start, taskOf(t))
@@ -153,6 +157,8 @@
 		Checkpoint:   o.Checkpoint,
 		Throttle:     o.Throttle,
 		Acknowledged: o.Acknowledged,
+		Pool:         o.Pool,
+		PoolEpoch:    o.PoolEpoch,
 	}
 	for _, t := range o.Start {
 		w.Start = append(w.Start, t.wire())
--- a/internal/announcer/worker.go
+++ b/internal/announcer/worker.go
@@ -54,6 +54,8 @@
 	Running []Running `json:"running,omitempty"`
 	// Ended lists the tasks whose end was not acknowledged yet.
 	Ended []Ended `json:"ended,omitempty"`
+	// Sequence rises with each poll of one incarnation.
+	Sequence uint64 `json:"sequence"`
 	// Leaving asks for no more starts.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -101,6 +103,9 @@
 	Checkpoint   []string      `json:"checkpoint,omitempty"`
 	Throttle     []string      `json:"throttle,omitempty"`
 	Acknowledged []string      `json:"acknowledged,omitempty"`
+	// Pool is the pool of the host, and PoolEpoch the epoch of that assignment.
+	Pool      string `json:"pool,omitempty"`
+	PoolEpoch uint64 `json:"pool-epoch,omitempty"`
 }
 
 // Check returns what is wrong with the poll, or nil.
--- a/internal/demonstrator/callers.go
+++ b/internal/demonstrator/callers.go
@@ -50,30 +50,15 @@
 }
 
 func newCallers(d loader.Deployment, keys map[string]string, f *fleet, t *tally) *callers {
-	kinds := make(map[string]string)
-	for _, q := range d.Queues {
-		kinds[q.Name] = q.Kind
-	}
 	c := &callers{
 		client: resty.New().SetTimeout(callerTimeout),
 		fleet:  f,
 		tally:  t,
+		routes: routesOf(d, keys, "requests"),
 	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxIdleConnsPerHost = 256
 	c.client.SetTransport(transport)
-	for _, contract := range d.Contracts {
-		for _, team := range contract.Teams {
-			for _, q := range team.Queues {
-				if kinds[q] == "requests" {
-					c.routes = append(c.routes, route{
-						key:   keys[team.Name],
-						queue: q,
-					})
-				}
-			}
-		}
-	}
 	return c
 }
 
--- /dev/null
+++ b/internal/demonstrator/submitters.go
@@ -0,0 +1,123 @@
+package demonstrator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-resty/resty/v2"
+
+	"github.com/heathermux/heathermux/internal/loader"
+)
+
+// tasksPerSecond is the load of all submitters together.
+const tasksPerSecond = 40
+
+// submissions counts what submitters saw.
+type submissions struct {
+	mu sync.Mutex
+	// accepted lists the IDs of accepted tasks.
+	accepted []string
+	// refused counts refusals by detail.
+	refused map[string]int
+}
+
+func newSubmissions() *submissions {
+	return &submissions{
+		refused: make(map[string]int),
+	}
+}
+
+// submitters post tasks with the keys of the teams.
+type submitters struct {
+	client *resty.Client
+	fleet  *fleet
+	routes []route
+	counts *submissions
+	group  sync.WaitGroup
+}
+
+// task is the body of a submission.
+type task struct {
+	Queue        string `json:"queue"`
+	Processors   string `json:"processors"`
+	Memory       string `json:"memory"`
+	Accelerators int    `json:"accelerators"`
+	Deadline     string `json:"deadline"`
+	Idempotent   bool   `json:"idempotent"`
+}
+
+func newSubmitters(d loader.Deployment, keys map[string]string, f *fleet, counts *submissions) *submitters {
+	return &submitters{
+		client: resty.New().SetTimeout(callerTimeout),
+		fleet:  f,
+		routes: routesOf(d, keys, "tasks"),
+		counts: counts,
+	}
+}
+
+// routesOf lists the pairs of team key and queue of one kind.
+func routesOf(d loader.Deployment, keys map[string]string, kind string) []route {
+	kinds := make(map[string]string)
+	for _, q := range d.Queues {
+		kinds[q.Name] = q.Kind
+	}
+	var routes []route
+	for _, contract := range d.Contracts {
+		for _, team := range contract.Teams {
+			for _, q := range team.Queues {
+				if kinds[q] == kind {
+					routes = append(routes, route{
+						key:   keys[team.Name],
+						queue: q,
+					})
+				}
+			}
+		}
+	}
+	return routes
+}
+
+// run posts tasks at a constant rate until ctx ends.
+func (s *submitters) run(ctx context.Context) {
+	random := rand.New(rand.NewPCG(3, 4))
+	ticker := time.NewTicker(time.Second / tasksPerSecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.group.Wait()
+			s.client.GetClient().CloseIdleConnections()
+			return
+		case <-ticker.C:
+			r := s.routes[random.IntN(len(s.routes))]
+			host := random.IntN(len(s.fleet.hosts))
+			s.group.Go(func() { s.submit(r, s.fleet.hosts[host].url) })
+		}
+	}
+}
+
+func (s *submitters) submit(r route, url string) {
+	var problem refusal
+	var status struct {
+		ID string `json:"id"`
+	}
+	response, err := s.client.R().SetAuthToken(r.key).SetError(&problem).SetResult(&status).SetBody(task{
+		Queue:      r.queue,
+		Processors: "4 cores",
+		Memory:     "8GiB",
+		Deadline:   "1m",
+		Idempotent: true,
+	}).Post(url + "/v1/tasks")
+	s.counts.mu.Lock()
+	defer s.counts.mu.Unlock()
+	switch {
+	case err != nil:
+		s.counts.refused["no response"]++
+	case response.IsError():
+		s.counts.refused[problem.Detail]++
+	default:
+		s.counts.accepted = append(s.counts.accepted, status.ID)
+	}
+}
