--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -213,6 +213,9 @@
 		Clock:     d.clock,
 		Logger:    d.opts.Logger,
 		Bootstrap: bootstrap,
+		Deciders: []supervisor.Decider{
+			supervisor.NewAllotments(),
+		},
 	})
 	return nil
 }
--- a/internal/supervisor/schedulers.go
+++ b/internal/supervisor/schedulers.go
@@ -8,22 +8,22 @@
 // schedulerChanges returns an assignment for each data centre whose scheduler
 // is not in the view. The scheduler runs in its own data centre, because a
 // partition would otherwise stop starts on both sides; a data centre without
-// entry hosts gets one of another data centre.
+// entry hosts gets an idle one of another data centre, or none.
 func schedulerChanges(s controller.State) []*wire.AssignScheduler {
-	load := make(map[string]int)
+	assigned := make(map[string]bool)
 	for _, d := range s.DataCentres() {
-		load[d.GetScheduler()]++
+		assigned[d.GetScheduler()] = true
 	}
 	var changes []*wire.AssignScheduler
 	for _, d := range s.DataCentres() {
 		if isMember(s, d.GetScheduler()) {
 			continue
 		}
-		name := leastLoaded(s, d.GetName(), load)
+		name := idleMember(s, d.GetName(), assigned)
 		if name == "" {
 			continue
 		}
-		load[name]++
+		assigned[name] = true
 		changes = append(changes, &wire.AssignScheduler{
 			DataCentre: d.GetName(),
 			EntryHost:  name,
@@ -41,19 +41,31 @@
 	return false
 }
 
-// leastLoaded returns the member with the fewest assignments, members in the
-// data centre first; the name decides between equals.
-func leastLoaded(s controller.State, dataCentre string, load map[string]int) string {
-	best, bestLocal := "", false
+// idleMember returns a member without an assignment, one in the data centre
+// first, or none; an entry host schedules one data centre at most.
+func idleMember(s controller.State, dataCentre string, assigned map[string]bool) string {
+	other := ""
 	for _, m := range s.View().GetMembers() {
-		local := m.GetDataCentre() == dataCentre
-		switch {
-		case best == "", local && !bestLocal:
-		case local == bestLocal && load[m.GetName()] < load[best]:
-		default:
+		if assigned[m.GetName()] {
 			continue
 		}
-		best, bestLocal = m.GetName(), local
+		if m.GetDataCentre() == dataCentre {
+			return m.GetName()
+		}
+		if other == "" && hasEntryHost(s, m.GetDataCentre(), m.GetName()) {
+			other = m.GetName()
+		}
 	}
-	return best
+	return other
+}
+
+// hasEntryHost reports whether the data centre keeps an entry host besides the
+// named one, so that lending that one leaves it a scheduler.
+func hasEntryHost(s controller.State, dataCentre, besides string) bool {
+	for _, m := range s.View().GetMembers() {
+		if m.GetDataCentre() == dataCentre && m.GetName() != besides {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -40,6 +40,8 @@
 // Decider returns commands for the present state. It is called on the leader
 // once a round, with no concurrent calls, and must not keep what it is given.
 type Decider interface {
+	// Reset is called at the start of each term of this host as the leader.
+	Reset()
 	// Decide returns commands without operation IDs.
 	Decide(now time.Time, s controller.State, followers []voter.FollowerStatus) []*wire.Command
 }
@@ -96,6 +98,9 @@
 	now := s.opts.Clock.Now()
 	if s.since.IsZero() {
 		s.since = now
+		for _, d := range s.opts.Deciders {
+			d.Reset()
+		}
 	}
 	state := s.opts.Control.State()
 	if state.Revision() == 0 && s.opts.Bootstrap != nil {
