internal/supervisor: test that an only entry host stays at home

Cause: removing the check that keeps the only entry host of a data centre for its own scheduler failed no test. Change: a test with one entry host, whose data centre is looked at second.

--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -66,7 +66,15 @@
 	supervisor *supervisor.Supervisor
 }
 
+// newScene returns a fleet whose hosts have all been heard.
 func newScene() *scene {
+	s := newEmptyScene()
+	s.hearAll("")
+	s.supervisor.Round(context.Background())
+	return s
+}
+
+func newEmptyScene() *scene {
 	clock := timer.NewFake(time.Unix(1000, 0))
 	c := &control{
 		clock:     clock,
@@ -109,8 +117,6 @@
 		}),
 	}
 	s.supervisor.Round(context.Background())
-	s.hearAll("")
-	s.supervisor.Round(context.Background())
 	return s
 }
 
@@ -224,6 +230,19 @@
 	is.Equal(callao, "b")
 }
 
+// The only entry host of a data centre must not be lent to another one that
+// is looked at first.
+func TestOnlyEntryHostStaysAtHome(t *testing.T) {
+	is := is.New(t)
+	s := newEmptyScene()
+	s.hear("a", "lima", "a-1", nil)
+	s.supervisor.Round(context.Background())
+	lima, _ := s.scheduler("lima")
+	callao, _ := s.scheduler("callao")
+	is.Equal(lima, "a")
+	is.Equal(callao, "")
+}
+
 func (s *scene) allotment(dataCentre string) int64 {
 	a, _ := s.state.Allotment("markets", dataCentre)
 	return a.GetAmount().GetMilliCores()
