internal/supervisor: prefer the newest incarnation of an entry host

Cause: the leader remembers older incarnations for a while, and the view took the first one listed, so a restarted host could have stayed out of the view. Change: only the newest incarnation of each name counts. Figures: TestRestartedEntryHost with a remembered older incarnation fails before the change and passes after it.

--- a/internal/supervisor/membership.go
+++ b/internal/supervisor/membership.go
@@ -22,6 +22,7 @@
 // has not heard yet are given LossLimit from since, the start of its term.
 func nextView(now, since time.Time, s controller.State, followers []voter.FollowerStatus) *wire.View {
 	present := s.View()
+	// The newest incarnation of a name is last in the list.
 	heard := make(map[string]voter.FollowerStatus, len(followers))
 	for _, f := range followers {
 		heard[f.Member.GetName()] = f
@@ -36,8 +37,8 @@
 			members = append(members, m)
 		}
 	}
-	for _, f := range followers {
-		known := slices.ContainsFunc(members, func(m *wire.Member) bool { return m.GetName() == f.Member.GetName() })
+	for name, f := range heard {
+		known := slices.ContainsFunc(members, func(m *wire.Member) bool { return m.GetName() == name })
 		if !known && !lost(now, f) {
 			members = append(members, f.Member)
 		}
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -23,7 +23,9 @@
 	state     controller.State
 	leads     bool
 	followers map[string]voter.FollowerStatus
-	proposed  int
+	// former are older incarnations that are still remembered.
+	former   []voter.FollowerStatus
+	proposed int
 }
 
 func (c *control) State() controller.State { return c.state }
@@ -31,7 +33,7 @@
 func (c *control) Leader() (string, bool) { return "a", c.leads }
 
 func (c *control) Followers() []voter.FollowerStatus {
-	var list []voter.FollowerStatus
+	list := append([]voter.FollowerStatus(nil), c.former...)
 	for _, f := range c.followers {
 		list = append(list, f)
 	}
@@ -197,6 +199,7 @@
 	is := is.New(t)
 	s := newScene()
 	epoch := s.state.View().GetEpoch()
+	s.former = append(s.former, s.followers["b"])
 	s.hear("b", "lima", "b-2", nil)
 	s.supervisor.Round(context.Background())
 	is.Equal(s.state.View().GetEpoch(), epoch+1)
