internal/planner: capacity and maintenance decisions

Cause: pools need hosts where the load is, and hosts need maintenance, without breaking availability budgets.

--- a/internal/controller/hosts.go
+++ b/internal/controller/hosts.go
@@ -108,6 +108,7 @@
 		h.State = wire.HostState_HOST_STATE_ACTIVE
 	} else {
 		h.State = wire.HostState_HOST_STATE_MAINTENANCE
+		h.DrainedIncarnation = c.GetIncarnation()
 	}
 	return accepted(s.WithHost(h), "host/"+c.GetHost())
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -215,6 +215,7 @@
 		Bootstrap: bootstrap,
 		Deciders: []supervisor.Decider{
 			supervisor.NewAllotments(),
+			supervisor.NewCapacity(),
 		},
 	})
 	return nil
--- /dev/null
+++ b/internal/planner/input.go
@@ -0,0 +1,85 @@
+// Package planner decides on capacity and maintenance: which hosts drain,
+// move between pools, go into maintenance and come back.
+//
+// It runs on the leader of the control state. Its decisions are commands; the
+// control state machine checks each against the availability budget again, so
+// a planner that is wrong or late can't break it.
+package planner
+
+import (
+	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// Input is what the planner knows at one moment.
+type Input struct {
+	// Now is read from the leader's monotonic clock.
+	Now time.Time
+	// State is the newest control state.
+	State controller.State
+	// Reports are the newest reports by data centre, from the present scheduler only.
+	Reports map[string]Report
+}
+
+// Report is one scheduler's report and how far it can be relied on.
+type Report struct {
+	// At is when the report arrived.
+	At time.Time
+	// Confirmed is the control revision that the scheduler had applied.
+	Confirmed uint64
+	// Use is the report itself.
+	Use *wire.SchedulerReport
+}
+
+// fleet joins the hosts of the state with what is reported of them.
+type fleet struct {
+	in    Input
+	hosts []host
+	// pools holds the load that runs and waits, over all data centres.
+	pools map[string]controller.Amount
+}
+
+// host is one host with the newest report on it; use is nil without one.
+type host struct {
+	*wire.Host
+	use    *wire.HostUse
+	report Report
+}
+
+// idle reports whether nothing runs on the host as far as is known.
+func (h host) idle() bool { return h.use.GetTasks() == 0 }
+
+// dead reports whether the host was heard before and its lease has ended.
+func (h host) dead() bool { return h.use != nil && !h.use.GetAlive() }
+
+// usable reports whether the host can take work of its pool.
+func (h host) usable() bool {
+	return h.GetState() == wire.HostState_HOST_STATE_ACTIVE && !h.dead() && !h.use.GetQuarantined()
+}
+
+func newFleet(in Input) fleet {
+	f := fleet{
+		in:    in,
+		pools: make(map[string]controller.Amount),
+	}
+	uses := make(map[string]*wire.HostUse)
+	for _, r := range in.Reports {
+		for _, u := range r.Use.GetHosts() {
+			uses[u.GetHost()] = u
+		}
+		for _, p := range r.Use.GetPools() {
+			load := controller.AmountOf(p.GetRunning()).Plus(controller.AmountOf(p.GetWaiting()))
+			f.pools[p.GetPool()] = f.pools[p.GetPool()].Plus(load)
+		}
+	}
+	for _, h := range in.State.Hosts() {
+		f.hosts = append(f.hosts, host{
+			Host:   h,
+			use:    uses[h.GetName()],
+			report: in.Reports[h.GetDataCentre()],
+		})
+	}
+	return f
+}
--- /dev/null
+++ b/internal/planner/maintenance.go
@@ -0,0 +1,146 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// returns gives back hosts whose maintenance is over: the worker reports under
+// another incarnation than the one that was empty.
+func returns(f fleet) []*wire.Command {
+	var commands []*wire.Command
+	for _, h := range f.hosts {
+		if h.GetState() != wire.HostState_HOST_STATE_MAINTENANCE || !restarted(f, h) {
+			continue
+		}
+		commands = append(commands, &wire.Command{
+			ExpectedRevision: h.GetRevision(),
+			Change: &wire.Command_ReturnHost{
+				ReturnHost: &wire.ReturnHost{
+					Host: h.GetName(),
+				},
+			},
+		})
+	}
+	return commands
+}
+
+// restarted reports whether a granted host is alive under a new incarnation.
+// A host that an operator drained without a grant is returned by an operator.
+func restarted(f fleet, h host) bool {
+	_, granted := f.in.State.Grant(h.GetName())
+	return granted && h.use.GetAlive() && h.use.GetIncarnation() != "" &&
+		h.use.GetIncarnation() != h.GetDrainedIncarnation()
+}
+
+// grants chooses the hosts that go into maintenance now. All hosts that are
+// under maintenance at one time are in one data centre, so that the loss of
+// another one does not meet them. Idle hosts come first, which saves drains,
+// then hosts of racks that are under maintenance already.
+func (p *Planner) grants(f fleet, b budgets) []*wire.Command {
+	candidates := waiting(f)
+	if len(candidates) == 0 {
+		return nil
+	}
+	dataCentre := openDataCentre(f, candidates)
+	racks := openRacks(f)
+	slices.SortFunc(candidates, func(a, b host) int {
+		return cmp.Or(
+			compareBool(b.idle(), a.idle()),
+			compareBool(racks[rackOf(b)], racks[rackOf(a)]),
+			cmp.Compare(rackOf(a), rackOf(b)),
+			cmp.Compare(a.GetName(), b.GetName()),
+		)
+	})
+	var names []string
+	for _, h := range candidates {
+		if h.GetDataCentre() == dataCentre && p.mayDrain(f, h) && b.take(h.GetPool()) {
+			names = append(names, h.GetName())
+		}
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	return []*wire.Command{
+		{
+			Change: &wire.Command_GrantMaintenance{
+				GrantMaintenance: &wire.GrantMaintenance{
+					Hosts: names,
+				},
+			},
+		},
+	}
+}
+
+// mayDrain keeps a host in service while its pool needs it and while its data
+// centre is coming back, because a returning data centre ramps up.
+func (p *Planner) mayDrain(f fleet, h host) bool {
+	need := p.demand.need(h.GetPool())
+	return need < usableHosts(f, h.GetPool()) || h.idle()
+}
+
+// waiting returns the hosts that a running roll-out still has to reach.
+func waiting(f fleet) []host {
+	var list []host
+	for _, h := range f.hosts {
+		if h.GetState() != wire.HostState_HOST_STATE_ACTIVE || h.dead() {
+			continue
+		}
+		if _, ok := f.in.State.RunningMaintenance(h.Host); ok {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// openDataCentre returns the data centre that is under maintenance already,
+// else one that is out of service, whose hosts cost nothing to maintain, else
+// the one with the fewest hosts left, so that one is finished before the next.
+func openDataCentre(f fleet, candidates []host) string {
+	left := make(map[string]int)
+	for _, h := range candidates {
+		left[h.GetDataCentre()]++
+	}
+	for _, g := range f.in.State.Grants() {
+		h, _ := f.in.State.Host(g.GetHost())
+		if left[h.GetDataCentre()] > 0 {
+			return h.GetDataCentre()
+		}
+	}
+	best := ""
+	for _, d := range f.in.State.DataCentres() {
+		name := d.GetName()
+		if left[name] > 0 && d.GetState() == wire.ServiceState_SERVICE_STATE_OUT {
+			return name
+		}
+		if left[name] > 0 && (best == "" || left[name] < left[best]) {
+			best = name
+		}
+	}
+	return best
+}
+
+func openRacks(f fleet) map[string]bool {
+	racks := make(map[string]bool)
+	for _, g := range f.in.State.Grants() {
+		if h, ok := f.in.State.Host(g.GetHost()); ok {
+			racks[h.GetDataCentre()+"/"+h.GetRack()] = true
+		}
+	}
+	return racks
+}
+
+func rackOf(h host) string { return h.GetDataCentre() + "/" + h.GetRack() }
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -31,6 +31,7 @@
 			Tasks:       int64(len(w.tasks)),
 			Alive:       alive,
 			Quarantined: w.quarantined(now),
+			Incarnation: w.incarnation,
 		})
 	}
 	waiting := make(map[string]controller.Amount)
--- a/internal/supervisor/allotments.go
+++ b/internal/supervisor/allotments.go
@@ -6,6 +6,7 @@
 
 	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/follower"
+	"github.com/heathermux/heathermux/internal/planner"
 	"github.com/heathermux/heathermux/internal/scheduler"
 	"github.com/heathermux/heathermux/internal/voter"
 	"github.com/heathermux/heathermux/internal/wire"
@@ -80,7 +81,7 @@
 	for _, d := range s.DataCentres() {
 		name := d.GetName()
 		if r, ok := reports[name]; ok {
-			a.heard[name] = r.at
+			a.heard[name] = r.At
 		} else if _, ok := a.heard[name]; !ok {
 			a.heard[name] = now
 		}
@@ -109,34 +110,7 @@
 	}
 }
 
-// report is the newest report of a data centre's present scheduler.
-type report struct {
-	at        time.Time
-	confirmed uint64
-	teams     map[string]*wire.TeamUse
-}
-
-func reportsOf(s controller.State, followers []voter.FollowerStatus) map[string]report {
-	reports := make(map[string]report)
-	for _, f := range followers {
-		d, ok := s.DataCentre(f.Report.GetDataCentre())
-		if f.Report == nil || !ok || d.GetScheduler() != f.Member.GetName() || d.GetSchedulerEpoch() != f.Report.GetEpoch() {
-			continue
-		}
-		r := report{
-			at:        f.LastContact,
-			confirmed: f.Confirmed,
-			teams:     make(map[string]*wire.TeamUse, len(f.Report.GetTeams())),
-		}
-		for _, t := range f.Report.GetTeams() {
-			r.teams[t.GetTeam()] = t
-		}
-		reports[d.GetName()] = r
-	}
-	return reports
-}
-
-func (a *Allotments) decideTeam(now time.Time, s controller.State, team *wire.Team, reports map[string]report) []*wire.Allotment {
+func (a *Allotments) decideTeam(now time.Time, s controller.State, team *wire.Team, reports map[string]planner.Report) []*wire.Allotment {
 	var holders []allotter.Holder
 	for _, d := range s.DataCentres() {
 		holders = append(holders, a.holder(now, s, team, d, reports))
@@ -153,10 +127,10 @@
 	return changes
 }
 
-func (a *Allotments) holder(now time.Time, s controller.State, team *wire.Team, d *wire.DataCentre, reports map[string]report) allotter.Holder {
+func (a *Allotments) holder(now time.Time, s controller.State, team *wire.Team, d *wire.DataCentre, reports map[string]planner.Report) allotter.Holder {
 	present, _ := s.Allotment(team.GetName(), d.GetName())
 	r, heard := reports[d.GetName()]
-	use := r.teams[team.GetName()]
+	use := teamUse(r, team.GetName())
 	running := vectorOf(use.GetRunning())
 	h := allotter.Holder{
 		Name:   d.GetName(),
@@ -173,7 +147,7 @@
 
 // isConfirmed reports whether the report was made when the scheduler had known
 // the present target for confirmDelay.
-func (a *Allotments) isConfirmed(now time.Time, s controller.State, team string, h allotter.Holder, r report) bool {
+func (a *Allotments) isConfirmed(now time.Time, s controller.State, team string, h allotter.Holder, r planner.Report) bool {
 	if h.Target == h.Amount {
 		return false
 	}
@@ -184,7 +158,7 @@
 	known, ok := a.known[name]
 	if !ok || known.target != h.Target {
 		change, _ := s.LastChange("allotments")
-		if r.confirmed >= change.GetRevision() {
+		if r.Confirmed >= change.GetRevision() {
 			a.known[name] = knownTarget{
 				target: h.Target,
 				since:  now,
@@ -192,7 +166,7 @@
 		}
 		return false
 	}
-	return r.at.Sub(known.since) >= confirmDelay
+	return r.At.Sub(known.since) >= confirmDelay
 }
 
 // droppedTeams returns the teams that have allotments and no contract.
@@ -208,6 +182,16 @@
 	return names
 }
 
+// teamUse returns what a report says of a team, or nil.
+func teamUse(r planner.Report, team string) *wire.TeamUse {
+	for _, use := range r.Use.GetTeams() {
+		if use.GetTeam() == team {
+			return use
+		}
+	}
+	return nil
+}
+
 func vectorOf(r *wire.Resources) allotter.Vector {
 	return allotter.Vector{
 		MilliCores:   r.GetMilliCores(),
--- /dev/null
+++ b/internal/supervisor/reports.go
@@ -0,0 +1,26 @@
+package supervisor
+
+import (
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/planner"
+	"github.com/heathermux/heathermux/internal/voter"
+)
+
+// reportsOf returns the newest report of each data centre's present scheduler.
+// Reports of former schedulers are left out, because they no longer know what
+// is started.
+func reportsOf(s controller.State, followers []voter.FollowerStatus) map[string]planner.Report {
+	reports := make(map[string]planner.Report)
+	for _, f := range followers {
+		d, ok := s.DataCentre(f.Report.GetDataCentre())
+		if f.Report == nil || !ok || d.GetScheduler() != f.Member.GetName() || d.GetSchedulerEpoch() != f.Report.GetEpoch() {
+			continue
+		}
+		reports[d.GetName()] = planner.Report{
+			At:        f.LastContact,
+			Confirmed: f.Confirmed,
+			Use:       f.Report,
+		}
+	}
+	return reports
+}
