internal/planner: index the fleet once for each plan

Cause: a profile of one plan showed scans of all hosts for each pool and a scan of all roll-outs for each host. Change: hosts are counted by pool once, only the open data centre is sorted, and finished roll-outs are left out once.

--- a/internal/controller/maintenance.go
+++ b/internal/controller/maintenance.go
@@ -31,14 +31,19 @@
 // RunningMaintenance returns the roll-out that still has to reach the host.
 func (s State) RunningMaintenance(h *wire.Host) (*wire.Maintenance, bool) {
 	for _, m := range s.maintenances.All() {
-		covers := m.GetPool() == "" || m.GetPool() == h.GetPool()
-		if covers && !m.GetDone() && h.GetMaintainedWave() < m.GetWave() {
+		if !m.GetDone() && Covers(m, h) {
 			return m, true
 		}
 	}
 	return nil, false
 }
 
+// Covers reports whether a roll-out has still to reach the host.
+func Covers(m *wire.Maintenance, h *wire.Host) bool {
+	inScope := m.GetPool() == "" || m.GetPool() == h.GetPool()
+	return inScope && h.GetMaintainedWave() < m.GetWave()
+}
+
 // grantMaintenance gives grants to all named hosts or to none of them.
 func (s State) grantMaintenance(cmd *wire.Command, hosts []string) verdict {
 	if len(hosts) == 0 {
@@ -87,8 +92,7 @@
 
 func (s State) waitsFor(m *wire.Maintenance) bool {
 	for _, h := range s.hosts.All() {
-		covers := m.GetPool() == "" || m.GetPool() == h.GetPool()
-		if covers && h.GetMaintainedWave() < m.GetWave() {
+		if Covers(m, h) {
 			return true
 		}
 	}
--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -113,25 +113,15 @@
 // hostSize returns the mean capacity of the pool's hosts, or of all hosts when
 // it has none.
 func hostSize(f fleet, pool string) controller.Amount {
-	var own, all controller.Amount
-	var ownCount, allCount int64
-	for _, h := range f.hosts {
-		capacity := controller.AmountOf(h.GetCapacity())
-		all = all.Plus(capacity)
-		allCount++
-		if h.GetPool() == pool {
-			own = own.Plus(capacity)
-			ownCount++
-		}
-	}
-	if ownCount == 0 {
-		own, ownCount = all, allCount
+	sum, count := f.counts[pool].capacity, f.counts[pool].hosts
+	if count == 0 {
+		sum, count = f.capacity, int64(len(f.hosts))
 	}
-	ownCount = max(ownCount, 1)
+	count = max(count, 1)
 	return controller.Amount{
-		MilliCores:   own.MilliCores / ownCount,
-		MemoryBytes:  own.MemoryBytes / ownCount,
-		Accelerators: own.Accelerators / ownCount,
+		MilliCores:   sum.MilliCores / count,
+		MemoryBytes:  sum.MemoryBytes / count,
+		Accelerators: sum.Accelerators / count,
 	}
 }
 
--- a/internal/planner/input.go
+++ b/internal/planner/input.go
@@ -39,6 +39,21 @@
 	hosts []host
 	// pools holds the load that runs and waits, over all data centres.
 	pools map[string]controller.Amount
+	// counts has the hosts of each pool by what they can do now.
+	counts map[string]poolCount
+	// capacity is the sum over all hosts.
+	capacity controller.Amount
+}
+
+// poolCount counts the hosts of one pool.
+type poolCount struct {
+	// hosts are all hosts of the pool, and capacity their sum.
+	hosts    int64
+	capacity controller.Amount
+	// usable hosts can take work now.
+	usable int64
+	// arriving hosts are moving to the pool.
+	arriving int64
 }
 
 // host is one host with the newest report on it; use is nil without one.
@@ -61,8 +76,9 @@
 
 func newFleet(in Input) fleet {
 	f := fleet{
-		in:    in,
-		pools: make(map[string]controller.Amount),
+		in:     in,
+		pools:  make(map[string]controller.Amount),
+		counts: make(map[string]poolCount),
 	}
 	uses := make(map[string]*wire.HostUse)
 	for _, r := range in.Reports {
@@ -75,7 +91,7 @@
 		}
 	}
 	for _, h := range in.State.Hosts() {
-		f.hosts = append(f.hosts, host{
+		f.add(host{
 			Host:   h,
 			use:    uses[h.GetName()],
 			report: in.Reports[h.GetDataCentre()],
@@ -83,3 +99,22 @@
 	}
 	return f
 }
+
+// add takes one host into the fleet and its counts.
+func (f *fleet) add(h host) {
+	f.hosts = append(f.hosts, h)
+	capacity := controller.AmountOf(h.GetCapacity())
+	f.capacity = f.capacity.Plus(capacity)
+	c := f.counts[h.GetPool()]
+	c.hosts++
+	c.capacity = c.capacity.Plus(capacity)
+	if h.usable() && inService(*f, h) {
+		c.usable++
+	}
+	f.counts[h.GetPool()] = c
+	if to := h.GetMovingTo(); to != "" {
+		c := f.counts[to]
+		c.arriving++
+		f.counts[to] = c
+	}
+}
--- a/internal/planner/maintenance.go
+++ b/internal/planner/maintenance.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -45,18 +46,19 @@
 		return nil
 	}
 	dataCentre := openDataCentre(f, candidates)
+	candidates = slices.DeleteFunc(candidates, func(h host) bool { return h.GetDataCentre() != dataCentre })
 	racks := openRacks(f)
 	slices.SortFunc(candidates, func(a, b host) int {
 		return cmp.Or(
 			compareBool(b.idle(), a.idle()),
-			compareBool(racks[rackOf(b)], racks[rackOf(a)]),
-			cmp.Compare(rackOf(a), rackOf(b)),
+			compareBool(racks[b.GetRack()], racks[a.GetRack()]),
+			cmp.Compare(a.GetRack(), b.GetRack()),
 			cmp.Compare(a.GetName(), b.GetName()),
 		)
 	})
 	var names []string
 	for _, h := range candidates {
-		if h.GetDataCentre() == dataCentre && p.mayDrain(f, h) && b.take(h.GetPool()) {
+		if p.mayDrain(f, h) && b.take(h.GetPool()) {
 			names = append(names, h.GetName())
 		}
 	}
@@ -78,17 +80,21 @@
 // centre is coming back, because a returning data centre ramps up.
 func (p *Planner) mayDrain(f fleet, h host) bool {
 	need := p.demand.need(h.GetPool())
-	return need < usableHosts(f, h.GetPool()) || h.idle()
+	return need < f.counts[h.GetPool()].usable || h.idle()
 }
 
 // waiting returns the hosts that a running roll-out still has to reach.
 func waiting(f fleet) []host {
+	running := slices.DeleteFunc(f.in.State.Maintenances(), func(m *wire.Maintenance) bool { return m.GetDone() })
+	if len(running) == 0 {
+		return nil
+	}
 	var list []host
 	for _, h := range f.hosts {
 		if h.GetState() != wire.HostState_HOST_STATE_ACTIVE || h.dead() {
 			continue
 		}
-		if _, ok := f.in.State.RunningMaintenance(h.Host); ok {
+		if slices.ContainsFunc(running, func(m *wire.Maintenance) bool { return controller.Covers(m, h.Host) }) {
 			list = append(list, h)
 		}
 	}
@@ -122,11 +128,13 @@
 	return best
 }
 
+// openRacks returns the racks with hosts under maintenance; they are all in one
+// data centre.
 func openRacks(f fleet) map[string]bool {
 	racks := make(map[string]bool)
 	for _, g := range f.in.State.Grants() {
 		if h, ok := f.in.State.Host(g.GetHost()); ok {
-			racks[h.GetDataCentre()+"/"+h.GetRack()] = true
+			racks[h.GetRack()] = true
 		}
 	}
 	return racks
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -11,34 +11,12 @@
 // leaves or returns changes all loads at once and must not cause a rush.
 const movesAtOnce = 4
 
-// usableHosts returns how many hosts can take work of the pool now.
-func usableHosts(f fleet, pool string) int64 {
-	n := int64(0)
-	for _, h := range f.hosts {
-		if h.GetPool() == pool && h.usable() && inService(f, h) {
-			n++
-		}
-	}
-	return n
-}
-
 // inService reports whether the host's data centre takes work.
 func inService(f fleet, h host) bool {
 	d, _ := f.in.State.DataCentre(h.GetDataCentre())
 	return d.GetState() == wire.ServiceState_SERVICE_STATE_IN
 }
 
-// arriving returns how many hosts are moving to the pool.
-func arriving(f fleet, pool string) int64 {
-	n := int64(0)
-	for _, h := range f.hosts {
-		if h.GetMovingTo() == pool {
-			n++
-		}
-	}
-	return n
-}
-
 // moves returns the host moves to start now: from the spare pool to pools that
 // need hosts, and back from pools that had too many for a long time.
 func (p *Planner) moves(f fleet, b budgets) []*wire.Command {
@@ -77,7 +55,8 @@
 
 func (p *Planner) shortage(f fleet, pool *wire.Pool) int64 {
 	need := min(max(p.demand.need(pool.GetName()), pool.GetMinHosts()), pool.GetMaxHosts())
-	return need - usableHosts(f, pool.GetName()) - arriving(f, pool.GetName())
+	c := f.counts[pool.GetName()]
+	return need - c.usable - c.arriving
 }
 
 // move returns a move for one pool, or nil.
@@ -108,7 +87,7 @@
 	}
 	need, watched := d.recentNeed()
 	need = max(need, pool.GetMinHosts())
-	return watched && usableHosts(f, pool.GetName())-need >= p.opts.Policies(pool).Surplus
+	return watched && f.counts[pool.GetName()].usable-need >= p.opts.Policies(pool).Surplus
 }
 
 func sparePool(f fleet) (string, bool) {
--- a/internal/supervisor/capacity.go
+++ b/internal/supervisor/capacity.go
@@ -9,9 +9,9 @@
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
-// planInterval is the time between two plans. Drains and moves take seconds,
-// so more frequent plans would find nothing new.
-const planInterval = time.Second
+// planInterval is the time between two plans. Drains and moves take several
+// seconds, and a plan at the target size takes some tens of milliseconds.
+const planInterval = 2 * time.Second
 
 // Capacity lets the planner decide on hosts, pools and maintenance. Make one
 // with NewCapacity.
