--- a/pkg/queuer/account.go
+++ b/pkg/queuer/account.go
@@ -69,6 +69,17 @@
 	return a
 }
 
+func clampWeight(weight int64) int64 { return min(max(weight, 1), MaxWeight) }
+
+// setWeight changes the weight of an account that is about to get an item.
+func (q *Queue[T]) setWeight(a *account[T], weight int64) {
+	if a.size > 0 {
+		q.weight -= a.weight
+	}
+	a.weight = clampWeight(weight)
+	q.weight += a.weight
+}
+
 // activate makes an account with a first item eligible. An account that was
 // idle starts at virtual time, so that idling saves up no service.
 func (q *Queue[T]) activate(a *account[T]) {
@@ -104,6 +115,7 @@
 		q.ready.remove(a.readyIndex)
 	}
 	a.held = false
+	q.weight -= a.weight
 	q.idle.push(a)
 }
 
--- a/pkg/queuer/queuer.go
+++ b/pkg/queuer/queuer.go
@@ -78,6 +78,8 @@
 	deadlines heap[*Item[T]]
 	// Invariant: number of items that wait.
 	size int
+	// Invariant: sum of the weights of the accounts with items.
+	weight int64
 	// activations numbers the times that an account became ready; it breaks ties.
 	activations uint64
 }
@@ -113,6 +115,18 @@
 	return 0
 }
 
+// Ahead estimates how many items are served before a next item of an account
+// of the given weight, if every account keeps its items.
+func (q *Queue[T]) Ahead(name string, weight int64) int {
+	own, others := 0, q.weight
+	if a := q.accounts[name]; a != nil && a.size > 0 {
+		own = a.size
+		others -= a.weight
+	}
+	served := (int64(own) + 1) * others / clampWeight(weight)
+	return own + int(min(int64(q.size-own), served))
+}
+
 // Push adds an item behind the others of its account. The item is nil unless
 // it was queued.
 func (q *Queue[T]) Push(e Entry[T]) (*Item[T], Outcome) {
@@ -123,7 +137,7 @@
 		return nil, AccountFull
 	}
 	a := q.account(e.Account)
-	a.weight = min(max(e.Weight, 1), MaxWeight)
+	q.setWeight(a, e.Weight)
 	it := &Item[T]{
 		entry:   e,
 		account: a,
@@ -181,12 +195,12 @@
 	return expired
 }
 
-// Next returns the account that Pop would serve.
-func (q *Queue[T]) Next() (string, bool) {
+// Peek returns the item that Pop would remove.
+func (q *Queue[T]) Peek() (Entry[T], bool) {
 	if q.ready.len() == 0 {
-		return "", false
+		return Entry[T]{}, false
 	}
-	return q.ready.items[0].name, true
+	return q.ready.items[0].head.entry, true
 }
 
 // Hold keeps an account's items from being popped until Unhold or until none
--- a/pkg/queuer/queuer_test.go
+++ b/pkg/queuer/queuer_test.go
@@ -166,6 +166,27 @@
 	is.Equal(q.Len(), 0)
 }
 
+// An estimate that is too low keeps requests waiting that can't be served in
+// time; one that is too high refuses requests that could be.
+func TestAhead(t *testing.T) {
+	is := is.New(t)
+	q := queuer.New[int](queuer.Options{})
+	is.Equal(q.Ahead("a", 3), 0)
+	for i := range 12 {
+		q.Push(queuer.Entry[int]{
+			Account: []string{"a", "b", "b"}[i%3],
+			Weight:  []int64{3, 1, 1}[i%3],
+		})
+	}
+	is.Equal(q.Ahead("a", 3), 4+1)
+	is.Equal(q.Ahead("b", 1), 8+4)
+	is.Equal(q.Ahead("c", 2), 2)
+	for range 12 {
+		q.Pop()
+	}
+	is.Equal(q.Ahead("a", 3), 0)
+}
+
 // The cost of a pop must not grow with the number of items or held accounts.
 func BenchmarkPushPop(b *testing.B) {
 	for _, accounts := range []int{10, 1000, 100_000} {
