--- a/internal/dispatcher/rebuild.go
+++ b/internal/dispatcher/rebuild.go
@@ -142,7 +142,9 @@
 }
 
 // adoptLate takes in copies that arrive after the rebuild. Copies older than
-// the adopted ones hold nothing that is still to be done. d.mu is held.
+// the adopted ones hold nothing that is still to be done. After the retention
+// time the ends of tasks may be forgotten, so that non-idempotent tasks can't
+// be run any more. d.mu is held.
 func (d *Dispatcher) adoptLate(now time.Time, l *lead, late map[string]*wire.FetchTasksResponse) {
 	for _, name := range slices.Sorted(maps.Keys(late)) {
 		held := heldBy(late[name])
@@ -152,7 +154,7 @@
 		l.adopted = held
 		l.sched.Step(now, scheduler.Adopt{
 			Tasks:        late[name].GetTasks(),
-			Stale:        false,
+			Stale:        now.Sub(l.since) >= scheduler.Retention,
 			UnheardUntil: now.Add(scheduler.WorkerLeaseBound),
 		})
 	}
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -50,7 +50,7 @@
 		poll.Running = append(poll.Running, r.describe(now, id))
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.ended)) {
-		poll.Ended = append(poll.Ended, r.ended[id])
+		poll.Ended = append(poll.Ended, r.ended[id].report)
 	}
 	return poll
 }
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -76,7 +76,7 @@
 	leaving    bool
 	running    map[string]*run
 	// Invariant: holds each ended task until it is acknowledged.
-	ended map[string]*wire.EndedTask
+	ended map[string]ending
 	seen  seenTasks
 }
 
@@ -92,12 +92,20 @@
 	checkpointed bool
 }
 
+// ending is a task that has ended.
+type ending struct {
+	report *wire.EndedTask
+	// mayReturn: the task may be started again on this worker, as it never
+	// started or is idempotent and was put off.
+	mayReturn bool
+}
+
 // New returns a runner without a lease.
 func New(opts Options) *Runner {
 	return &Runner{
 		opts:    opts,
 		running: make(map[string]*run),
-		ended:   make(map[string]*wire.EndedTask),
+		ended:   make(map[string]ending),
 	}
 }
 
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -13,7 +13,7 @@
 // passed over; what became of it is in the reports.
 func (r *Runner) accept(task *wire.Task, epoch uint64, startBy time.Time) {
 	id := task.GetId()
-	if r.running[id] != nil || r.ended[id] != nil || r.seen.has(id) {
+	if _, ended := r.ended[id]; ended || r.running[id] != nil || r.seen.has(id) {
 		return
 	}
 	r.running[id] = &run{
@@ -86,8 +86,13 @@
 }
 
 func (r *Runner) end(id string, e *wire.EndedTask) {
+	run := r.running[id]
+	own := e.GetState() == wire.TaskState_TASK_STATE_SUCCEEDED || e.GetState() == wire.TaskState_TASK_STATE_FAILED
 	delete(r.running, id)
-	r.ended[id] = e
+	r.ended[id] = ending{
+		report:    e,
+		mayReturn: run.startedAt.IsZero() || (run.task.GetIdempotent() && !own),
+	}
 }
 
 // stop ends a task and keeps its report.
@@ -118,15 +123,14 @@
 // recorded. An idempotent task that was put off, or never started, may come
 // back to this worker; any other stays barred.
 func (r *Runner) acknowledge(now time.Time, id string) {
-	e := r.ended[id]
-	if e == nil {
+	e, ok := r.ended[id]
+	if !ok {
 		return
 	}
 	delete(r.ended, id)
-	switch e.GetState() {
-	case wire.TaskState_TASK_STATE_SUCCEEDED, wire.TaskState_TASK_STATE_FAILED:
-		r.seen.bar(now, id)
-	default:
+	if e.mayReturn {
 		r.seen.release(id)
+	} else {
+		r.seen.bar(now, id)
 	}
 }
--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -36,6 +36,10 @@
 	if stale {
 		return
 	}
+	if t.spec.GetTeam() == "" {
+		s.complement(now, t, status)
+		return
+	}
 	if !final(t.state) {
 		// The worker knows only the granted size; the copy has the declared one.
 		t.spec = status.GetTask()
@@ -45,6 +49,20 @@
 	}
 }
 
+// complement completes a task of which only the end was known. One that was
+// put off is queued again if it is idempotent.
+func (s *Scheduler) complement(now time.Time, t *task, status *wire.TaskStatus) {
+	full := s.newTask(status.GetTask(), now.Add(-time.Duration(status.GetAgeNanos())))
+	full.ranOn = t.ranOn
+	full.incarnation = t.incarnation
+	full.attempts = status.GetAttempts()
+	if t.state != wire.TaskState_TASK_STATE_SUCCEEDED && full.spec.GetIdempotent() && !final(status.GetState()) {
+		s.enqueue(full, false)
+		return
+	}
+	s.finish(now, full, t.state, t.reason)
+}
+
 func (s *Scheduler) restore(now time.Time, t *task, status *wire.TaskStatus, stale bool) {
 	switch {
 	case final(status.GetState()):
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -82,6 +82,9 @@
 		} else if ok && t.ranOn == w.name && t.state == wire.TaskState_TASK_STATE_UNKNOWN && final(e.GetState()) {
 			actions = append(actions, s.finish(now, t, e.GetState(), e.GetReason()))
 		}
+		if !ok && s.complete {
+			t, ok = s.noteEnd(now, w, e)
+		}
 		if (ok && s.secured(t)) || (!ok && s.complete) {
 			orders.Acknowledged = append(orders.Acknowledged, e.GetTask())
 		}
@@ -89,6 +92,21 @@
 	return actions
 }
 
+// noteEnd records the end of a task that is not known, so that a copy which
+// arrives later does not run it again. One that did not run needs no record.
+func (s *Scheduler) noteEnd(now time.Time, w *worker, e *wire.EndedTask) (*task, bool) {
+	if !final(e.GetState()) {
+		return nil, false
+	}
+	t := s.newTask(&wire.Task{
+		Id: e.GetTask(),
+	}, now)
+	t.ranOn = w.name
+	t.incarnation = w.incarnation
+	s.finish(now, t, e.GetState(), e.GetReason())
+	return t, true
+}
+
 // takeEnd settles a task that its worker no longer runs.
 func (s *Scheduler) takeEnd(now time.Time, w *worker, t *task, e *wire.EndedTask) []Action {
 	switch e.GetState() {
