internal/dispatcher, internal/scheduler, internal/runner: faults found by the matrix

Cause: the fault matrix showed four faults. A scheduler that never sent a copy renewed worker leases without an authority lease, and its successor could not know. The end of a task that had been given up was acknowledged and not recorded. A worker passed over a repeated start without saying so, and was asked again for ever. The check of lost tasks took an uncertain end for a loss when the assignment was copied and its order never left. Change: renewal without an authority lease needs a copy that others know of; late ends are recorded; a repeated start is handed back; the check counts assignments that were copied. The control state is passed on only when its revision changed.

--- a/internal/dispatcher/lead.go
+++ b/internal/dispatcher/lead.go
@@ -28,6 +28,8 @@
 type lead struct {
 	dataCentre string
 	sched      *scheduler.Scheduler
+	// revision is that of the control state that sched was given.
+	revision uint64
 	// since is when this host saw itself assigned.
 	since time.Time
 	// startsAfter is when former schedulers have stopped, by which tasks may
@@ -71,9 +73,7 @@
 			l.liveAt = now
 		}
 		if dc.GetName() == l.dataCentre && dc.GetSchedulerEpoch() == l.at.epoch {
-			l.sched.Step(now, scheduler.Facts{
-				State: view.State,
-			})
+			l.inform(now, view.State)
 			return
 		}
 		d.retireBelow(l.dataCentre, l.at.epoch+1)
@@ -83,6 +83,7 @@
 	}
 	d.lead = &lead{
 		dataCentre:  dc.GetName(),
+		revision:    view.State.Revision(),
 		since:       now,
 		liveAt:      now,
 		startsAfter: now.Add(follower.ForceBound),
@@ -97,6 +98,18 @@
 	d.opts.Logger.Info("dispatcher: scheduling begins", "data-centre", dc.GetName(), "epoch", dc.GetSchedulerEpoch())
 }
 
+// inform passes a newer control state to the scheduler. The comparison comes
+// first because the state is several kilobytes and the event would copy it.
+func (l *lead) inform(now time.Time, s controller.State) {
+	if s.Revision() == l.revision {
+		return
+	}
+	l.revision = s.Revision()
+	l.sched.Step(now, scheduler.Facts{
+		State: s,
+	})
+}
+
 // mayStart reports whether tasks may be started now. d.mu is held.
 func (d *Dispatcher) mayStart(now time.Time, view follower.View) bool {
 	l := d.lead
--- a/internal/dispatcher/rebuild.go
+++ b/internal/dispatcher/rebuild.go
@@ -131,14 +131,20 @@
 	d.opts.Logger.Info("dispatcher: tasks rebuilt", "data-centre", l.dataCentre, "stale", stale)
 }
 
-// unheardUntil bounds the leases that the former scheduler may have given to
-// workers that are not heard from. A former scheduler that answered has
-// stopped; another may renew them without an authority lease for renewBound.
+// unheardUntil bounds the leases that a former scheduler may have given to
+// workers that are not heard from. One that answered has stopped, and one that
+// sent no copy renews only under an authority lease. Another may go on without
+// one for renewBound. It may be unknown here if it and its copy holder are
+// both missing.
 func (d *Dispatcher) unheardUntil(now time.Time, l *lead, previous string) time.Time {
-	if previous == "" || l.answers[previous] != nil {
-		return now.Add(scheduler.WorkerLeaseBound)
+	stopped := now
+	if forced := l.since.Add(follower.ForceBound); forced.After(now) {
+		stopped = forced
 	}
-	return l.since.Add(follower.ForceBound + renewBound + scheduler.WorkerLeaseBound)
+	if (previous != "" && l.answers[previous] == nil) || len(l.missing) > 1 {
+		stopped = l.since.Add(follower.ForceBound + renewBound)
+	}
+	return stopped.Add(scheduler.WorkerLeaseBound)
 }
 
 // adoptLate takes in copies that arrive after the rebuild. Copies older than
--- a/internal/dispatcher/replicate.go
+++ b/internal/dispatcher/replicate.go
@@ -32,6 +32,8 @@
 	incarnation string
 	// Invariant: the sequence of the last request of this generation.
 	sequence uint64
+	// noticed is true once other entry hosts know of this scheduler from a copy.
+	noticed bool
 	// avoid holds the hosts that failed and until when they are passed over.
 	avoid map[string]time.Time
 }
@@ -105,6 +107,7 @@
 	}
 	l.holder = member.GetName()
 	l.incarnation = member.GetIncarnation()
+	l.noticed = true
 	l.sched.Copied(through)
 }
 
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -50,9 +50,7 @@
 	if dc.GetScheduler() != d.opts.Self.GetName() || dc.GetSchedulerEpoch() != d.lead.at.epoch {
 		return nil, view, now, "this entry host no longer schedules " + dc.GetName()
 	}
-	d.lead.sched.Step(now, scheduler.Facts{
-		State: view.State,
-	})
+	d.lead.inform(now, view.State)
 	return d.lead, view, now, ""
 }
 
@@ -221,7 +219,7 @@
 
 // ServePoll answers a worker on the host that schedules its data centre.
 // Without an authority lease it starts nothing, and renews the worker's lease
-// for at most ten minutes.
+// for at most ten minutes and only if later schedulers can learn of it.
 func (d *Dispatcher) ServePoll(_ context.Context, req *wire.WorkerPoll) *wire.WorkerOrders {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -231,8 +229,8 @@
 	if l == nil || l.dataCentre != req.GetDataCentre() {
 		return pollError("this entry host does not schedule " + req.GetDataCentre())
 	}
-	if !view.Live(now) && now.Sub(l.liveAt) > renewBound {
-		return pollError("the scheduler has been without an authority lease for too long")
+	if !view.Live(now) && (!l.noticed || now.Sub(l.liveAt) > renewBound) {
+		return pollError("the scheduler has no authority lease")
 	}
 	if _, _, _, reason := d.current(); view.Live(now) && reason != "" {
 		return pollError(reason)
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -44,14 +44,17 @@
 	// blocked lists one-way cuts as "from>to"; "*" stands for all.
 	blocked map[string]bool
 	// mangle, when set, says what happens to the next message of a method.
-	mangle  map[string]string
-	later   []delayed
-	runs    map[string]int
-	acked   map[string]bool
-	idem    map[string]bool
-	outAt   time.Time
-	serial  int
-	trouble []string
+	mangle map[string]string
+	later  []delayed
+	runs   map[string]int
+	acked  map[string]bool
+	idem   map[string]bool
+	// assigned holds the tasks that a copy names as running; only these may
+	// end as unknown.
+	assigned map[string]bool
+	outAt    time.Time
+	serial   int
+	trouble  []string
 }
 
 type delayed struct {
@@ -71,16 +74,17 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{
-		t:       t,
-		clock:   timer.NewFake(time.Unix(1000, 0)),
-		hosts:   make(map[string]*entryHost),
-		workers: make(map[string]*workerHost),
-		step:    func(string, string) {},
-		blocked: make(map[string]bool),
-		mangle:  make(map[string]string),
-		runs:    make(map[string]int),
-		acked:   make(map[string]bool),
-		idem:    make(map[string]bool),
+		t:        t,
+		clock:    timer.NewFake(time.Unix(1000, 0)),
+		hosts:    make(map[string]*entryHost),
+		workers:  make(map[string]*workerHost),
+		step:     func(string, string) {},
+		blocked:  make(map[string]bool),
+		mangle:   make(map[string]string),
+		runs:     make(map[string]int),
+		acked:    make(map[string]bool),
+		idem:     make(map[string]bool),
+		assigned: make(map[string]bool),
 	}
 	for _, name := range []string{"a1", "a2", "b1"} {
 		w.hosts[name] = &entryHost{
@@ -401,6 +405,11 @@
 }
 
 func (l link) CopyTasks(ctx context.Context, m *wire.Member, req *wire.CopyTasksRequest) (*wire.CopyTasksResponse, error) {
+	for _, status := range req.GetTasks() {
+		if status.GetState() == wire.TaskState_TASK_STATE_RUNNING {
+			l.h.w.assigned[status.GetTask().GetId()] = true
+		}
+	}
 	return call(l, "copy", m, req, func(d *dispatcher.Dispatcher, q *wire.CopyTasksRequest) *wire.CopyTasksResponse {
 		return d.ServeCopyTasks(ctx, q)
 	})
--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -9,11 +9,18 @@
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
-// accept takes a start order. A task ID that this incarnation has seen is
-// passed over; what became of it is in the reports.
+// accept takes a start order. A task that is in the reports is passed over.
+// One that this incarnation has run before is handed back, so that it is tried
+// elsewhere if it may run twice.
 func (r *Runner) accept(task *wire.Task, epoch uint64, startBy time.Time) {
 	id := task.GetId()
-	if _, ended := r.ended[id]; ended || r.running[id] != nil || r.seen.has(id) {
+	if _, ended := r.ended[id]; ended || r.running[id] != nil {
+		return
+	}
+	if r.seen.has(id) {
+		r.ended[id] = ending{
+			report: refusedRepeat(task),
+		}
 		return
 	}
 	r.running[id] = &run{
@@ -23,6 +30,18 @@
 	}
 }
 
+func refusedRepeat(task *wire.Task) *wire.EndedTask {
+	e := &wire.EndedTask{
+		Task:   task.GetId(),
+		State:  wire.TaskState_TASK_STATE_UNKNOWN,
+		Reason: "its worker has run it before",
+	}
+	if task.GetIdempotent() {
+		e.State = wire.TaskState_TASK_STATE_FAILED
+	}
+	return e
+}
+
 // startWaiting starts accepted tasks for which there is memory and
 // accelerators, and hands back those that waited too long. The clock is read
 // before each start, because the process may have been frozen.
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -79,8 +79,8 @@
 		t, ok := s.tasks[e.GetTask()]
 		if ok && t.worker == w {
 			actions = append(actions, s.takeEnd(now, w, t, e)...)
-		} else if ok && t.ranOn == w.name && t.state == wire.TaskState_TASK_STATE_UNKNOWN && final(e.GetState()) {
-			actions = append(actions, s.finish(now, t, e.GetState(), e.GetReason()))
+		} else if ok && t.worker == nil {
+			actions = append(actions, s.takeLateEnd(now, w, t, e)...)
 		}
 		if !ok && s.complete {
 			t, ok = s.noteEnd(now, w, e)
@@ -129,7 +129,22 @@
 	if t.spec.GetIdempotent() {
 		return []Action{s.requeue(now, t, e.GetReason())}
 	}
-	return []Action{s.finish(now, t, wire.TaskState_TASK_STATE_STOPPED, e.GetReason())}
+	state := wire.TaskState_TASK_STATE_STOPPED
+	if e.GetState() == wire.TaskState_TASK_STATE_UNKNOWN {
+		state = e.GetState()
+	}
+	return []Action{s.finish(now, t, state, e.GetReason())}
+}
+
+// takeLateEnd takes in the end of a task that was given up on its worker. An
+// unknown end becomes known, and a task that waits to run again need not.
+func (s *Scheduler) takeLateEnd(now time.Time, w *worker, t *task, e *wire.EndedTask) []Action {
+	known := t.state == wire.TaskState_TASK_STATE_UNKNOWN && t.ranOn == w.name && final(e.GetState())
+	done := t.state == wire.TaskState_TASK_STATE_QUEUED && e.GetState() == wire.TaskState_TASK_STATE_SUCCEEDED
+	if !known && !done {
+		return nil
+	}
+	return []Action{s.finish(now, t, e.GetState(), e.GetReason())}
 }
 
 func (s *Scheduler) learn(t *task, e *wire.EndedTask) {
