--- a/internal/runner/task.go
+++ b/internal/runner/task.go
@@ -9,11 +9,18 @@
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
-// accept takes a start order. A task ID that this incarnation has seen is
-// passed over; what became of it is in the reports.
+// accept takes a start order. A task that is in the reports is passed over.
+// One that this incarnation has run before is handed back, so that it is tried
+// elsewhere if it may run twice.
 func (r *Runner) accept(task *wire.Task, epoch uint64, startBy time.Time) {
 	id := task.GetId()
-	if r.running[id] != nil || r.ended[id] != nil || r.seen.has(id) {
+	if _, ended := r.ended[id]; ended || r.running[id] != nil {
+		return
+	}
+	if r.seen.has(id) {
+		r.ended[id] = ending{
+			report: refusedRepeat(task),
+		}
 		return
 	}
 	r.running[id] = &run{
@@ -23,6 +30,18 @@
 	}
 }
 
+func refusedRepeat(task *wire.Task) *wire.EndedTask {
+	e := &wire.EndedTask{
+		Task:   task.GetId(),
+		State:  wire.TaskState_TASK_STATE_UNKNOWN,
+		Reason: "its worker has run it before",
+	}
+	if task.GetIdempotent() {
+		e.State = wire.TaskState_TASK_STATE_FAILED
+	}
+	return e
+}
+
 // startWaiting starts accepted tasks for which there is memory and
 // accelerators, and hands back those that waited too long. The clock is read
 // before each start, because the process may have been frozen.
@@ -86,8 +105,13 @@
 }
 
 func (r *Runner) end(id string, e *wire.EndedTask) {
+	run := r.running[id]
+	own := e.GetState() == wire.TaskState_TASK_STATE_SUCCEEDED || e.GetState() == wire.TaskState_TASK_STATE_FAILED
 	delete(r.running, id)
-	r.ended[id] = e
+	r.ended[id] = ending{
+		report:    e,
+		mayReturn: run.startedAt.IsZero() || (run.task.GetIdempotent() && !own),
+	}
 }
 
 // stop ends a task and keeps its report.
@@ -118,15 +142,14 @@
 // recorded. An idempotent task that was put off, or never started, may come
 // back to this worker; any other stays barred.
 func (r *Runner) acknowledge(now time.Time, id string) {
-	e := r.ended[id]
-	if e == nil {
+	e, ok := r.ended[id]
+	if !ok {
 		return
 	}
 	delete(r.ended, id)
-	switch e.GetState() {
-	case wire.TaskState_TASK_STATE_SUCCEEDED, wire.TaskState_TASK_STATE_FAILED:
-		r.seen.bar(now, id)
-	default:
+	if e.mayReturn {
 		r.seen.release(id)
+	} else {
+		r.seen.bar(now, id)
 	}
 }
