--- /dev/null
+++ b/pkg/persister/store_test.go
@@ -0,0 +1,220 @@
+package persister_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/pkg/persister"
+	"github.com/heathermux/heathermux/pkg/persister/faultfs"
+	"github.com/heathermux/heathermux/pkg/replication"
+	"github.com/heathermux/heathermux/pkg/replicator"
+)
+
+func entries(term, from, to uint64) []*replicator.Entry {
+	var list []*replicator.Entry
+	for i := from; i <= to; i++ {
+		list = append(list, &replication.Entry{
+			Term:  term,
+			Index: i,
+			Data:  []byte("change"),
+		})
+	}
+	return list
+}
+
+func snapshot(index, term uint64) *replicator.Snapshot {
+	return &replication.Snapshot{
+		Index: index,
+		Term:  term,
+		Data:  []byte("state"),
+	}
+}
+
+// content shows what matters to a replica: term, vote, snapshot and the
+// entries after the snapshot.
+func content(r replicator.Recovered) string {
+	s := fmt.Sprint(r.Hard.GetTerm(), r.Hard.GetVote(), " snapshot ", r.Snapshot.GetIndex(), ":")
+	for _, e := range r.Entries {
+		if e.GetIndex() > r.Snapshot.GetIndex() {
+			s += fmt.Sprintf(" %d/%d", e.GetIndex(), e.GetTerm())
+		}
+	}
+	return s
+}
+
+// script is a life of a store; after holds the content after each step.
+var script = []struct {
+	do    func(s *persister.Store) error
+	after string
+}{
+	{
+		do:    func(s *persister.Store) error { return s.Append(vote(1, "a"), entries(1, 1, 4)) },
+		after: "1a snapshot 0: 1/1 2/1 3/1 4/1",
+	},
+	{
+		do:    func(s *persister.Store) error { return s.Append(vote(2, ""), entries(2, 3, 5)) },
+		after: "2 snapshot 0: 1/1 2/1 3/2 4/2 5/2",
+	},
+	{
+		do:    func(s *persister.Store) error { return s.SaveSnapshot(snapshot(4, 2)) },
+		after: "2 snapshot 4: 5/2",
+	},
+	{
+		do:    func(s *persister.Store) error { return s.Compact(3) },
+		after: "2 snapshot 4: 5/2",
+	},
+	{
+		do:    func(s *persister.Store) error { return s.Append(nil, entries(2, 6, 8)) },
+		after: "2 snapshot 4: 5/2 6/2 7/2 8/2",
+	},
+	{
+		do:    func(s *persister.Store) error { return s.SaveSnapshot(snapshot(7, 3)) },
+		after: "2 snapshot 7:",
+	},
+	{
+		do:    func(s *persister.Store) error { return s.Append(vote(3, "b"), entries(3, 8, 8)) },
+		after: "3b snapshot 7: 8/3",
+	},
+}
+
+func vote(term uint64, id string) *replicator.HardState {
+	return &replication.HardState{
+		Term: term,
+		Vote: id,
+	}
+}
+
+// TestCrashAtEachOperation guards against losing or changing what was
+// acknowledged when the host crashes or a file operation fails, at each file
+// operation in turn. The step under way may have taken effect or not.
+func TestCrashAtEachOperation(t *testing.T) {
+	for _, torn := range []bool{false, true} {
+		for at := range 40 {
+			t.Run(fmt.Sprint("torn ", torn, " operation ", at), func(t *testing.T) {
+				is := is.New(t)
+				r := rand.New(rand.NewPCG(uint64(at), 1))
+				fs, n := faultfs.New(), 0
+				fs.SetHook(func(faultfs.Op, string) error {
+					if n++; n > at {
+						return syscall.EIO
+					}
+					return nil
+				})
+				was, would := "0 snapshot 0:", "0 snapshot 0:"
+				s, _, err := persister.Open(fs, "data", persister.Options{})
+				for i := 0; err == nil && i < len(script); i++ {
+					was, would = would, script[i].after
+					err = script[i].do(s)
+				}
+				if err == nil {
+					was = would
+				} else if s != nil {
+					is.True(errors.Is(s.Append(nil, nil), persister.ErrPoisoned)) // a failed store takes nothing more
+				}
+				fs.SetHook(nil)
+				fs.Crash(r, torn)
+				for range 2 {
+					_, recovered, err := persister.Open(fs, "data", persister.Options{})
+					is.NoErr(err)
+					got := content(recovered)
+					is.True(got == was || got == would) // acknowledged content survives
+					was, would = got, got
+				}
+			})
+		}
+	}
+}
+
+// TestDamage guards against taking damaged files for a shorter log. Only a
+// last frame that is not whole counts as torn.
+func TestDamage(t *testing.T) {
+	const segment, snap = "data/segment-00000000000000000003", "data/snapshot-00000000000000000002"
+	tests := map[string]struct {
+		damage func(fs *faultfs.FS)
+		want   string
+	}{
+		"first frame": {
+			damage: func(fs *faultfs.FS) { fs.Damage(segment, 20) },
+		},
+		"header of the frame before the last": {
+			damage: func(fs *faultfs.FS) { fs.Damage(segment, size(t, fs, segment)-2*frameSize+5) },
+		},
+		"payload of the frame before the last": {
+			damage: func(fs *faultfs.FS) { fs.Damage(segment, size(t, fs, segment)-frameSize-1) },
+		},
+		"last frame": {
+			damage: func(fs *faultfs.FS) { fs.Damage(segment, size(t, fs, segment)-1) },
+			want:   "1a snapshot 2: 3/1 4/1",
+		},
+		"snapshot": {
+			damage: func(fs *faultfs.FS) { fs.Damage(snap, 20) },
+		},
+		"no snapshot": {
+			damage: func(fs *faultfs.FS) { _ = fs.Remove(snap) },
+		},
+		"no segment": {
+			damage: func(fs *faultfs.FS) { _ = fs.Remove(segment) },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			fs := faultfs.New()
+			s, _, err := persister.Open(fs, "data", persister.Options{})
+			is.NoErr(err)
+			is.NoErr(s.Append(vote(1, "a"), entries(1, 1, 3)))
+			is.NoErr(s.SaveSnapshot(snapshot(2, 1)))
+			is.NoErr(s.Compact(2))
+			is.NoErr(s.Close())
+			s, _, err = persister.Open(fs, "data", persister.Options{})
+			is.NoErr(err)
+			is.NoErr(s.Append(nil, entries(1, 4, 4)))
+			is.NoErr(s.Append(nil, entries(1, 5, 5)))
+			test.damage(fs)
+			_, recovered, err := persister.Open(fs, "data", persister.Options{})
+			is.Equal(errors.Is(err, persister.ErrDamaged), test.want == "")
+			if test.want != "" {
+				is.Equal(content(recovered), test.want)
+			}
+		})
+	}
+}
+
+// frameSize is the size of a frame with one entry of this test.
+const frameSize = 16 + 2 + 4 + 8
+
+func size(t *testing.T, fs *faultfs.FS, name string) int {
+	t.Helper()
+	data, err := fs.ReadFile(name)
+	is.New(t).NoErr(err)
+	return len(data)
+}
+
+// FuzzReadFrames guards against a panic and against content that was not
+// written: what is read from damaged input is a prefix of the frames.
+func FuzzReadFrames(f *testing.F) {
+	fs := faultfs.New()
+	s, _, _ := persister.Open(fs, "data", persister.Options{})
+	_ = s.Append(vote(1, "a"), entries(1, 1, 2))
+	_ = s.Append(vote(2, "b"), entries(2, 3, 3))
+	whole, _ := fs.ReadFile("data/segment-00000000000000000001")
+	f.Add(30, byte(1), len(whole))
+	f.Add(5, byte(0x80), len(whole)-1)
+	f.Add(0, byte(0), 0)
+	want, _ := persister.ReadFrames(whole)
+	f.Fuzz(func(t *testing.T, at int, flip byte, cut int) {
+		data := append([]byte(nil), whole...)
+		data[uint(at)%uint(len(data))] ^= flip
+		data = data[:uint(cut)%uint(len(data)+1)]
+		got, _ := persister.ReadFrames(data)
+		for i, frame := range got {
+			is.New(t).Equal(frame.String(), want[i].String())
+		}
+		_, _ = persister.ReadFrames(append([]byte{flip, byte(at)}, data...))
+	})
+}
