--- /dev/null
+++ b/internal/voter/replica/group_test.go
@@ -0,0 +1,284 @@
+package replica_test
+
+import (
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathermux/heathermux/internal/follower"
+	"github.com/heathermux/heathermux/internal/voter/replica"
+	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/persister/faultfs"
+	"github.com/heathermux/heathermux/pkg/replication"
+)
+
+// formed waits until the group accepts changes.
+func formed(t *testing.T, seed uint64, n int) *cluster {
+	c := newCluster(t, seed, n)
+	c.leader()
+	c.run(time.Second)
+	return c
+}
+
+// TestSecondLoss guards against the loss of an acknowledged change when hosts
+// lose their disks one right after the repair of the other, in any order.
+func TestSecondLoss(t *testing.T) {
+	for name, n := range map[string]int{"three voters": 3, "five voters": 5} {
+		t.Run(name, func(t *testing.T) {
+			c := formed(t, uint64(n), n)
+			for range 2 {
+				for _, lost := range c.r.Perm(n) {
+					c.crash(c.hosts[c.names[lost]], true, false, true)
+					c.settle()
+				}
+			}
+			is.New(t).True(c.client.n > 2*n)
+		})
+	}
+}
+
+// TestTwoDisksOfFive guards against a repair that costs the majority when two
+// disks of five are lost at once.
+func TestTwoDisksOfFive(t *testing.T) {
+	c := formed(t, 1, 5)
+	for _, name := range c.names[1:3] {
+		c.crash(c.hosts[name], true, false, true)
+	}
+	c.settle()
+}
+
+// TestPromotionWaits guards against a voter that counts before it holds the
+// log: while the joining host can't receive it, the old identity stays.
+func TestPromotionWaits(t *testing.T) {
+	is := is.New(t)
+	c := formed(t, 1, 3)
+	c.crash(c.hosts["h-2"], true, false, true)
+	c.step()
+	drop := func(to string) bool { return to == "h-2" }
+	c.route = func(from, to string) []time.Duration { return onlyIf(!drop(to) || from == to) }
+	c.run(5 * time.Second)
+	voters := 0
+	for _, m := range c.leader().replica.Status().Membership.GetMembers() {
+		if !m.GetLearner() {
+			voters++
+		}
+	}
+	is.Equal(voters, 3)
+	c.settle()
+}
+
+// TestFormation guards against a second group: a host without files never
+// forms one while any initial voter belongs to a group or has not answered.
+func TestFormation(t *testing.T) {
+	tests := map[string]func(c *cluster){
+		"one host is down": func(c *cluster) { c.crash(c.hosts["h-2"], false, false, false) },
+		"the first host can't be reached": func(c *cluster) {
+			c.route = func(from, to string) []time.Duration { return onlyIf(to != "h-0" || from == to) }
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := newCluster(t, 1, 3)
+			fault(c)
+			c.run(10 * time.Second)
+			is.Equal(len(c.leaders), 0) // nobody may lead yet
+			c.settle()
+			is.True(len(c.leaders) > 0)
+		})
+	}
+}
+
+// TestFormationFaults guards against a group that can't form or forms twice
+// when a host crashes or loses its disk at each file operation of the formation.
+func TestFormationFaults(t *testing.T) {
+	for _, wipe := range []bool{false, true} {
+		for at := range 24 {
+			c := newCluster(t, uint64(at), 3)
+			n := 0
+			c.hook = func(h *host, _ faultfs.Op, _ string) error {
+				if n++; n == at {
+					c.crash(h, true, true, wipe)
+					return errors.New("crashed")
+				}
+				return nil
+			}
+			c.run(2 * time.Second)
+			c.settle()
+		}
+	}
+}
+
+// TestDamagedFiles guards against a replica that votes or acknowledges under
+// its old identity after its log was damaged.
+func TestDamagedFiles(t *testing.T) {
+	is := is.New(t)
+	c := formed(t, 1, 3)
+	h := c.hosts["h-2"]
+	former := c.ids()
+	c.crash(h, false, false, false)
+	c.step()
+	names, _ := h.fs.ReadDir("data")
+	for _, file := range names {
+		if strings.HasPrefix(file, "segment-") {
+			h.fs.Damage("data/"+file, 30)
+		}
+	}
+	c.open(h)
+	c.settle()
+	now := c.ids()
+	is.Equal(len(now), 3)
+	is.Equal(now[:2], former[:2])
+	is.True(now[2] != former[2]) // the host has a new identity
+	names, _ = h.fs.ReadDir("data")
+	is.True(slices.ContainsFunc(names, func(s string) bool { return strings.HasPrefix(s, "damaged-") })) // files are kept
+}
+
+func (c *cluster) ids() []string {
+	var ids []string
+	for _, m := range c.leader().replica.Status().Membership.GetMembers() {
+		ids = append(ids, m.GetId())
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// propose runs one change and returns its answer.
+func (c *cluster) propose(cmd *wire.Command, await bool) *wire.Result {
+	var result *wire.Result
+	c.leader().replica.Propose(c.now, cmd, await, func(r *wire.Result, err error) {
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		result = r
+	})
+	for range 1000 {
+		if result != nil {
+			return result
+		}
+		c.step()
+	}
+	c.t.Fatal("no answer came")
+	return nil
+}
+
+// TestResend guards against a second result for one operation, and against an
+// in-force time that is not true, after leader change, restart and snapshot.
+func TestResend(t *testing.T) {
+	is := is.New(t)
+	c := formed(t, 1, 3)
+	c.client.stopped = true
+	c.run(5 * time.Second)
+	first := c.propose(change("mine"), false)
+	is.Equal(first.GetInForceAtUnixNanos(), c.now.Add(follower.ForceBound).UnixNano())
+	other := change("other")
+	other.GetDefineDataCentre().DataCentre.Name = "mine"
+	is.Equal(c.propose(other, false).GetWinner(), "mine")
+	for _, name := range c.names {
+		c.crash(c.hosts[name], true, false, false)
+	}
+	c.settle()
+	again := c.propose(change("mine"), false)
+	is.Equal(again.GetRevision(), first.GetRevision())
+	is.True(again.GetInForceAtUnixNanos() >= first.GetInForceAtUnixNanos())
+	is.Equal(c.propose(other, false).GetOutcome(), wire.Outcome_OUTCOME_CONFLICT)
+}
+
+// TestInForceEarly guards against waiting for the whole bound when all entry
+// hosts have confirmed a change, and against answering before they have.
+func TestInForceEarly(t *testing.T) {
+	is := is.New(t)
+	c := formed(t, 1, 3)
+	c.client.stopped = true
+	c.run(5 * time.Second)
+	at := c.now
+	r := c.propose(change("mine"), true)
+	is.True(c.now.Sub(at) < time.Second)
+	is.True(r.GetInForceAtUnixNanos() <= c.now.UnixNano())
+	for _, h := range c.hosts {
+		is.True(h.view.State.Revision() >= r.GetRevision())
+	}
+	is.Equal(len(c.leader().replica.Followers()), 3)
+}
+
+// TestSnapshotForFollower guards against a follower that stays behind when the
+// commands that it lacks are no longer held.
+func TestSnapshotForFollower(t *testing.T) {
+	is := is.New(t)
+	c := formed(t, 1, 3)
+	for _, name := range c.names {
+		c.crash(c.hosts[name], true, false, false)
+	}
+	c.settle()
+	resp := c.leader().replica.Follow(c.now, &wire.FollowRequest{
+		Revision: 1,
+	})
+	is.True(resp.GetSnapshot() != nil)
+	is.Equal(resp.GetSnapshot().GetRevision(), resp.GetRevision())
+	is.True(resp.GetLeaseNanos() > 0 && resp.GetLeaseNanos() <= int64(follower.LeaseLength))
+}
+
+// FuzzStep guards against a panic on messages that no replica sends.
+func FuzzStep(f *testing.F) {
+	seed := func(m *replication.Message) {
+		payload, _ := proto.Marshal(&replication.Packet{
+			Body: &replication.Packet_Message{
+				Message: m,
+			},
+		})
+		f.Add(payload)
+	}
+	for kind := range replication.MessageKind_name {
+		seed(&replication.Message{
+			Kind:    replication.MessageKind(kind),
+			From:    "h-1#x",
+			To:      "h-0#0000000000000001",
+			Term:    9,
+			Index:   ^uint64(0),
+			LogTerm: 9,
+		})
+	}
+	seed(&replication.Message{
+		Kind: replication.MessageKind_MESSAGE_KIND_APPEND,
+		From: "h-1#x",
+		To:   "h-0#0000000000000001",
+		Term: 9,
+		Entries: []*replication.Entry{
+			{
+				Term:  9,
+				Index: 1,
+			},
+		},
+		Commit: 1 << 60,
+	})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		now := time.Unix(1000, 0)
+		r, err := replica.Open(now, replica.Options{
+			Name:        "h-0",
+			Peers:       []string{"h-0", "h-1"},
+			Dir:         "data",
+			FS:          faultfs.New(),
+			Send:        func(string, *wire.Envelope) {},
+			Logger:      slog.New(slog.DiscardHandler),
+			Rand:        rand.New(rand.NewPCG(1, 1)),
+			Incarnation: func() string { return "0000000000000001" },
+		})
+		is.New(t).NoErr(err)
+		for range 2 {
+			r.Step(now, &wire.Envelope{
+				From:    "h-1",
+				To:      "h-0",
+				Payload: payload,
+			})
+			r.Flush(now)
+			r.Tick(now)
+		}
+	})
+}
--- /dev/null
+++ b/internal/voter/voter_test.go
@@ -0,0 +1,202 @@
+package voter_test
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/heathermux/heathermux/internal/voter"
+	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/persister"
+	"github.com/heathermux/heathermux/pkg/persister/faultfs"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+// group runs three voters in one process; messages from and to the voter
+// named by cut are lost.
+type group struct {
+	voters map[string]*atomic.Pointer[voter.Voter]
+	cut    atomic.Value
+}
+
+var names = []string{"h-0", "h-1", "h-2"}
+
+type link struct {
+	g    *group
+	from string
+}
+
+func (l link) Send(to string, env *wire.Envelope) {
+	cut := l.g.cut.Load()
+	if v := l.g.voters[to].Load(); v != nil && cut != to && cut != l.from {
+		v.Step(env)
+	}
+}
+
+func newGroup(tb testing.TB, clock timer.Clock, fs func(name string) (persister.FS, string)) *group {
+	g := &group{
+		voters: make(map[string]*atomic.Pointer[voter.Voter]),
+	}
+	for _, name := range names {
+		g.voters[name] = &atomic.Pointer[voter.Voter]{}
+	}
+	for _, name := range names {
+		files, dir := fs(name)
+		v, err := voter.Open(voter.Options{
+			Name:  name,
+			Peers: names,
+			Dir:   dir,
+			FS:    files,
+			Clock: clock,
+			Transport: link{
+				g:    g,
+				from: name,
+			},
+		})
+		is.New(tb).NoErr(err)
+		g.voters[name].Store(v)
+	}
+	return g
+}
+
+func (g *group) close() {
+	for _, v := range g.voters {
+		_ = v.Load().Close()
+	}
+}
+
+// leader waits for a leader other than not.
+func (g *group) leader(not string) (string, *voter.Voter) {
+	for {
+		for name, p := range g.voters {
+			if _, self := p.Load().Leader(); self && name != not {
+				return name, p.Load()
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func change(op string) *wire.Command {
+	return &wire.Command{
+		OperationId: op,
+		Change: &wire.Command_DefineDataCentre{
+			DefineDataCentre: &wire.DefineDataCentre{
+				DataCentre: &wire.DataCentre{
+					Name: op,
+				},
+			},
+		},
+	}
+}
+
+// start runs a group in memory on a fake clock that a goroutine advances.
+func start(t *testing.T) *group {
+	clock := timer.NewFake(time.Unix(1000, 0))
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+				clock.Advance(5 * time.Millisecond)
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+	}()
+	g := newGroup(t, clock, func(string) (persister.FS, string) { return faultfs.New(), "data" })
+	t.Cleanup(func() {
+		g.close()
+		close(stop)
+		<-done
+		goleak.VerifyNone(t)
+	})
+	return g
+}
+
+// TestPropose guards against a wrong answer at a voter that does not lead,
+// a change that does not reach the others, and goroutines that outlive Close.
+func TestPropose(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	g := start(t)
+	leader, v := g.leader("")
+	r, err := v.Propose(voter.AwaitForce(ctx), change("op-1"))
+	is.NoErr(err)
+	is.Equal(r.GetOutcome(), wire.Outcome_OUTCOME_ACCEPTED)
+	for name, p := range g.voters {
+		if name == leader {
+			continue
+		}
+		_, err := p.Load().Propose(ctx, change("op-2"))
+		var notLeader voter.NotLeaderError
+		is.True(errors.As(err, &notLeader))
+		is.Equal(notLeader.Leader, leader)
+		for p.Load().State().Revision() < r.GetRevision() {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	resp, err := v.Follow(ctx, &wire.FollowRequest{})
+	is.NoErr(err)
+	is.Equal(len(resp.GetCommands()), 1)
+	is.True(resp.GetLeaseNanos() > 0)
+	is.NoErr(v.Close())
+	_, err = v.Propose(ctx, change("op-3"))
+	is.True(errors.Is(err, voter.ErrClosed))
+}
+
+// TestOutcomeUnknown guards against an answer that a change failed although
+// it may still be committed, and against a lease from a leader without a majority.
+func TestOutcomeUnknown(t *testing.T) {
+	is, ctx := is.New(t), context.Background()
+	g := start(t)
+	former, v := g.leader("")
+	g.cut.Store(former)
+	_, err := v.Propose(ctx, change("op-1"))
+	is.True(errors.Is(err, voter.ErrOutcomeUnknown))
+	resp, err := v.Follow(ctx, &wire.FollowRequest{})
+	is.NoErr(err)
+	is.True(resp.GetNotLeader())
+	_, now := g.leader(former)
+	g.cut.Store("")
+	r, err := now.Propose(ctx, change("op-1"))
+	is.NoErr(err)
+	is.Equal(r.GetOutcome(), wire.Outcome_OUTCOME_ACCEPTED)
+	for v.State().Revision() < r.GetRevision() {
+		time.Sleep(time.Millisecond)
+	}
+	cancelled, cancel := context.WithCancel(ctx)
+	cancel()
+	_, err = v.Propose(cancelled, change("op-2"))
+	is.True(err != nil)
+}
+
+// BenchmarkPropose measures changes through three voters in one process with
+// real files, synced, from a number of callers at once.
+func BenchmarkPropose(b *testing.B) {
+	for _, callers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprint("callers ", callers), func(b *testing.B) {
+			dir := b.TempDir()
+			g := newGroup(b, timer.System(), func(name string) (persister.FS, string) {
+				return nil, filepath.Join(dir, name)
+			})
+			defer g.close()
+			_, v := g.leader("")
+			times := newTimes(b)
+			b.ResetTimer()
+			times.run(callers, func(i int) error {
+				_, err := v.Propose(context.Background(), change(fmt.Sprint("op-", i)))
+				return err
+			})
+			times.report()
+		})
+	}
+}
