--- a/internal/loader/check_deployment.go
+++ b/internal/loader/check_deployment.go
@@ -2,6 +2,10 @@
 
 import "fmt"
 
+// maxHosts bounds all ranges together. It is more than ten times the target
+// of 6,600 workers.
+const maxHosts = 100_000
+
 // names is a set of defined names.
 type names map[string]bool
 
@@ -67,6 +71,10 @@
 			d.checkName(fmt.Sprintf("%s.pools[%d]", path, j), p, pools, "pool")
 		}
 		expanded, _ := expandName(h.Name)
+		if len(seen)+len(expanded) > maxHosts {
+			d.add("Deployment.hosts", "hosts has more than %d hosts in all; allowed: at most %d", maxHosts, maxHosts)
+			return
+		}
 		for _, name := range expanded {
 			if seen[name] {
 				d.add(path+".name", "host %q is listed twice; allowed: each host once", name)
--- /dev/null
+++ b/internal/operator/fake_test.go
@@ -0,0 +1,136 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/examples"
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/follower"
+	"github.com/heathermux/heathermux/internal/loader"
+	"github.com/heathermux/heathermux/internal/operator"
+	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+// epoch is the start of the fake clock; all times in answers derive from it.
+var epoch = time.Unix(1_800_000_000, 0)
+
+// fakeControl applies commands at once, without a log.
+type fakeControl struct {
+	mu    sync.Mutex
+	state controller.State
+	// lease is the rest of the authority lease.
+	lease time.Duration
+	// before and after are errors that Propose returns without and with the
+	// command applied.
+	before, after error
+}
+
+func (c *fakeControl) View() follower.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return follower.View{
+		State:      c.state,
+		LeaseUntil: epoch.Add(c.lease),
+	}
+}
+
+func (c *fakeControl) Propose(_ context.Context, cmd *wire.Command) (*wire.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.before != nil {
+		return nil, c.before
+	}
+	cmd.ProposedAtUnixNanos = epoch.UnixNano()
+	var result *wire.Result
+	c.state, result = controller.Apply(c.state, cmd)
+	result.InForceAtUnixNanos = epoch.Add(follower.ForceBound).UnixNano()
+	return result, c.after
+}
+
+func (c *fakeControl) Status(context.Context) operator.Local {
+	return operator.Local{
+		EntryHost: "q-1",
+		Leader:    "q-2",
+	}
+}
+
+// server is an API over the example Qhapaq.
+type server struct {
+	control *fakeControl
+	handler http.Handler
+}
+
+func newServer(t *testing.T) *server {
+	t.Helper()
+	path, data, _ := examples.Deployment("qhapaq")
+	dep, problems := loader.ParseDeployment(path, data)
+	if problems != nil {
+		t.Fatal(problems)
+	}
+	control := &fakeControl{
+		lease: time.Second,
+	}
+	if _, err := control.Propose(t.Context(), &wire.Command{
+		OperationId: "bootstrap",
+		Change: &wire.Command_Bootstrap{
+			Bootstrap: &wire.Bootstrap{
+				Snapshot: dep.Snapshot(),
+			},
+		},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return &server{
+		control: control,
+		handler: operator.New(operator.Config{
+			Control: control,
+			Status:  control,
+			Clock:   timer.NewFake(epoch),
+		}),
+	}
+}
+
+const operatorKey = "example-qhapaq-operator"
+
+// call sends a request with the key and decodes the answer into result.
+func (s *server) call(t *testing.T, key, method, path, body string, result any) *http.Response {
+	t.Helper()
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
+		r.Header.Set("Authorization", "Bearer "+key)
+	}
+	recorder := httptest.NewRecorder()
+	s.handler.ServeHTTP(recorder, r)
+	response := recorder.Result()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(data, result); err != nil {
+		t.Fatalf("%s %s: %v in %s", method, path, err, data)
+	}
+	return response
+}
+
+// refusal sends a request and returns the problem that it is refused with.
+func (s *server) refusal(t *testing.T, key, method, path, body string) operator.Problem {
+	t.Helper()
+	var p operator.Problem
+	response := s.call(t, key, method, path, body, &p)
+	if response.StatusCode != p.Status || response.Header.Get("Content-Type") != "application/problem+json" {
+		t.Errorf("%s %s: status %d with %+v", method, path, response.StatusCode, p)
+	}
+	if (response.Header.Get("Retry-After") != "") != (p.Status == http.StatusServiceUnavailable) {
+		t.Errorf("%s %s: Retry-After is %q with %+v", method, path, response.Header.Get("Retry-After"), p)
+	}
+	return p
+}
