--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -38,7 +38,7 @@
 		}
 	})
 	if err == nil && len(problems) > 0 {
-		return failed(fmt.Errorf("%d problems", len(problems)))
+		return failed(fmt.Errorf("problems found: %d", len(problems)))
 	}
 	return err
 }
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -54,6 +55,9 @@
 	}, nil
 }
 
+// keyPattern has the characters that a header field can carry.
+var keyPattern = regexp.MustCompile(`^[!-~]+$`)
+
 func (s *session) key() (string, error) {
 	key := os.Getenv("HEATHERMUX_KEY")
 	if s.options.KeyFile != "" {
@@ -64,10 +68,10 @@
 		key = string(data)
 	}
 	key = strings.TrimSpace(key)
-	if key == "" {
+	if !keyPattern.MatchString(key) {
 		return "", &fault{
 			code: ExitNotAllowed,
-			text: "no key; use --key-file or the environment variable HEATHERMUX_KEY",
+			text: "no key, or more than one word; use --key-file or the environment variable HEATHERMUX_KEY",
 		}
 	}
 	return key, nil
--- a/internal/commander/maintenance.go
+++ b/internal/commander/maintenance.go
@@ -1,6 +1,10 @@
 package commander
 
-import "github.com/heathermux/heathermux/internal/operator"
+import (
+	"cmp"
+
+	"github.com/heathermux/heathermux/internal/operator"
+)
 
 func maintenanceCommands(s *session) command {
 	return command{
@@ -76,7 +80,7 @@
 				if m.Done {
 					state = "done"
 				}
-				row(m.Wave, m.Pool, state, shortTime(m.StartedAt), m.HostsDone, m.HostsDown, m.HostsWaiting)
+				row(m.Wave, cmp.Or(m.Pool, "all"), state, shortTime(m.StartedAt), m.HostsDone, m.HostsDown, m.HostsWaiting)
 			}
 		})
 	})
--- a/internal/commander/pools.go
+++ b/internal/commander/pools.go
@@ -101,7 +101,7 @@
 		return err
 	}
 	body := c.change(revision)
-	return api.changePool(c.Args.Pool, c.state, body.OperationID, body)
+	return api.changePool(c.Args.Pool, c.state, body.OperationID, body, "hosts left active, because the availability budget allows no more at once")
 }
 
 type poolIn struct {
@@ -126,10 +126,10 @@
 		Change:      c.change(revision),
 		ReturnHosts: c.ReturnHosts,
 	}
-	return api.changePool(c.Args.Pool, "in", body.OperationID, body)
+	return api.changePool(c.Args.Pool, "in", body.OperationID, body, "hosts not returned, because another change came first")
 }
 
-func (c *client) changePool(pool, state, operation string, body any) error {
+func (c *client) changePool(pool, state, operation string, body any, left string) error {
 	answer, err := c.change("/v1/pools/"+url.PathEscape(pool)+"/"+state, operation, body)
 	if err != nil {
 		return err
@@ -139,7 +139,7 @@
 		text += "\nhosts changed: " + strings.Join(answer.Hosts, ", ")
 	}
 	if answer.HostsLeft > 0 {
-		text += fmt.Sprintf("\nhosts left as they were: %d; repeat the command when the others are done", answer.HostsLeft)
+		text += fmt.Sprintf("\n%s: %d", left, answer.HostsLeft)
 	}
 	return c.session.showAnswer(answer, text)
 }
--- a/internal/loader/problem.go
+++ b/internal/loader/problem.go
@@ -40,7 +40,7 @@
 	if len(p) == 0 {
 		return nil
 	}
-	return fmt.Errorf("loader: %d problems\n%s", len(p), p)
+	return fmt.Errorf("loader: problems found: %d\n%s", len(p), p)
 }
 
 func (p Problems) sorted() Problems {
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/heathermux/heathermux/examples"
 	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/follower"
@@ -52,6 +54,8 @@
 	cmd.ProposedAtUnixNanos = epoch.UnixNano()
 	var result *wire.Result
 	c.state, result = controller.Apply(c.state, cmd)
+	// The state keeps the result for resends, so it must not be changed.
+	result = proto.CloneOf(result)
 	result.InForceAtUnixNanos = epoch.Add(follower.ForceBound).UnixNano()
 	return result, c.after
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -172,6 +172,7 @@
 
 	var resent operator.Answer
 	s.call(t, operatorKey, "POST", "/v1/pools/issue/drain", `{"operation-id": "op-1", "revision": 1}`, &resent)
+	is.Equal(resent, drained)
 	is.Equal(s.control.View().State.Unavailable("issue"), int64(2))
 
 	var back operator.Answer
--- a/internal/operator/poolhosts.go
+++ b/internal/operator/poolhosts.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -24,7 +25,11 @@
 	pool, _ := state.Pool(r.PathValue("name"))
 	left := pool.GetAvailabilityBudget() - state.Unavailable(pool.GetName())
 	for _, h := range state.Hosts() {
-		if h.GetPool() != pool.GetName() || h.GetState() != wire.HostState_HOST_STATE_ACTIVE {
+		if h.GetPool() != pool.GetName() {
+			continue
+		}
+		if h.GetState() != wire.HostState_HOST_STATE_ACTIVE {
+			answer.addEarlier(state, change, h)
 			continue
 		}
 		if left < 1 {
@@ -45,6 +50,15 @@
 	return answer, nil
 }
 
+// addEarlier adds a host that an earlier attempt of the same operation drained.
+func (answer *Answer) addEarlier(state controller.State, change Change, h *wire.Host) {
+	first, ok := state.Operation(hostStep(change, "", h).GetOperationId())
+	if ok && first.GetOutcome() == wire.Outcome_OUTCOME_ACCEPTED {
+		answer.Hosts = append(answer.Hosts, h.GetName())
+		answer.Revision = max(answer.Revision, first.GetRevision())
+	}
+}
+
 // returnHosts returns the hosts of the pool that an operator drained. Hosts
 // under a maintenance grant or a move are left to the planner.
 func (a *api) returnHosts(r *http.Request, change Change, actor string, answer *Answer) (*Answer, *Problem) {
