--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -10,6 +10,7 @@
 	session    *session
 	Config     string `long:"config" value-name:"FILE" description:"Settings file of an entry host; the deployment file that it names is checked too"`
 	Deployment string `long:"deployment" value-name:"FILE" description:"Deployment file"`
+	Explain    bool   `long:"explain" description:"List every setting with its default and what is allowed, and check nothing"`
 }
 
 // checkOutput is the result of a check in the form of --output json.
@@ -26,6 +27,9 @@
 
 // Execute reports all problems of the files.
 func (c *check) Execute([]string) error {
+	if c.Explain {
+		return c.session.explain()
+	}
 	if c.Config == "" && c.Deployment == "" {
 		return usage("name a file with --config or --deployment")
 	}
@@ -43,6 +47,17 @@
 	return err
 }
 
+func (s *session) explain() error {
+	settings := loader.Describe()
+	return s.show(settings, func() {
+		s.table("SETTING\tDEFAULT\tALLOWED", func(row func(...any)) {
+			for _, d := range settings {
+				row(d.Path, d.Default, d.Allowed)
+			}
+		})
+	})
+}
+
 func checkOutputOf(problems loader.Problems) checkOutput {
 	out := checkOutput{
 		Problems: make([]checkProblem, 0, len(problems)),
--- a/internal/loader/document.go
+++ b/internal/loader/document.go
@@ -22,7 +22,7 @@
 	// faulty has the paths that a problem was reported for. A later check of
 	// the same value would only report a consequence.
 	faulty map[string]bool
-	// allowed maps the paths of the type, without indices, to allowed values.
+	// allowed maps the paths of members to allowed values.
 	allowed map[string]string
 	root    string
 	// broken is true when the file is not JSON at all.
@@ -86,7 +86,9 @@
 var indices = regexp.MustCompile(`\[\d+\]`)
 
 func (d *document) allowedAt(path string) string {
-	return d.allowed[indices.ReplaceAllString(path, "")]
+	path = indices.ReplaceAllString(path, "[]")
+	// An entry of a list of texts is described with the list.
+	return d.allowed[strings.TrimSuffix(path, "[]")]
 }
 
 var syntaxPosition = regexp.MustCompile(`line (\d+), column (\d+): (.*)`)
--- a/internal/loader/members.go
+++ b/internal/loader/members.go
@@ -8,7 +8,8 @@
 	field reflect.StructField
 }
 
-// members returns the fields of struct type t and of the structs within it.
+// members returns the fields of struct type t and of the structs within it. A
+// list has "[]" in the paths of what it holds.
 func members(path string, t reflect.Type) []member {
 	var found []member
 	for i := range t.NumField() {
@@ -19,12 +20,20 @@
 		}
 		found = append(found, m)
 		if inner := elementOf(field.Type); inner.Kind() == reflect.Struct {
-			found = append(found, members(m.path, inner)...)
+			found = append(found, members(m.innerPath(), inner)...)
 		}
 	}
 	return found
 }
 
+// innerPath is where the members of the field's type are.
+func (m member) innerPath() string {
+	if m.field.Type.Kind() == reflect.Slice {
+		return m.path + "[]"
+	}
+	return m.path
+}
+
 // elementOf strips pointers and slices.
 func elementOf(t reflect.Type) reflect.Type {
 	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice {
--- a/internal/loader/snapshot_test.go
+++ b/internal/loader/snapshot_test.go
@@ -1,6 +1,9 @@
 package loader_test
 
 import (
+	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -143,3 +146,16 @@
 	_, err := loader.ParseRate("5")
 	is.True(err != nil) // a rate has a unit
 }
+
+// Guards against a settings page that names another default or bound than the code.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/operators/settings.md")
+	is.NoErr(err)
+	for _, d := range loader.Describe() {
+		row := fmt.Sprintf("| `%s` | %s | %s |", d.Path, d.Default, d.Allowed)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("the page lacks %s", row)
+		}
+	}
+}
