internal/ingress, internal/planner: task sizes in the units of the settings; roll-out by pool

Cause: tasks were refused because the API read processors as a number only while all documents write '4 cores'; a pool without budget held up the roll-out of all others in its data centre. Change: processors are read in both forms and memory by the parser of the settings; hosts that can't be granted now are left out before the data centre is chosen.

--- a/internal/ingress/taskfields.go
+++ b/internal/ingress/taskfields.go
@@ -6,11 +6,11 @@
 	"io"
 	"math"
 	"slices"
-	"strconv"
 	"strings"
 
 	"github.com/pkg/errors"
 
+	"github.com/heathermux/heathermux/internal/loader"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -95,8 +95,18 @@
 // maxCores bounds processors, so that their thousandths fit.
 const maxCores = 1 << 20
 
+// readProcessors reads a number of cores, or the form that settings use.
 func readProcessors(t *wire.Task, value json.RawMessage) error {
-	const allowed = `a number of cores, such as 2 or 0.5`
+	const allowed = `a number of cores such as 2 or 0.5, or "16 cores" or "500 millicores"`
+	var text string
+	if json.Unmarshal(value, &text) == nil && text != "" {
+		n, err := loader.ParseMilliCores(text)
+		if err != nil {
+			return errors.Errorf("must be %s", allowed)
+		}
+		t.Size.MilliCores = int64(n)
+		return nil
+	}
 	var cores float64
 	if err := readJSON(value, &cores, allowed); err != nil {
 		return err
@@ -119,43 +129,16 @@
 	return nil
 }
 
-// memoryUnits are tried in this order, because "B" ends the others.
-var memoryUnits = []struct {
-	name  string
-	bytes int64
-}{
-	{"KiB", 1 << 10},
-	{"MiB", 1 << 20},
-	{"GiB", 1 << 30},
-	{"TiB", 1 << 40},
-	{"B", 1},
-}
-
 func readMemory(t *wire.Task, value json.RawMessage) error {
 	const allowed = `a whole number with the unit B, KiB, MiB, GiB or TiB, such as "64GiB"`
 	var text string
 	if err := readJSON(value, &text, allowed); err != nil {
 		return err
 	}
-	n, ok := parseMemory(text)
-	if !ok {
+	n, err := loader.ParseBytes(text)
+	if err != nil {
 		return errors.Errorf("must be %s", allowed)
 	}
-	t.Size.MemoryBytes = n
+	t.Size.MemoryBytes = int64(n)
 	return nil
 }
-
-func parseMemory(text string) (int64, bool) {
-	for _, unit := range memoryUnits {
-		digits, ok := strings.CutSuffix(text, unit.name)
-		if !ok {
-			continue
-		}
-		n, err := strconv.ParseUint(digits, 10, 63)
-		if err != nil || int64(n) > math.MaxInt64/unit.bytes {
-			return 0, false
-		}
-		return int64(n) * unit.bytes, true
-	}
-	return 0, false
-}
--- a/internal/planner/maintenance.go
+++ b/internal/planner/maintenance.go
@@ -41,7 +41,8 @@
 // another one does not meet them. Idle hosts come first, which saves drains,
 // then hosts of racks that are under maintenance already.
 func (p *Planner) grants(f fleet, b budgets) []*wire.Command {
-	candidates := waiting(f)
+	// A pool whose budget is used up must not hold up the other pools.
+	candidates := slices.DeleteFunc(waiting(f), func(h host) bool { return b[h.GetPool()] < 1 || !p.mayDrain(f, h) })
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -58,7 +59,7 @@
 	})
 	var names []string
 	for _, h := range candidates {
-		if p.mayDrain(f, h) && b.take(h.GetPool()) {
+		if b.take(h.GetPool()) {
 			names = append(names, h.GetName())
 		}
 	}
@@ -111,9 +112,7 @@
 	}
 	for _, g := range f.in.State.Grants() {
 		h, _ := f.in.State.Host(g.GetHost())
-		if left[h.GetDataCentre()] > 0 {
-			return h.GetDataCentre()
-		}
+		return h.GetDataCentre()
 	}
 	best := ""
 	for _, d := range f.in.State.DataCentres() {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/heathermux/heathermux/internal/planner"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -40,6 +41,7 @@
 	}
 	for name, disturb := range tests {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			f := newFleet(today)
 			random := rand.New(rand.NewPCG(7, 7))
@@ -76,20 +78,87 @@
 	}
 }
 
-// one-pool: a host with work must not be confirmed empty, nor one whose
-// scheduler has not heard of the drain.
-func TestMoveWaitsForEmptyHost(t *testing.T) {
+// one-pool: a drained host may change its pool only when its scheduler has
+// known of the drain for a while and reports that nothing runs there.
+func TestDrainIsConfirmedOnlyWhenEmpty(t *testing.T) {
+	tests := map[string]struct {
+		// change alters the report on the host in each second.
+		change    func(second int, r *planner.Report, use *wire.HostUse)
+		confirmed bool
+	}{
+		"empty": {
+			change:    func(int, *planner.Report, *wire.HostUse) {},
+			confirmed: true,
+		},
+		"work runs": {
+			change: func(_ int, _ *planner.Report, use *wire.HostUse) { use.Tasks = 1 },
+		},
+		"scheduler has not heard of the drain": {
+			change: func(_ int, r *planner.Report, _ *wire.HostUse) { r.Confirmed = 1 },
+		},
+		"scheduler changes": {
+			change: func(second int, r *planner.Report, _ *wire.HostUse) { r.Use.Epoch = uint64(second) },
+		},
+		"no report": {
+			change: func(_ int, r *planner.Report, _ *wire.HostUse) { r.Use = nil },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(today)
+			f.run(10 * time.Second)
+			h, _ := f.state.Host("h-0020")
+			f.apply(&wire.Command{
+				ExpectedRevision: h.GetRevision(),
+				Change: &wire.Command_MoveHost{
+					MoveHost: &wire.MoveHost{
+						Host: "h-0020",
+						Pool: "spare",
+					},
+				},
+			})
+			confirmed := false
+			for second := range 10 {
+				f.now = f.now.Add(time.Second)
+				in := f.input(nil)
+				r := in.Reports[h.GetDataCentre()]
+				for _, use := range r.Use.GetHosts() {
+					if use.GetHost() == "h-0020" {
+						test.change(second, &r, use)
+					}
+				}
+				in.Reports[h.GetDataCentre()] = r
+				for _, cmd := range f.planner.Plan(in) {
+					confirmed = confirmed || cmd.GetConfirmEmpty().GetHost() == "h-0020"
+				}
+			}
+			is.Equal(confirmed, test.confirmed)
+		})
+	}
+}
+
+// availability-budget: hosts that failed use up the budget, so that no drain is
+// added to them.
+func TestFailedHostsUseUpTheBudget(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(today)
 	f.run(10 * time.Second)
-	f.demand["issue"] = 20
-	f.run(2 * time.Minute)
-	is.True(f.moves > 0)
+	// Two hosts of the pool fail far apart, which is no correlated failure.
+	for _, name := range []string{"h-0010", "h-0035"} {
+		f.machines[name].dead = true
+		f.run(2 * time.Minute)
+	}
+	h, _ := f.state.Host("h-0010")
+	is.Equal(h.GetPool(), "issue")
+	f.startMaintenance()
+	for range 1200 {
+		f.step()
+		is.Equal(f.state.Unavailable("issue"), int64(0))
+	}
+	// The other pools are not held up.
 	for _, h := range f.state.Hosts() {
-		if h.GetMovingTo() != "" {
-			is.Equal(h.GetState(), wire.HostState_HOST_STATE_DRAINING)
-			is.Equal(h.GetPool(), "spare")
-		}
+		is.True(h.GetPool() == "issue" || h.GetMaintainedWave() == 1)
 	}
 }
 
@@ -112,6 +181,7 @@
 // A peak of some seconds must cause no move, whichever queue it meets, also
 // after the hosts that no peak needs were returned.
 func TestShortPeaksCauseNoMoves(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := newFleet(today)
 	turns(f, time.Hour, 2)
