--- a/examples/internal/submitter/upstream.go
+++ b/examples/internal/submitter/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"net"
 	"net/http"
 	"time"
@@ -15,7 +16,9 @@
 
 // Announcement is the body of POST /v1/upstreams.
 type Announcement struct {
-	ID          string `json:"id"`
+	ID string `json:"id"`
+	// Incarnation is chosen by ServeUpstream for each start.
+	Incarnation string `json:"incarnation"`
 	Queue       string `json:"queue"`
 	Address     string `json:"address"`
 	DataCentre  string `json:"data-centre"`
@@ -34,6 +37,7 @@
 		return nil, errors.Wrap(err, "submitter: upstream")
 	}
 	announcement.Address = listener.Addr().String()
+	announcement.Incarnation = rand.Text()
 	u := &upstream{
 		client:       resty.New().SetBaseURL(server).SetTimeout(2 * time.Second).SetDisableWarn(true),
 		announcement: announcement,
--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -17,6 +17,12 @@
 	"github.com/heathermux/heathermux/internal/operator"
 )
 
+// serviceTime and taskTime are the mean times of a request and of a task.
+const (
+	serviceTime = 5 * time.Millisecond
+	taskTime    = 300 * time.Millisecond
+)
+
 // Options sets up a run. All fields are needed.
 type Options struct {
 	// Seconds is the length of the load.
@@ -50,8 +56,7 @@
 	// keys are the submitters' keys by team.
 	keys      map[string]string
 	fleet     *fleet
-	upstreams []*emulator.Upstream
-	workers   []*emulator.Worker
+	hosts     *emulator.Hosts
 	ledger    *emulator.Ledger
 	starts    *emulator.Starts
 	operators *operators
@@ -78,11 +83,18 @@
 	if s.fleet, err = startFleet(ctx, d, d.Snapshot(), opts.Logger); err != nil {
 		return nil, err
 	}
-	if s.upstreams, err = startUpstreams(d, s.fleet, s.ledger); err != nil {
+	s.hosts, err = emulator.NewHosts(emulator.HostsOptions{
+		Deployment: d,
+		EntryHosts: s.fleet.urls,
+		Service:    serviceTime,
+		RunTime:    taskTime,
+		Ledger:     s.ledger,
+		Starts:     s.starts,
+	})
+	if err != nil {
 		s.close()
 		return nil, err
 	}
-	s.workers = startWorkers(d, s.fleet, s.starts)
 	s.operators = newOperators(s.fleet.hosts[0].url, operatorKey)
 	return s, nil
 }
@@ -115,11 +127,8 @@
 // close ends everything that still runs; upstreams and workers first, so that
 // the planned stop of the entry hosts has nothing to wait for.
 func (s *scenario) close() {
-	for _, w := range s.workers {
-		w.Kill()
-	}
-	for _, u := range s.upstreams {
-		u.Kill()
+	if s.hosts != nil {
+		s.hosts.Kill()
 	}
 	if s.operators != nil {
 		s.operators.close()
