--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -151,19 +151,29 @@
 	return best, candidate
 }
 
-// Capacity returns the number of slots of a queue's upstreams that take work.
+// Capacity returns how many requests of a queue may be under way: the slots of
+// the upstreams that take work, and the requests that are still with upstreams
+// that take none any more. Without the latter, a leaving upstream would hold
+// back work for the others until its own has ended.
 func (r *Router[P]) Capacity(queue string) int64 {
-	set := r.refresh(r.service(queue))
+	s := r.service(queue)
+	set := r.refresh(s)
 	now := r.cfg.Clock.Now().UnixNano()
 	var slots int64
+	capacity := s.outstanding.Load()
 	for _, group := range [2][]*upstream{set.near, set.far} {
 		for _, u := range group {
 			if now >= u.ejectedUntil.Load() {
-				slots += u.candidate(now).Slots
+				c := u.candidate(now)
+				slots += c.Slots
+				capacity += c.Free()
 			}
 		}
 	}
-	return slots
+	if slots == 0 {
+		return 0
+	}
+	return capacity
 }
 
 // Live reports whether the chosen upstream is still listed. A request that has
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -107,6 +107,13 @@
 	for _, c := range choices {
 		is.Equal(r.Live(c), c.Upstream().GetId() == "u-1")
 	}
+	atFirst := 0
+	for _, c := range choices {
+		if c.Upstream().GetId() == "u-0" {
+			atFirst++
+		}
+	}
+	is.Equal(r.Capacity("q"), int64(8+atFirst))
 	count, _ := picks(r, 20)
 	is.Equal(count["u-0"], 0)
 	is.Equal(count["u-1"], 20)
--- a/internal/router/service.go
+++ b/internal/router/service.go
@@ -36,6 +36,8 @@
 	queue string
 	clock timer.Clock
 	set   atomic.Pointer[members]
+	// Invariant: sum of outstanding over all upstreams, with those that left.
+	outstanding atomic.Int64
 	// mu guards rebuilding and ejecting.
 	mu sync.Mutex
 }
@@ -48,6 +50,7 @@
 
 func (s *service) take(u *upstream) Choice {
 	u.outstanding.Add(1)
+	s.outstanding.Add(1)
 	return Choice{
 		service:  s,
 		upstream: u,
@@ -61,7 +64,7 @@
 // requests in a row that are not good eject it. Done is called once.
 func (c Choice) Done(good bool) {
 	u := c.upstream
-	u.outstanding.Add(-1)
+	c.Release()
 	if good {
 		if u.failures.Load() != 0 {
 			c.service.recovered(u)
@@ -75,7 +78,10 @@
 
 // Release ends a request that was not sent for a reason of its own, which
 // says nothing about the upstream.
-func (c Choice) Release() { c.upstream.outstanding.Add(-1) }
+func (c Choice) Release() {
+	c.upstream.outstanding.Add(-1)
+	c.service.outstanding.Add(-1)
+}
 
 func (s *service) recovered(u *upstream) {
 	s.mu.Lock()
