internal/ingress: tests of tasks, bounds, paths and crossed answers

Cause: tasks, size limits and paths were untested. Change: tables of task errors, task scope and refusals, header and body bounds, paths in the caller's escaping, 24 callers with short deadlines that share connections, and a fuzz target for the deadline and key headers. Conclusion: each wrong field of a task leads to one error that names it.

--- /dev/null
+++ b/internal/ingress/parse_test.go
@@ -0,0 +1,167 @@
+package ingress_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/heathermux/heathermux/internal/ingress"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// A value that is misread as another one gives work a wrong size or deadline;
+// each error has to name what is wrong.
+func TestTaskErrors(t *testing.T) {
+	tests := map[string]struct {
+		body   string
+		detail string
+		name   string
+	}{
+		"good":                {body: `{"queue":"tasks","processors":0.5,"memory":"64GiB","accelerators":1,"deadline":"90s","payload":{"a":1}}`},
+		"no deadline":         {body: `{"queue":"tasks"}`, detail: `"deadline" is missing`, name: "bad-task"},
+		"no queue":            {body: `{"deadline":"1s"}`, detail: `"queue" is missing`, name: "bad-task"},
+		"unknown queue":       {body: `{"queue":"none","deadline":"1s"}`, detail: `"none"`, name: "unknown-queue"},
+		"queue of requests":   {body: `{"queue":"switch","deadline":"1s"}`, detail: `"switch"`, name: "unknown-queue"},
+		"unknown field":       {body: `{"queue":"tasks","deadline":"1s","memry":"1GiB"}`, detail: `"memry" is not known; allowed are accelerators,`, name: "bad-task"},
+		"memory without unit": {body: `{"queue":"tasks","deadline":"1s","memory":"64"}`, detail: `"memory": must be a whole number with the unit`, name: "bad-task"},
+		"memory as a number":  {body: `{"queue":"tasks","deadline":"1s","memory":64}`, detail: `"memory"`, name: "bad-task"},
+		"memory overflow":     {body: `{"queue":"tasks","deadline":"1s","memory":"9000000000TiB"}`, detail: `"memory"`, name: "bad-task"},
+		"deadline as number":  {body: `{"queue":"tasks","deadline":90}`, detail: `"deadline": must be a positive duration with a unit`, name: "bad-task"},
+		"negative deadline":   {body: `{"queue":"tasks","deadline":"-1s"}`, detail: `"deadline"`, name: "bad-task"},
+		"negative processors": {body: `{"queue":"tasks","deadline":"1s","processors":-1}`, detail: `"processors"`, name: "bad-task"},
+		"half an accelerator": {body: `{"queue":"tasks","deadline":"1s","accelerators":0.5}`, detail: `"accelerators"`, name: "bad-task"},
+		"null":                {body: `{"queue":"tasks","deadline":null}`, detail: `"deadline"`, name: "bad-task"},
+		"two objects":         {body: `{"queue":"tasks","deadline":"1s"}{}`, detail: `nothing after`, name: "bad-task"},
+		"no JSON":             {body: `queue=tasks`, detail: `one JSON object`, name: "bad-task"},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t)
+			got := s.send(http.MethodPost, "/v1/tasks", []byte(test.body), "Authorization", bearer("feeds"))
+			if test.detail == "" {
+				is.Equal(got.status, http.StatusAccepted)
+				task := s.tasks.submitted[0]
+				is.Equal(task.GetTeam(), "feeds")
+				is.Equal(task.GetSize().GetMilliCores(), int64(500))
+				is.Equal(task.GetSize().GetMemoryBytes(), int64(64<<30))
+				is.Equal(time.Duration(task.GetDeadlineNanos()), 90*time.Second)
+				is.Equal(string(task.GetPayload()), `{"a":1}`)
+				return
+			}
+			is.Equal(got.name(), test.name)
+			is.True(strings.Contains(got.problem.Detail, test.detail))
+			is.Equal(len(s.tasks.submitted), 0)
+		})
+	}
+}
+
+// A task must be seen and cancelled by its own team only, and a refusal must
+// say whether the task may be held.
+func TestTasks(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	submit := func(header ...string) reply {
+		return s.send(http.MethodPost, "/v1/tasks", []byte(`{"queue":"tasks","deadline":"1s"}`), append(header, "Authorization", bearer("feeds"))...)
+	}
+	path := submit().header.Get("Location")
+	is.Equal(s.send(http.MethodGet, path, nil, "Authorization", bearer("feeds")).status, http.StatusOK)
+	is.Equal(s.send(http.MethodGet, path, nil, "Authorization", bearer("signs")).name(), "unknown-task")
+	is.Equal(s.send(http.MethodDelete, path, nil).name(), "unknown-task")
+	is.Equal(s.send(http.MethodDelete, path, nil, "Authorization", bearer("feeds")).status, http.StatusOK)
+	is.Equal(s.send(http.MethodPatch, path, nil).status, http.StatusMethodNotAllowed)
+	is.Equal(s.send(http.MethodPost, "/v1/tasks", []byte(`{"queue":"tasks","deadline":"1s"}`), "Authorization", bearer("signs")).name(), "queue-not-in-scope")
+
+	s.tasks.answer = &wire.SubmitResponse{
+		Refusal: "no worker is that large",
+	}
+	is.Equal(submit().name(), "task-impossible")
+	s.tasks.answer.RetryAfterNanos = int64(1500 * time.Millisecond)
+	got := submit()
+	is.Equal(got.header.Get("Retry-After"), "2")
+	is.Equal(got.problem.Run, ingress.NotRun)
+	is.Equal(submit("Idempotency-Key", "k").problem.Run, ingress.Unknown)
+	s.tasks.answer = &wire.SubmitResponse{}
+	is.Equal(submit().problem.ThisAttempt, ingress.Unknown)
+	s.setView(controlState(), -time.Second)
+	is.Equal(submit().name(), "no-lease")
+	is.Equal(s.send(http.MethodGet, path, nil, "Authorization", bearer("feeds")).name(), "no-lease")
+}
+
+// A header or body beyond its bound must be refused with problem details, and
+// a path must reach the upstream as it was sent.
+func TestBounds(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.setUpstreams(s.upstream("open", echo))
+	for _, path := range []string{"/a//b/../c%2Fd?x=%20y", "/", "/%41"} {
+		is.Equal(s.send(http.MethodPost, "/q/open"+path, []byte("b")).header.Get("Upstream-Path"), path)
+	}
+	is.Equal(s.send(http.MethodPost, "/q/open", []byte("b")).header.Get("Upstream-Path"), "/")
+	for _, size := range []int{0, 1, 64 << 10, 8 << 20} {
+		got := s.send(http.MethodPost, "/q/open/", make([]byte, size))
+		is.True(len(got.body) == max(size, 1))
+	}
+	is.Equal(s.send(http.MethodPost, "/q/open/", make([]byte, 8<<20+1)).status, http.StatusRequestEntityTooLarge)
+	got := s.send(http.MethodPost, "/q/open/", nil, "Padding", strings.Repeat("x", 33<<10))
+	is.Equal(got.status, http.StatusRequestHeaderFieldsTooLarge)
+	is.Equal(got.problem.Run, ingress.NotRun)
+}
+
+// Invariant own-answer: callers that share upstream connections, some with
+// deadlines that pass, must never get each other's answers.
+func TestCrossedAnswers(t *testing.T) {
+	s := newSite(t)
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "3") {
+			time.Sleep(4 * time.Millisecond)
+		}
+		echo(w, r)
+	}
+	s.setUpstreams(s.upstream("open", slow), s.upstream("open", slow))
+	var wg sync.WaitGroup
+	for caller := range 24 {
+		wg.Go(func() {
+			for i := range 40 {
+				path := "/" + strings.Repeat("x", caller) + "/" + strings.Repeat("y", i) + "/3"[:1+i%2]
+				got := s.send(http.MethodPost, "/q/open"+path, nil, "Heathermux-Deadline", "3ms")
+				if got.status == http.StatusOK && string(got.body) != path {
+					t.Errorf("%s got the answer of %s", path, got.body)
+				}
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Any header must lead to an answer or a problem, never to a panic or to a
+// deadline that the caller did not ask for.
+func FuzzHeaders(f *testing.F) {
+	for _, seed := range []string{"800ms", "5m", "-1s", "1e9h", "+5s", "9999999999999h", "0", "", "1.5s", "\x00", "5m1ns"} {
+		f.Add(seed, seed)
+	}
+	s := newSite(f)
+	handler := s.Handler()
+	f.Fuzz(func(t *testing.T, deadline, key string) {
+		r := httptest.NewRequest(http.MethodPost, "/q/open/a", nil)
+		r.Header["Heathermux-Deadline"] = []string{deadline}
+		r.Header["Idempotency-Key"] = []string{key}
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		d, err := time.ParseDuration(deadline)
+		goodDeadline := err == nil && d > 0 && d <= 5*time.Minute && !strings.HasPrefix(deadline, "+") && len(deadline) < 256
+		goodKey := key != "" && len(key) < 256 && strings.IndexFunc(key, func(c rune) bool { return c <= ' ' || c > '~' }) < 0
+		want := http.StatusServiceUnavailable
+		if !goodDeadline || !goodKey {
+			want = http.StatusBadRequest
+		}
+		if w.Code != want {
+			t.Errorf("deadline %q, key %q: status %d, want %d", deadline, key, w.Code, want)
+		}
+	})
+}
