internal/recorder: fault matrix with several keys and late views

Cause: with one key per cell the matrix passed with the epoch and fence checks removed, because the key had always been used before the view changed. Change: four keys of one slot in random order, transfers between the hosts' views, and a column in which both old holders do not see the new view.

--- a/internal/recorder/matrix_test.go
+++ b/internal/recorder/matrix_test.go
@@ -44,6 +44,12 @@
 		}
 		return false
 	},
+	"late view on both holders": func(w *world, _ string, _ func()) bool {
+		held := w.holders()
+		w.cut[[2]string{"", held.Owner.Name}] = true
+		w.cut[[2]string{"", held.Copy.Name}] = true
+		return false
+	},
 	"freeze": func(w *world, target string, _ func()) bool {
 		w.frozen[target] = true
 		w.change(target)
--- a/internal/recorder/world_test.go
+++ b/internal/recorder/world_test.go
@@ -18,7 +18,24 @@
 
 var errLost = errors.New("message lost")
 
-const testKey = "markets/redeem-17"
+// testKeys are keys of one slot. A cell uses them in a random order, so that
+// some are new at each step.
+var testKeys = keysOfOneSlot(4)
+
+func keysOfOneSlot(n int) []string {
+	var keys []string
+	for i := 0; len(keys) < n; i++ {
+		key := fmt.Sprintf("markets/redeem-%d", i)
+		if len(keys) == 0 || deduplicator.SlotOf(key) == deduplicator.SlotOf(keys[0]) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+func testSlot() int {
+	return deduplicator.SlotOf(testKeys[0])
+}
 
 // world is four entry hosts on an in-memory link and one upstream. Everything
 // runs in one goroutine at a time; a fault that stops a host for a while runs
@@ -32,6 +49,8 @@
 	view  *wire.View
 	prev  *wire.View
 
+	// cut holds the directions in which messages are lost, from and to; the
+	// control state is the host with an empty name.
 	cut    map[[2]string]bool
 	frozen map[string]bool
 	late   []func()
@@ -42,8 +61,8 @@
 
 	trace    []string
 	attempts int
-	// runs are the attempts that reached the upstream.
-	runs   []string
+	// runs are the attempts that reached the upstream, by key.
+	runs   map[string][]string
 	notRun map[string]bool
 	// sure makes every granted attempt run and report its answer.
 	sure bool
@@ -66,6 +85,7 @@
 		view:   &wire.View{},
 		cut:    make(map[[2]string]bool),
 		frozen: make(map[string]bool),
+		runs:   make(map[string][]string),
 		notRun: make(map[string]bool),
 	}
 	for i := range hosts {
@@ -114,29 +134,31 @@
 			DataCentre: m.GetDataCentre(),
 		})
 	}
-	return deduplicator.NewSlotMap(1, hosts).Holders(deduplicator.SlotOf(testKey))
+	return deduplicator.NewSlotMap(1, hosts).Holders(testSlot())
 }
 
 // change commits a view without the named host, tells the hosts that can be
 // reached in a random order and transfers slots; requests arrive in between.
 func (w *world) change(without string) {
+	if w.view.GetEpoch() > 0 {
+		w.at("view", nil)
+	}
 	next := &wire.View{
 		Epoch: w.view.GetEpoch() + 1,
 	}
 	for _, name := range w.names {
-		if p := w.procs[name]; !p.dead && name != without {
+		if p := w.procs[name]; !p.dead && name != without && !w.cut[[2]string{"", name}] {
 			next.Members = append(next.Members, p.member)
 		}
 	}
 	w.prev, w.view = w.view, next
-	if next.GetEpoch() > 1 {
-		w.at("view", nil)
-	}
 	for _, i := range w.rng.Perm(len(w.names)) {
-		if name := w.names[i]; w.up(name) && !w.cut[[2]string{"", name}] {
+		name := w.names[i]
+		if w.up(name) && !w.cut[[2]string{"", name}] {
 			w.procs[name].rec.SetView(next, w.prev)
 		}
-		if next.GetEpoch() > 1 && !w.sure {
+		if next.GetEpoch() > 1 && !w.sure && w.up(name) {
+			w.procs[name].rec.Transfer(context.Background())
 			w.request(w.names[w.rng.IntN(len(w.names))])
 		}
 	}
@@ -184,43 +206,47 @@
 		return nil
 	}
 	p := w.procs[name]
+	key := testKeys[0]
+	if !w.sure {
+		key = testKeys[w.rng.IntN(len(testKeys))]
+	}
 	w.attempts++
 	attempt := fmt.Sprintf("attempt-%d", w.attempts)
 	w.at("start", nil)
-	resp := p.rec.Begin(context.Background(), testKey, []byte("fingerprint"), attempt)
-	w.note("client at %s: %s gets %s %s", name, attempt, resp.GetOutcome(), resp.GetReason())
+	resp := p.rec.Begin(context.Background(), key, []byte("fingerprint"), attempt)
+	w.note("client at %s: %s of %s gets %s %s", name, attempt, key, resp.GetOutcome(), resp.GetReason())
 	if resp.GetOutcome() == wire.BeginOutcome_BEGIN_OUTCOME_GRANTED {
-		w.run(p, attempt)
+		w.run(p, key, attempt)
 	} else {
 		run, this := recorder.Standing(resp)
 		w.notRun[attempt] = this == recorder.NotRun
-		w.check(run != recorder.Run || len(w.runs) > 0, "not-run-true: run is claimed and nothing ran")
+		w.check(run != recorder.Run || len(w.runs[key]) > 0, "not-run-true: run is claimed and nothing ran")
 		w.check(run != recorder.NotRun, "not-run-true: not run is claimed without a proof")
 	}
 	if resp.GetOutcome() == wire.BeginOutcome_BEGIN_OUTCOME_FINISHED {
-		w.check(len(w.runs) == 1 && proto.Equal(resp.GetAnswer(), answer(w.runs[0])), "the replayed answer is not whole")
+		w.check(len(w.runs[key]) == 1 && proto.Equal(resp.GetAnswer(), answer(key, w.runs[key][0])), "the replayed answer is not whole")
 	}
 	return resp
 }
 
 // run sends the request to the upstream and reports the outcome.
-func (w *world) run(p *proc, attempt string) {
+func (w *world) run(p *proc, key, attempt string) {
 	w.at("send/before", nil)
 	if p.dead {
 		return
 	}
 	entry := &wire.RegistryEntry{
-		Key:         testKey,
+		Key:         key,
 		Fingerprint: []byte("fingerprint"),
 		Attempt:     attempt,
 		State:       wire.EntryState_ENTRY_STATE_ABANDONED,
 	}
 	chance := w.rng.IntN(6)
 	if w.sure || chance > 0 {
-		w.runs = append(w.runs, attempt)
-		w.check(len(w.runs) == 1, "at-most-once: the request ran again")
+		w.runs[key] = append(w.runs[key], attempt)
+		w.check(len(w.runs[key]) == 1, "at-most-once: the request ran again")
 		entry.State = wire.EntryState_ENTRY_STATE_FINISHED
-		entry.Answer = answer(attempt)
+		entry.Answer = answer(key, attempt)
 	} else {
 		w.notRun[attempt] = true
 	}
@@ -236,8 +262,8 @@
 // check stops the cell when an invariant is broken.
 func (w *world) check(ok bool, broken string) {
 	w.t.Helper()
-	for _, attempt := range w.runs {
-		ok = ok && !w.notRun[attempt]
+	for _, attempts := range w.runs {
+		ok = ok && !w.notRun[attempts[0]]
 	}
 	if !ok {
 		w.t.Fatalf("%s; runs %v\n%q", broken, w.runs, w.trace)
@@ -248,10 +274,10 @@
 	w.trace = append(w.trace, fmt.Sprintf(format, args...))
 }
 
-func answer(attempt string) *wire.StoredAnswer {
+func answer(key, attempt string) *wire.StoredAnswer {
 	return &wire.StoredAnswer{
 		Status: 200,
-		Body:   []byte(testKey + " by " + attempt),
+		Body:   []byte(key + " by " + attempt),
 	}
 }
 
@@ -312,13 +338,13 @@
 	} else if req.GetEntries()[0].GetState() == wire.EntryState_ENTRY_STATE_BEGUN {
 		kind = "copy"
 	}
-	return send(p, to, kind, int(req.GetSlot()) == deduplicator.SlotOf(testKey), func(r *recorder.Recorder) *wire.CopyResponse {
+	return send(p, to, kind, int(req.GetSlot()) == testSlot(), func(r *recorder.Recorder) *wire.CopyResponse {
 		return r.ServeCopy(ctx, req)
 	})
 }
 
 func (p *proc) Fetch(ctx context.Context, to *wire.Member, req *wire.FetchRequest) (*wire.FetchResponse, error) {
-	return send(p, to, "fetch", int(req.GetSlot()) == deduplicator.SlotOf(testKey), func(r *recorder.Recorder) *wire.FetchResponse {
+	return send(p, to, "fetch", int(req.GetSlot()) == testSlot(), func(r *recorder.Recorder) *wire.FetchResponse {
 		return r.ServeFetch(ctx, req)
 	})
 }
