pkg/replicator: quorum contact of a leader that is removed

Cause: a leader that had started its own removal from a group of two took the other voter for itself and reported contact at the present time, so that its leases could outlive the next election. The random test showed it only with the step-down of a leader without a majority removed; the step-down hid it. Change: the present time counts only when the one voter is the leader. Tests for this and for the commit of entries that the leader has not verified.

--- a/pkg/replicator/leader.go
+++ b/pkg/replicator/leader.go
@@ -233,7 +233,8 @@
 	}
 	slices.Sort(rounds)
 	r := rounds[(len(rounds)-1)/2]
-	if len(rounds) == 1 {
+	// A leader that is removed is no voter, so that the only one may be another.
+	if len(rounds) == 1 && c.isVoter(c.cfg.ID) {
 		return now, true
 	}
 	if r == 0 || r+roundsKept <= c.leading.round {
--- a/pkg/replicator/rules_test.go
+++ b/pkg/replicator/rules_test.go
@@ -142,3 +142,64 @@
 		})
 	}
 }
+
+// TestContactOfRemovedLeader guards against a lease that a leader grants by
+// itself after it has started its own removal from a group of two.
+func TestContactOfRemovedLeader(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(nil)
+	d := m.disks["a"]
+	d.Hard = &replication.HardState{
+		Term: 3,
+	}
+	m.disks["a"] = d
+	m.restart("a")
+	m.elect()
+	elected := m.now
+	acknowledge := func(index uint64) {
+		m.step(&replication.Message{
+			Kind:  replication.MessageKind_MESSAGE_KIND_APPEND_REPLY,
+			From:  "b",
+			To:    "a",
+			Term:  4,
+			Index: index,
+			Round: 1,
+		})
+	}
+	acknowledge(2)
+	for i, id := range []replicator.ID{"c", "a"} {
+		_, err := m.cores["a"].ProposeMembership(m.now, replicator.Change{
+			Kind: replicator.Remove,
+			ID:   id,
+		})
+		is.NoErr(err)
+		m.flush("a", false)
+		if i == 0 {
+			acknowledge(3)
+		}
+	}
+	contact, ok := m.cores["a"].QuorumContact(m.now.Add(time.Second))
+	is.True(ok)
+	is.True(!contact.After(elected)) // b has acknowledged nothing later
+}
+
+// TestCommitOfUnverified guards against committing an entry of a former leader
+// because it lies before the commit index of the present one.
+func TestCommitOfUnverified(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(nil)
+	d := m.disks["b"]
+	d.Entries = []*replication.Entry{entry(2, 2)}
+	m.disks["b"] = d
+	m.restart("b")
+	s := m.step(&replication.Message{
+		Kind:    replication.MessageKind_MESSAGE_KIND_APPEND,
+		From:    "a",
+		To:      "b",
+		Term:    3,
+		Index:   1,
+		LogTerm: 1,
+		Commit:  2,
+	})
+	is.Equal(s.Commit, uint64(1))
+}
