--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -80,7 +80,7 @@
 	operatorKey := s.grantKeys(&d)
 	s.deployment = d
 	var err error
-	if s.fleet, err = startFleet(ctx, d, d.Snapshot(), opts.Logger); err != nil {
+	if s.fleet, err = startFleet(ctx, d, operatorKey, opts.Logger); err != nil {
 		return nil, err
 	}
 	s.hosts, err = emulator.NewHosts(emulator.HostsOptions{
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"sync"
@@ -53,8 +52,9 @@
 	http, peers      net.Listener
 }
 
-// startFleet starts the entry hosts, spread over the data centres in turn.
-func startFleet(ctx context.Context, d loader.Deployment, snap *wire.Snapshot, logger *slog.Logger) (*fleet, error) {
+// startFleet starts the entry hosts, spread over the data centres in turn, and
+// waits until the fleet is whole. The key is an operator's.
+func startFleet(ctx context.Context, d loader.Deployment, key string, logger *slog.Logger) (*fleet, error) {
 	folder, err := os.MkdirTemp("", "heathermux-demo-")
 	if err != nil {
 		return nil, errors.Wrap(err, "demonstrator: data folder")
@@ -68,12 +68,12 @@
 		return nil, err
 	}
 	for i := range places {
-		if err := f.start(ctx, settingsOf(places, i, folder), places[i], snap, logger); err != nil {
+		if err := f.start(ctx, settingsOf(places, i, folder), places[i], d.Snapshot(), logger); err != nil {
 			f.stop()
 			return nil, err
 		}
 	}
-	if err := f.await(ctx); err != nil {
+	if err := f.await(ctx, key); err != nil {
 		f.stop()
 		return nil, err
 	}
@@ -141,19 +141,36 @@
 	return nil
 }
 
-// await waits until every entry host answers operators, which needs the
-// bootstrapped state and a live lease.
-func (f *fleet) await(ctx context.Context) error {
+// fleetStatus is the part of a status that tells whether the fleet is whole.
+type fleetStatus struct {
+	EntryHosts []struct{} `json:"entry-hosts"`
+	Zones      []struct {
+		Scheduler string `json:"scheduler"`
+	} `json:"zones"`
+}
+
+// whole reports whether all entry hosts are in the view and every data centre
+// has a scheduler.
+func (s fleetStatus) whole() bool {
+	for _, z := range s.Zones {
+		if z.Scheduler == "" {
+			return false
+		}
+	}
+	return len(s.EntryHosts) == entryHosts && len(s.Zones) > 0
+}
+
+// await waits until every entry host knows of the whole fleet.
+func (f *fleet) await(ctx context.Context, key string) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	client := resty.New().SetTimeout(time.Second)
+	client := resty.New().SetTimeout(time.Second).SetAuthToken(key)
 	defer client.GetClient().CloseIdleConnections()
 	for _, h := range f.hosts {
 		for {
-			response, err := client.R().SetContext(ctx).Get(h.url + "/v1/status")
-			// Without a key the answer is 401 once the control state is known,
-			// and 503 before.
-			if err == nil && response.StatusCode() == http.StatusUnauthorized {
+			var status fleetStatus
+			response, err := client.R().SetContext(ctx).SetResult(&status).Get(h.url + "/v1/status")
+			if err == nil && response.IsSuccess() && status.whole() {
 				break
 			}
 			if ctx.Err() != nil {
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -188,7 +188,8 @@
 	}
 	// Counting from the sending time keeps the lease short of the leader's promise.
 	until := sent.Add(time.Duration(answer.GetLeaseNanos()))
-	if answer.GetLeaseNanos() > 0 && until.After(view.LeaseUntil) {
+	// An empty state is one that was not bootstrapped yet; it gives no authority.
+	if answer.GetLeaseNanos() > 0 && until.After(view.LeaseUntil) && next.Revision() > 0 {
 		view.LeaseUntil = until
 		f.setAllotments(answer.GetAllotments())
 	}
--- a/internal/follower/follower_test.go
+++ b/internal/follower/follower_test.go
@@ -156,6 +156,10 @@
 	sent := clock.Now()
 	clock.Advance(1500 * time.Millisecond)
 	f.Take(sent, &wire.FollowResponse{
+		Revision: 1,
+		Commands: []*wire.Applied{
+			applied(1, "a"),
+		},
 		LeaseNanos: int64(follower.LeaseLength),
 		Allotments: []*wire.RequestAllotment{
 			{
@@ -174,3 +178,15 @@
 	clock.Advance(time.Millisecond)
 	is.True(!f.View().Live(clock.Now()))
 }
+
+// Before the first change nothing is known of queues and keys, so requests
+// would be refused for good that are only early.
+func TestEmptyStateGivesNoLease(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewFake(time.Unix(0, 0))
+	f := newFollower(clock)
+	f.Take(clock.Now(), &wire.FollowResponse{
+		LeaseNanos: int64(follower.LeaseLength),
+	})
+	is.True(!f.View().Live(clock.Now()))
+}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/follower"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -62,13 +63,8 @@
 	}
 	view := g.cfg.View()
 	name, path := splitPath(r.URL)
-	queue, ok := view.State.Queue(name)
-	if !ok || queue.GetKind() != wire.QueueKind_QUEUE_KIND_REQUESTS {
-		return nil, unknownQueue("requests", name)
-	}
 	c := &call{
 		credential: key,
-		queue:      queue,
 		method:     r.Method,
 		url:        upstreamURL(r.URL, path),
 		header:     r.Header,
@@ -76,7 +72,10 @@
 	if c.key, refusal = idempotencyKey(r.Header); refusal != nil {
 		return nil, refusal
 	}
-	if c.team, refusal = authorise(view, now, key, queue, c.keyed()); refusal != nil {
+	if c.queue, refusal = findQueue(view, now, wire.QueueKind_QUEUE_KIND_REQUESTS, name); refusal != nil {
+		return nil, c.notRun(refusal)
+	}
+	if c.team, refusal = authorise(view, now, key, c.queue, c.keyed()); refusal != nil {
 		return nil, c.notRun(refusal)
 	}
 	left, refusal := deadline(r.Header)
@@ -91,9 +90,22 @@
 	return c, nil
 }
 
-func unknownQueue(kind, name string) *Problem {
-	return problem(http.StatusNotFound, "unknown-queue", "Queue is not known",
-		"there is no queue of "+kind+" named "+strconv.Quote(name))
+// findQueue returns a queue of the given kind. Without a lease a queue that is
+// not known may have been defined since, so only a host with a lease denies it.
+func findQueue(view follower.View, now time.Time, kind wire.QueueKind, name string) (*wire.Queue, *Problem) {
+	queue, ok := view.State.Queue(name)
+	switch {
+	case ok && queue.GetKind() == kind:
+		return queue, nil
+	case !view.Live(now):
+		return nil, noLease()
+	}
+	work := "requests"
+	if kind == wire.QueueKind_QUEUE_KIND_TASKS {
+		work = "tasks"
+	}
+	return nil, problem(http.StatusNotFound, "unknown-queue", "Queue is not known",
+		"there is no queue of "+work+" named "+strconv.Quote(name))
 }
 
 // splitPath returns the queue and the escaped rest of "/q/{queue}/{path...}".
--- a/internal/ingress/scope_test.go
+++ b/internal/ingress/scope_test.go
@@ -34,6 +34,7 @@
 		"other scheme":               {path: "/q/switch/a", authorization: "Basic secret-feeds", status: 401, name: "bad-authorization"},
 		"unknown queue":              {path: "/q/none/a", authorization: bearer("feeds"), status: 404, name: "unknown-queue"},
 		"queue of tasks":             {path: "/q/tasks/a", authorization: bearer("feeds"), status: 404, name: "unknown-queue"},
+		"unknown queue, no lease":    {path: "/q/none/a", authorization: bearer("feeds"), lease: -2 * time.Hour, status: 503, name: "no-lease"},
 		"open queue":                 {path: "/q/open/a", status: 200},
 		"open queue, unknown key":    {path: "/q/open/a", authorization: "Bearer secret-none", status: 200},
 		"lease ended":                {path: "/q/switch/a", authorization: bearer("feeds"), lease: -2 * time.Hour, status: 503, name: "no-lease"},
