--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
@@ -42,11 +43,8 @@
 		SetDisableWarn(true).
 		SetRedirectPolicy(resty.NoRedirectPolicy()).
 		SetAuthToken(key)
-	if s.options.CAFile != "" {
-		if _, err := os.ReadFile(s.options.CAFile); err != nil {
-			return nil, usage("ca-file: %v", err)
-		}
-		rest.SetRootCertificate(s.options.CAFile)
+	if err := s.addCertificates(rest); err != nil {
+		return nil, err
 	}
 	return &client{
 		session: s,
@@ -55,6 +53,23 @@
 	}, nil
 }
 
+func (s *session) addCertificates(rest *resty.Client) error {
+	if s.options.CAFile != "" {
+		if _, err := os.ReadFile(s.options.CAFile); err != nil {
+			return usage("ca-file: %v", err)
+		}
+		rest.SetRootCertificate(s.options.CAFile)
+	}
+	if s.options.CertFile != "" || s.options.CertKey != "" {
+		pair, err := tls.LoadX509KeyPair(s.options.CertFile, s.options.CertKey)
+		if err != nil {
+			return usage("cert-file, cert-key: %v", err)
+		}
+		rest.SetCertificates(pair)
+	}
+	return nil
+}
+
 // keyPattern has the characters that a header field can carry.
 var keyPattern = regexp.MustCompile(`^[!-~]+$`)
 
--- a/internal/commander/pages_test.go
+++ b/internal/commander/pages_test.go
@@ -14,7 +14,7 @@
 )
 
 var (
-	pageCommand = regexp.MustCompile(`(?m)^    (?:data/)?heathermux (.*)$`)
+	pageCommand = regexp.MustCompile(`(?m)^    (?:data/qhapaq/)?heathermux (.*)$`)
 	pageExit    = regexp.MustCompile(`# exit (\d)$`)
 )
 
--- a/internal/commander/session.go
+++ b/internal/commander/session.go
@@ -11,11 +11,13 @@
 
 // options are those of the commands that call the operators' API.
 type options struct {
-	Servers []string      `long:"server" value-name:"URL" env:"HEATHERMUX_SERVER" env-delim:"," default:"http://127.0.0.1:8080" description:"Entry host to call; with several, the next one is called when one doesn't answer"`
-	KeyFile string        `long:"key-file" value-name:"FILE" description:"File with the operator key; without it the key is in the environment variable HEATHERMUX_KEY"`
-	CAFile  string        `long:"ca-file" value-name:"FILE" description:"PEM file with the certificate authority of the entry hosts"`
-	Output  string        `long:"output" choice:"text" choice:"json" default:"text" description:"Form of the output"`
-	Wait    time.Duration `long:"wait" value-name:"DURATION" default:"15s" description:"Time for resends after a lost answer"`
+	Servers  []string      `long:"server" value-name:"URL" env:"HEATHERMUX_SERVER" env-delim:"," default:"http://127.0.0.1:8080" description:"Entry host to call; with several, the next one is called when one doesn't answer"`
+	KeyFile  string        `long:"key-file" value-name:"FILE" description:"File with the operator key; without it the key is in the environment variable HEATHERMUX_KEY"`
+	CAFile   string        `long:"ca-file" value-name:"FILE" description:"PEM file with the certificate authority of the entry hosts"`
+	CertFile string        `long:"cert-file" value-name:"FILE" description:"PEM file with a client certificate, for entry hosts that ask for one"`
+	CertKey  string        `long:"cert-key" value-name:"FILE" description:"PEM file with the key of the client certificate"`
+	Output   string        `long:"output" choice:"text" choice:"json" default:"text" description:"Form of the output"`
+	Wait     time.Duration `long:"wait" value-name:"DURATION" default:"15s" description:"Time for resends after a lost answer"`
 }
 
 // session is one run of the command line.
