internal/voter/replica: fuzz test on a leader too

Cause: a replica of no group ignores votes, so the fuzz test did not reach them. Change: each input goes to a replica of no group and to the leader of a group of one.

--- a/internal/voter/replica/group_test.go
+++ b/internal/voter/replica/group_test.go
@@ -259,26 +259,39 @@
 		Commit: 1 << 60,
 	})
 	f.Fuzz(func(t *testing.T, payload []byte) {
-		now := time.Unix(1000, 0)
-		r, err := replica.Open(now, replica.Options{
-			Name:        "h-0",
-			Peers:       []string{"h-0", "h-1"},
-			Dir:         "data",
-			FS:          faultfs.New(),
-			Send:        func(string, *wire.Envelope) {},
-			Logger:      slog.New(slog.DiscardHandler),
-			Rand:        rand.New(rand.NewPCG(1, 1)),
-			Incarnation: func() string { return "0000000000000001" },
-		})
-		is.New(t).NoErr(err)
-		for range 2 {
-			r.Step(now, &wire.Envelope{
-				From:    "h-1",
-				To:      "h-0",
-				Payload: payload,
-			})
-			r.Flush(now)
-			r.Tick(now)
+		// Alone the replica leads its group; with a peer it belongs to none.
+		for _, peers := range [][]string{{"h-0"}, {"h-0", "h-1"}} {
+			takeTwice(t, peers, payload)
 		}
 	})
 }
+
+func takeTwice(t *testing.T, peers []string, payload []byte) {
+	now := time.Unix(1000, 0)
+	r, err := replica.Open(now, replica.Options{
+		Name:        "h-0",
+		Peers:       peers,
+		Dir:         "data",
+		FS:          faultfs.New(),
+		Send:        func(string, *wire.Envelope) {},
+		Logger:      slog.New(slog.DiscardHandler),
+		Rand:        rand.New(rand.NewPCG(1, 1)),
+		Incarnation: func() string { return "0000000000000001" },
+	})
+	is.New(t).NoErr(err)
+	for range 3 {
+		r.Tick(now)
+		r.Flush(now)
+		now = now.Add(time.Second)
+	}
+	for range 2 {
+		r.Step(now, &wire.Envelope{
+			From:    "h-1",
+			To:      "h-0",
+			Payload: payload,
+		})
+		r.Flush(now)
+		now = now.Add(time.Second)
+		r.Tick(now)
+	}
+}
