--- a/internal/voter/replica/group_test.go
+++ b/internal/voter/replica/group_test.go
@@ -117,28 +117,44 @@
 }
 
 // TestDamagedFiles guards against a replica that votes or acknowledges under
-// its old identity after its log was damaged.
+// its old identity after a file was damaged or lost.
 func TestDamagedFiles(t *testing.T) {
-	is := is.New(t)
-	c := formed(t, 1, 3)
-	h := c.hosts["h-2"]
-	former := c.ids()
-	c.crash(h, false, false, false)
-	c.step()
-	names, _ := h.fs.ReadDir("data")
-	for _, file := range names {
-		if strings.HasPrefix(file, "segment-") {
-			h.fs.Damage("data/"+file, 30)
-		}
+	lose := func(fs *faultfs.FS, file string) { _ = fs.Remove(file) }
+	damage := func(fs *faultfs.FS, file string) { fs.Damage(file, 18) }
+	tests := map[string]struct {
+		prefix string
+		do     func(fs *faultfs.FS, file string)
+	}{
+		"log damaged":               {prefix: "segment-", do: damage},
+		"log lost":                  {prefix: "segment-", do: lose},
+		"all but the identity lost": {prefix: "s", do: lose},
+		"snapshot damaged":          {prefix: "snapshot-", do: damage},
+		"identity damaged":          {prefix: "identity", do: damage},
+		"identity lost":             {prefix: "identity", do: lose},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := formed(t, 1, 3)
+			h := c.hosts["h-2"]
+			former := c.ids()
+			c.crash(h, false, false, false)
+			c.step()
+			names, _ := h.fs.ReadDir("data")
+			for _, file := range names {
+				if strings.HasPrefix(file, test.prefix) {
+					test.do(h.fs, "data/"+file)
+				}
+			}
+			c.open(h)
+			c.settle()
+			now := c.ids()
+			is.Equal(now[:2], former[:2])
+			is.True(now[2] != former[2]) // the host has a new identity
+			names, _ = h.fs.ReadDir("data")
+			is.True(slices.ContainsFunc(names, func(s string) bool { return strings.HasPrefix(s, "damaged-") })) // files are kept
+		})
 	}
-	c.open(h)
-	c.settle()
-	now := c.ids()
-	is.Equal(len(now), 3)
-	is.Equal(now[:2], former[:2])
-	is.True(now[2] != former[2]) // the host has a new identity
-	names, _ = h.fs.ReadDir("data")
-	is.True(slices.ContainsFunc(names, func(s string) bool { return strings.HasPrefix(s, "damaged-") })) // files are kept
 }
 
 func (c *cluster) ids() []string {
