--- a/internal/voter/replica/group_test.go
+++ b/internal/voter/replica/group_test.go
@@ -121,18 +121,25 @@
 func TestDamagedFiles(t *testing.T) {
 	lose := func(fs *faultfs.FS, file string) { _ = fs.Remove(file) }
 	damage := func(fs *faultfs.FS, file string) { fs.Damage(file, 18) }
-	tests := map[string]struct {
-		prefix string
-		do     func(fs *faultfs.FS, file string)
-	}{
-		"log damaged":               {prefix: "segment-", do: damage},
-		"log lost":                  {prefix: "segment-", do: lose},
-		"all but the identity lost": {prefix: "s", do: lose},
-		"snapshot damaged":          {prefix: "snapshot-", do: damage},
-		"identity damaged":          {prefix: "identity", do: damage},
-		"identity lost":             {prefix: "identity", do: lose},
+	files := func(prefix string, do func(fs *faultfs.FS, file string)) func(fs *faultfs.FS) {
+		return func(fs *faultfs.FS) {
+			names, _ := fs.ReadDir("data")
+			for _, file := range names {
+				if strings.HasPrefix(file, prefix) {
+					do(fs, "data/"+file)
+				}
+			}
+		}
+	}
+	tests := map[string]func(fs *faultfs.FS){
+		"log damaged":               files("segment-", damage),
+		"log lost":                  files("segment-", lose),
+		"all but the identity lost": files("s", lose),
+		"snapshot damaged":          files("snapshot-", damage),
+		"identity damaged":          files("identity", damage),
+		"identity lost":             files("identity", lose),
 	}
-	for name, test := range tests {
+	for name, fault := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			c := formed(t, 1, 3)
@@ -140,18 +147,13 @@
 			former := c.ids()
 			c.crash(h, false, false, false)
 			c.step()
-			names, _ := h.fs.ReadDir("data")
-			for _, file := range names {
-				if strings.HasPrefix(file, test.prefix) {
-					test.do(h.fs, "data/"+file)
-				}
-			}
+			fault(h.fs)
 			c.open(h)
 			c.settle()
 			now := c.ids()
 			is.Equal(now[:2], former[:2])
 			is.True(now[2] != former[2]) // the host has a new identity
-			names, _ = h.fs.ReadDir("data")
+			names, _ := h.fs.ReadDir("data")
 			is.True(slices.ContainsFunc(names, func(s string) bool { return strings.HasPrefix(s, "damaged-") })) // files are kept
 		})
 	}
--- a/internal/voter/replica/matrix_test.go
+++ b/internal/voter/replica/matrix_test.go
@@ -54,27 +54,43 @@
 	often bool
 }
 
+// at strikes at the first occurrence of the step, at one host when only is set.
+func at(only string, s scenario) row {
+	return row{
+		scenario: s,
+		only:     only,
+	}
+}
+
+// often strikes at one of the first occurrences of the step.
+func often(s scenario) row {
+	return row{
+		scenario: s,
+		often:    true,
+	}
+}
+
 // rows are named by the events that cluster observes.
 var rows = map[string]row{
-	"before vote request":      {scenario: leaderStops},
-	"after vote request":       {scenario: leaderStops},
-	"before vote reply":        {scenario: leaderStops},
-	"after vote reply":         {scenario: leaderStops},
-	"before append":            {scenario: nothing, often: true},
-	"after append":             {scenario: nothing, often: true},
-	"before append sync":       {scenario: nothing, often: true},
-	"after append sync":        {scenario: nothing, often: true},
-	"before append reply":      {scenario: nothing, often: true},
-	"after append reply":       {scenario: nothing, often: true},
-	"after commit":             {scenario: nothing, often: true},
-	"before apply":             {scenario: nothing, often: true},
-	"after apply":              {scenario: nothing, often: true},
-	"before snapshot save":     {scenario: nothing},
-	"after snapshot save":      {scenario: nothing},
-	"before snapshot install":  {scenario: oneLags},
-	"after snapshot install":   {scenario: oneLags},
-	"before membership change": {scenario: oneJoins, only: "h-2"},
-	"after membership change":  {scenario: oneJoins, only: "h-2"},
+	"before vote request":      at("", leaderStops),
+	"after vote request":       at("", leaderStops),
+	"before vote reply":        at("", leaderStops),
+	"after vote reply":         at("", leaderStops),
+	"before append":            often(nothing),
+	"after append":             often(nothing),
+	"before append sync":       often(nothing),
+	"after append sync":        often(nothing),
+	"before append reply":      often(nothing),
+	"after append reply":       often(nothing),
+	"after commit":             often(nothing),
+	"before apply":             often(nothing),
+	"after apply":              often(nothing),
+	"before snapshot save":     at("", nothing),
+	"after snapshot save":      at("", nothing),
+	"before snapshot install":  at("", oneLags),
+	"after snapshot install":   at("", oneLags),
+	"before membership change": at("h-2", oneJoins),
+	"after membership change":  at("h-2", oneJoins),
 }
 
 // columns are the faults; h is the host at which the step occurs.
--- a/pkg/replicator/rules_test.go
+++ b/pkg/replicator/rules_test.go
@@ -110,15 +110,13 @@
 // TestVoteRefused guards against a returning replica that deposes a leader
 // which the others hear from.
 func TestVoteRefused(t *testing.T) {
-	tests := map[string]struct {
-		after   time.Duration
-		granted bool
-	}{
-		"leader heard from":    {after: 400 * time.Millisecond},
-		"leader long silent":   {after: 600 * time.Millisecond, granted: true},
-		"leader just about so": {after: 499 * time.Millisecond},
+	tests := map[string]time.Duration{
+		"leader heard from":   400 * time.Millisecond,
+		"leader almost lost":  499 * time.Millisecond,
+		"leader long silent":  600 * time.Millisecond,
+		"leader just too old": 500 * time.Millisecond,
 	}
-	for name, test := range tests {
+	for name, after := range tests {
 		t.Run(name, func(t *testing.T) {
 			m := newMachine(nil)
 			m.step(&replication.Message{
@@ -129,7 +127,7 @@
 				Index:   1,
 				LogTerm: 1,
 			})
-			m.now = m.now.Add(test.after)
+			m.now = m.now.Add(after)
 			s := m.step(&replication.Message{
 				Kind:    replication.MessageKind_MESSAGE_KIND_VOTE,
 				From:    "c",
@@ -138,7 +136,7 @@
 				Index:   1,
 				LogTerm: 1,
 			})
-			is.New(t).Equal(s.Term == 3, test.granted)
+			is.New(t).Equal(s.Term == 3, after >= replicator.DefaultElectionTimeout)
 		})
 	}
 }
