--- a/pkg/replicator/rules_test.go
+++ b/pkg/replicator/rules_test.go
@@ -101,6 +101,22 @@
 	is.True(a.Leading())
 }
 
+// TestOneMembershipChange guards against two uncommitted changes at once,
+// after which two majorities might not overlap.
+func TestOneMembershipChange(t *testing.T) {
+	is := is.New(t)
+	m, a := elected()
+	m.acknowledge(3)
+	for _, want := range []error{nil, replicator.ErrMembershipBusy} {
+		_, err := a.ProposeMembership(m.now, change(replicator.Remove, "c"))
+		is.Equal(err, want)
+		m.flush("a", false)
+	}
+	m.acknowledge(4)
+	_, err := a.ProposeMembership(m.now, change(replicator.Remove, "c"))
+	is.Equal(err, replicator.ErrMembershipChange) // it has left already
+}
+
 // TestContactOfRemovedLeader guards against a lease that a leader grants by
 // itself after it has started its own removal from a group of two.
 func TestContactOfRemovedLeader(t *testing.T) {
