--- a/internal/recorder/world_test.go
+++ b/internal/recorder/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -53,8 +54,10 @@
 	// control state is the host with an empty name.
 	cut    map[[2]string]bool
 	frozen map[string]bool
-	late   []func()
-	held   func()
+	// noLease holds the hosts whose authority lease has ended.
+	noLease map[string]bool
+	late    []func()
+	held    func()
 	// fault is called once at the named point; it returns whether the message is lost.
 	point string
 	fault func(kind string, again func()) bool
@@ -78,15 +81,16 @@
 
 func newWorld(t *testing.T, seed uint64, hosts int) *world {
 	w := &world{
-		t:      t,
-		rng:    rand.New(rand.NewPCG(seed, 1)),
-		clock:  timer.NewFake(time.Unix(1000, 0)),
-		procs:  make(map[string]*proc),
-		view:   &wire.View{},
-		cut:    make(map[[2]string]bool),
-		frozen: make(map[string]bool),
-		runs:   make(map[string][]string),
-		notRun: make(map[string]bool),
+		t:       t,
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		clock:   timer.NewFake(time.Unix(1000, 0)),
+		procs:   make(map[string]*proc),
+		view:    &wire.View{},
+		cut:     make(map[[2]string]bool),
+		frozen:  make(map[string]bool),
+		noLease: make(map[string]bool),
+		runs:    make(map[string][]string),
+		notRun:  make(map[string]bool),
 	}
 	for i := range hosts {
 		w.names = append(w.names, fmt.Sprintf("h-%d", i+1))
@@ -112,6 +116,9 @@
 		Tries:       1,
 		FinishTries: 1,
 		Workers:     1,
+		Live: func() bool {
+			return !w.noLease[name]
+		},
 		Background: func(f func()) {
 			f()
 		},
@@ -271,7 +278,7 @@
 }
 
 func (w *world) note(format string, args ...any) {
-	w.trace = append(w.trace, fmt.Sprintf(format, args...))
+	w.trace = append(w.trace, strings.TrimSpace(fmt.Sprintf(format, args...)))
 }
 
 func answer(key, attempt string) *wire.StoredAnswer {
--- /dev/null
+++ b/pkg/deduplicator/model_test.go
@@ -0,0 +1,204 @@
+package deduplicator_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/heathermux/heathermux/pkg/deduplicator"
+)
+
+var (
+	hostA = deduplicator.Host{
+		Name:       "a",
+		DataCentre: "dc-1",
+	}
+	hostB = deduplicator.Host{
+		Name:       "b",
+		DataCentre: "dc-2",
+	}
+)
+
+// TestMain fixes the seed of rapid, so that each run checks the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{
+		"rapid.seed":       "1",
+		"rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// pair is an owner and its copy holder with the slot of one key open.
+type pair struct {
+	now         time.Time
+	epoch       uint64
+	slot        int
+	owner, copy *deduplicator.Table
+}
+
+func newPair(key string, opts deduplicator.Options) *pair {
+	p := &pair{
+		now:  time.Unix(1000, 0),
+		slot: deduplicator.SlotOf(key),
+	}
+	holders := deduplicator.NewSlotMap(1, []deduplicator.Host{hostA, hostB}).Holders(p.slot)
+	opts.Self = holders.Owner
+	p.owner = deduplicator.New(opts)
+	opts.Self = holders.Copy
+	p.copy = deduplicator.New(opts)
+	p.open(1, deduplicator.Content{}, false)
+	return p
+}
+
+// open moves both tables to an epoch that does not follow their present one.
+func (p *pair) open(epoch uint64, taken deduplicator.Content, lost bool) {
+	p.epoch = epoch
+	m := deduplicator.NewSlotMap(epoch, []deduplicator.Host{hostA, hostB})
+	p.owner.SetView(m, nil)
+	p.copy.SetView(m, nil)
+	content, _ := p.owner.Install(p.now, epoch, p.slot, taken, lost)
+	p.send(true, content)
+	p.owner.Open(epoch, p.slot)
+}
+
+func (p *pair) send(whole bool, c deduplicator.Content) deduplicator.CopyResult {
+	return p.copy.Copy(p.now, deduplicator.CopyMessage{
+		Epoch:   p.epoch,
+		Slot:    p.slot,
+		Whole:   whole,
+		Content: c,
+	})
+}
+
+func (p *pair) begin(key, attempt string) deduplicator.Decision {
+	return p.owner.Begin(p.now, p.epoch, deduplicator.Request{
+		Key:         key,
+		Fingerprint: "f",
+		Attempt:     attempt,
+	})
+}
+
+func (p *pair) report(key, attempt string, state deduplicator.State) string {
+	_, reason := p.owner.Finish(p.now, deduplicator.Entry{
+		Key:         key,
+		State:       state,
+		Fingerprint: "f",
+		Attempt:     attempt,
+		Answer:      []byte(attempt),
+	})
+	return reason
+}
+
+func held(t *deduplicator.Table, now time.Time, slot int) deduplicator.Entry {
+	c, _ := t.Fetch(now, 1, slot)
+	if len(c.Entries) == 0 {
+		return deduplicator.Entry{}
+	}
+	return c.Entries[0]
+}
+
+var ranks = map[deduplicator.State]int{
+	deduplicator.Begun:     1,
+	deduplicator.Unknown:   2,
+	deduplicator.Abandoned: 3,
+	deduplicator.Finished:  4,
+	deduplicator.Forgotten: 5,
+}
+
+// An entry that moves back, or an intent that is granted twice, would run a
+// request twice. Messages to the copy holder are lost, late, duplicated and
+// reordered; attempts resend and report at any time within the retention time.
+func TestEntryModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const key = "k"
+		p := newPair(key, deduplicator.Options{})
+		var messages []deduplicator.Content
+		var intents []deduplicator.Entry
+		granted := make(map[string]bool)
+		ended := make(map[string]bool)
+		ran := ""
+		last := make(map[*deduplicator.Table]deduplicator.Entry)
+		grant := func(d deduplicator.Decision, attempt string) {
+			granted[attempt] = granted[attempt] || d.Outcome == deduplicator.Granted
+		}
+		attempt := func(t *rapid.T) string {
+			return fmt.Sprint("attempt-", rapid.IntRange(1, 4).Draw(t, "attempt"))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				a := attempt(t)
+				d := p.begin(key, a)
+				if d.Outcome == deduplicator.Replay && string(d.Entry.Answer) != ran {
+					t.Fatalf("answer of %q replayed, %q ran", d.Entry.Answer, ran)
+				}
+				if d.Outcome == deduplicator.NeedsCopy {
+					intents = append(intents, d.Entry)
+				}
+				grant(d, a)
+			},
+			"copy": func(t *rapid.T) {
+				if len(intents) == 0 {
+					t.Skip("no intent")
+				}
+				intent := rapid.SampledFrom(intents).Draw(t, "intent")
+				c := deduplicator.Content{
+					Entries: []deduplicator.Entry{intent},
+				}
+				messages = append(messages, c)
+				if rapid.Bool().Draw(t, "arrives") && p.send(false, c).Stored {
+					grant(p.owner.Confirm(p.now, 1, intent), intent.Attempt)
+				} else {
+					p.owner.Withdraw(p.now, intent)
+				}
+			},
+			"late message": func(t *rapid.T) {
+				if len(messages) == 0 {
+					t.Skip("no message")
+				}
+				p.send(rapid.Bool().Draw(t, "whole"), rapid.SampledFrom(messages).Draw(t, "message"))
+			},
+			"report": func(t *rapid.T) {
+				a := attempt(t)
+				if !granted[a] || ended[a] {
+					t.Skip("no grant")
+				}
+				ended[a] = true
+				if rapid.Bool().Draw(t, "not sent") {
+					p.report(key, a, deduplicator.Abandoned)
+					return
+				}
+				if ran != "" {
+					t.Fatalf("at-most-once: %s ran after %s", a, ran)
+				}
+				ran = a
+				p.report(key, a, rapid.SampledFrom([]deduplicator.State{deduplicator.Finished, deduplicator.Unknown}).Draw(t, "state"))
+			},
+			"push": func(*rapid.T) {
+				c, _ := p.owner.Fetch(p.now, 1, p.slot)
+				messages = append(messages, c)
+				p.send(true, c)
+			},
+			"wait": func(*rapid.T) {
+				p.now = p.now.Add(time.Second)
+			},
+			"": func(t *rapid.T) {
+				for _, table := range []*deduplicator.Table{p.owner, p.copy} {
+					e, before := held(table, p.now, p.slot), last[table]
+					if e.Generation < before.Generation || (e.Generation == before.Generation && ranks[e.State] < ranks[before.State]) {
+						t.Fatalf("entry moved back from %d %s to %d %s", before.Generation, before.State, e.Generation, e.State)
+					}
+					last[table] = e
+				}
+			},
+		})
+	})
+}
