internal/recorder, proto: survey older views that another host knows

Cause: a host that joined two views after the last grants knew only one earlier view, and gave up a slot that the copy holder still held. A missing previous view under an epoch above 1 was taken for the first view, which could grant again. Change: FetchResponse.views is appended; a host that is not complete in the epoch before the request's returns the views that it knows. Only epoch 1 may start from nothing. A Begin without key or attempt is refused. Figures: TestJoinerLearnsViews fails with the call of learn removed (put back). Conclusion: the slot is taken from the copy holder instead of being unknown for the retention time.

--- a/internal/recorder/client.go
+++ b/internal/recorder/client.go
@@ -64,7 +64,7 @@
 		return r.ServeBegin(ctx, req), nil
 	}
 	return bounded(ctx, r, ownerTimeout, func(ctx context.Context) (*wire.BeginResponse, error) {
-		return r.opts.Peers.Begin(ctx, p.members[owner], req)
+		return r.opts.Peers.Begin(ctx, p.member(owner), req)
 	})
 }
 
@@ -100,7 +100,7 @@
 		return r.ServeFinish(ctx, req), nil
 	}
 	return bounded(ctx, r, ownerTimeout, func(ctx context.Context) (*wire.FinishResponse, error) {
-		return r.opts.Peers.Finish(ctx, p.members[owner], req)
+		return r.opts.Peers.Finish(ctx, p.member(owner), req)
 	})
 }
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -34,8 +34,8 @@
 	present *deduplicator.SlotMap
 	// history holds the earlier maps, newest first.
 	history []*deduplicator.SlotMap
-	// members are the hosts of all these maps.
-	members map[deduplicator.Host]*wire.Member
+	// views are the views of the present map and of the history, newest first.
+	views []*wire.View
 	// passes counts the transfer passes under this view.
 	passes atomic.Int64
 }
@@ -65,8 +65,9 @@
 }
 
 // SetView tells the recorder of the present view and the one before it, at each
-// change. A view whose epoch is not higher than the last one is ignored. A
-// previous view without members means that the present one is the first.
+// change. A view whose epoch is not higher than the last one is ignored. Epoch 1
+// is the first view; under any other one a missing previous view counts as lost,
+// because it may have had grants.
 func (r *Recorder) SetView(view, previous *wire.View) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -82,45 +83,40 @@
 
 // with returns the placement after a view change.
 func (p *placement) with(view, previous *wire.View) *placement {
-	next := &placement{
-		present: mapOf(view),
-		members: make(map[deduplicator.Host]*wire.Member),
-	}
-	if !p.present.Empty() {
-		next.history = append(next.history, p.present)
-		next.history = append(next.history, p.history...)
-	}
-	if p.present.Epoch()+1 != view.GetEpoch() || p.present.Empty() {
-		before := mapOf(previous)
-		if before.Empty() {
-			before = deduplicator.NewSlotMap(view.GetEpoch()-1, nil)
-		}
-		next.history = append([]*deduplicator.SlotMap{before}, next.history...)
+	views := append([]*wire.View{view}, p.views...)
+	if p.present.Epoch()+1 != view.GetEpoch() || len(p.views) == 0 {
+		views = append([]*wire.View{view, previous}, p.views...)
 	}
-	next.history = next.history[:min(len(next.history), historyLength)]
-	for host, m := range p.members {
-		next.members[host] = m
+	views = views[:min(len(views), historyLength)]
+	return &placement{
+		present: mapOf(view),
+		history: mapsOf(views[1:]),
+		views:   views,
 	}
-	for _, v := range []*wire.View{previous, view} {
-		for _, m := range v.GetMembers() {
-			next.members[hostOf(m)] = m
-		}
+}
+
+func mapsOf(views []*wire.View) []*deduplicator.SlotMap {
+	maps := make([]*deduplicator.SlotMap, 0, len(views))
+	for _, v := range views {
+		maps = append(maps, mapOf(v))
 	}
-	next.dropMembers()
-	return next
+	return maps
 }
 
-// dropMembers removes the members that no map of the placement lists.
-func (p *placement) dropMembers() {
-	for host := range p.members {
-		listed := p.present.Has(host)
-		for _, m := range p.history {
-			listed = listed || m.Has(host)
-		}
-		if !listed {
-			delete(p.members, host)
+// member returns the member of the present view that is the host.
+func (p *placement) member(h deduplicator.Host) *wire.Member {
+	return memberOf(p.views[:1], h)
+}
+
+func memberOf(views []*wire.View, h deduplicator.Host) *wire.Member {
+	for _, v := range views {
+		for _, m := range v.GetMembers() {
+			if hostOf(m) == h {
+				return m
+			}
 		}
 	}
+	return nil
 }
 
 // Run transfers slots after view changes and removes old entries until ctx ends.
--- a/internal/recorder/recorder_test.go
+++ b/internal/recorder/recorder_test.go
@@ -42,11 +42,6 @@
 	return nil, ctx.Err()
 }
 
-func (frozen) Finish(ctx context.Context, _ *wire.Member, _ *wire.FinishRequest) (*wire.FinishResponse, error) {
-	<-ctx.Done()
-	return nil, ctx.Err()
-}
-
 func (frozen) Copy(ctx context.Context, _ *wire.Member, _ *wire.CopyRequest) (*wire.CopyResponse, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
@@ -144,3 +139,35 @@
 	w.transfer()
 	is.Equal(begin("second"), wire.BeginOutcome_BEGIN_OUTCOME_GRANTED)
 }
+
+// A host that joined after the view of the last grants must learn it from the
+// copy holder, else a slot that is still held would count as lost.
+func TestJoinerLearnsViews(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 4)
+	w.sure = true
+	w.request("h-1")
+	owner, first := w.holders().Owner.Name, w.view
+	w.view = &wire.View{}
+	w.restart(owner)
+	second := &wire.View{
+		Epoch: 2,
+	}
+	w.view = &wire.View{
+		Epoch: 3,
+	}
+	for _, m := range first.GetMembers() {
+		if m.GetName() != owner {
+			second.Members = append(second.Members, m)
+		}
+		w.view.Members = append(w.view.Members, w.procs[m.GetName()].member)
+	}
+	joined := w.procs[owner].rec
+	joined.SetView(w.view, second)
+	joined.Transfer(context.Background())
+	for _, name := range w.names {
+		w.procs[name].rec.SetView(w.view, second)
+	}
+	w.transfer()
+	is.Equal(w.request("h-1").GetOutcome(), wire.BeginOutcome_BEGIN_OUTCOME_FINISHED)
+}
--- a/internal/recorder/server.go
+++ b/internal/recorder/server.go
@@ -13,8 +13,11 @@
 // ServeBegin decides on a Begin as the owner of the key. It grants only after
 // the copy holder has acknowledged the intent.
 func (r *Recorder) ServeBegin(ctx context.Context, req *wire.BeginRequest) *wire.BeginResponse {
-	if !r.opts.Live() {
+	switch {
+	case !r.opts.Live():
 		return refusal("the authority lease of the owner has ended")
+	case req.GetKey() == "" || req.GetAttempt() == "":
+		return refusal("the key or the attempt is missing")
 	}
 	d := r.table.Begin(r.opts.Clock.Now(), req.GetEpoch(), deduplicator.Request{
 		Key:         req.GetKey(),
@@ -62,7 +65,7 @@
 		return "the entry can't be encoded"
 	}
 	resp, err := bounded(ctx, r, copyTimeout, func(ctx context.Context) (*wire.CopyResponse, error) {
-		return r.opts.Peers.Copy(ctx, p.members[holders.Copy], &wire.CopyRequest{
+		return r.opts.Peers.Copy(ctx, p.member(holders.Copy), &wire.CopyRequest{
 			Epoch:   epoch,
 			Slot:    uint32(slot),
 			Entries: []*wire.RegistryEntry{w},
@@ -177,11 +180,15 @@
 		r.opts.Logger.Error("registry: slot can't be encoded", "slot", req.GetSlot(), "error", err)
 		return &wire.FetchResponse{}
 	}
-	return &wire.FetchResponse{
+	resp := &wire.FetchResponse{
 		Held:          content.Complete > 0,
 		Entries:       entries,
 		Incarnation:   r.self.Incarnation,
 		CompleteEpoch: content.Complete,
 		LostNanos:     int64(content.Lost),
 	}
+	if content.Complete+1 < req.GetEpoch() {
+		resp.Views = r.placement.Load().views
+	}
+	return resp
 }
--- a/internal/recorder/transfer.go
+++ b/internal/recorder/transfer.go
@@ -27,6 +27,8 @@
 		placement: placement,
 		number:    placement.passes.Add(1),
 		failed:    make(map[deduplicator.Host]bool),
+		views:     placement.views,
+		maps:      placement.history,
 	}
 	pending := r.table.Pending()
 	if len(pending) == 0 {
@@ -58,6 +60,11 @@
 
 	mu     sync.Mutex
 	failed map[deduplicator.Host]bool
+	// views are those of the placement and older ones that other hosts know,
+	// newest first.
+	views []*wire.View
+	// maps are those of the views but the present one.
+	maps []*deduplicator.SlotMap
 }
 
 func (p *pass) transfer(ctx context.Context, slot int) {
@@ -89,20 +96,42 @@
 func (p *pass) survey(ctx context.Context, slot int) (deduplicator.Content, deduplicator.Verdict) {
 	present := p.placement.present
 	answers := make(map[deduplicator.Host]deduplicator.Content)
-	for _, m := range p.placement.history {
-		for _, h := range p.order(m.Holders(slot).List()) {
-			if _, asked := answers[h]; asked {
+	history := p.history()
+	for i := 0; i < len(history); i++ {
+		for _, h := range p.order(history[i].Holders(slot).List()) {
+			if _, answered := answers[h]; answered {
 				continue
 			}
 			if content, ok := p.fetch(ctx, h, slot); ok {
 				answers[h] = content
 			}
-			if content, verdict := deduplicator.Survey(present, p.placement.history, slot, answers); verdict == deduplicator.Take {
+			history = p.history()
+			if content, verdict := deduplicator.Survey(present, history, slot, answers); verdict == deduplicator.Take {
 				return content, verdict
 			}
 		}
 	}
-	return deduplicator.Survey(present, p.placement.history, slot, answers)
+	return deduplicator.Survey(present, history, slot, answers)
+}
+
+// history returns the maps before the present one.
+func (p *pass) history() []*deduplicator.SlotMap {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.maps
+}
+
+// learn adds older views that another host knows. The control state gives an
+// epoch to one view only, so that views of one epoch are equal.
+func (p *pass) learn(views []*wire.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, v := range views {
+		if v.GetEpoch()+1 == p.views[len(p.views)-1].GetEpoch() {
+			p.views = append(slices.Clip(p.views), v)
+			p.maps = append(slices.Clip(p.maps), mapOf(v))
+		}
+	}
 }
 
 // order returns the hosts in the order of asking: this host, then those in the
@@ -132,7 +161,7 @@
 		return deduplicator.Content{}, false
 	}
 	resp, err := bounded(ctx, p.r, transferTimeout, func(ctx context.Context) (*wire.FetchResponse, error) {
-		return p.r.opts.Peers.Fetch(ctx, p.placement.members[from], &wire.FetchRequest{
+		return p.r.opts.Peers.Fetch(ctx, p.member(from), &wire.FetchRequest{
 			Epoch: epoch,
 			Slot:  uint32(slot),
 		})
@@ -150,6 +179,7 @@
 		p.r.opts.Logger.Error("registry: fetched slot can't be decoded", "slot", slot, "error", err)
 		return deduplicator.Content{}, false
 	}
+	p.learn(resp.GetViews())
 	return deduplicator.Content{
 		Complete: resp.GetCompleteEpoch(),
 		Lost:     durationOf(resp.GetLostNanos()),
@@ -172,7 +202,7 @@
 		return false
 	}
 	resp, err := bounded(ctx, p.r, transferTimeout, func(ctx context.Context) (*wire.CopyResponse, error) {
-		return p.r.opts.Peers.Copy(ctx, p.placement.members[to.Copy], &wire.CopyRequest{
+		return p.r.opts.Peers.Copy(ctx, p.placement.member(to.Copy), &wire.CopyRequest{
 			Epoch:     p.placement.present.Epoch(),
 			Slot:      uint32(slot),
 			Entries:   entries,
@@ -187,6 +217,13 @@
 	return resp.GetStored()
 }
 
+// member returns the member that is the host in any view of the pass.
+func (p *pass) member(h deduplicator.Host) *wire.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return memberOf(p.views, h)
+}
+
 func (p *pass) hasFailed(h deduplicator.Host) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/deduplicator/survey.go
+++ b/pkg/deduplicator/survey.go
@@ -35,16 +35,18 @@
 // A grant needs both holders of its epoch to be complete. One holder that was
 // complete in the newest epoch therefore has every grant, and one holder that
 // answers without having been complete proves that the epoch had no grant, so
-// that the epoch before it decides.
+// that the epoch before it decides. An empty map stands for the time before
+// the first view. A gap in the history may hide grants, so that content of an
+// epoch before the gap is not taken.
 func Survey(present *SlotMap, history []*SlotMap, slot int, answers map[Host]Content) (Content, Verdict) {
 	epoch := present.Epoch()
 	for _, m := range history {
-		if m.Empty() {
-			return Content{}, Take
-		}
 		if m.Epoch()+1 != epoch {
 			return Content{}, Lost
 		}
+		if m.Empty() {
+			return Content{}, Take
+		}
 		epoch = m.Epoch()
 		holders := m.Holders(slot).List()
 		content, found, answered := newest(holders, epoch, answers)
