--- a/internal/recorder/world_test.go
+++ b/internal/recorder/world_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 // runs in one goroutine at a time; a fault that stops a host for a while runs
 // the rest of the world inside the call that the host is waiting in.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	rng   *rand.Rand
 	clock *timer.Fake
 	procs map[string]*proc
@@ -53,8 +54,10 @@
 	// control state is the host with an empty name.
 	cut    map[[2]string]bool
 	frozen map[string]bool
-	late   []func()
-	held   func()
+	// noLease holds the hosts whose authority lease has ended.
+	noLease map[string]bool
+	late    []func()
+	held    func()
 	// fault is called once at the named point; it returns whether the message is lost.
 	point string
 	fault func(kind string, again func()) bool
@@ -76,17 +79,18 @@
 	dead   bool
 }
 
-func newWorld(t *testing.T, seed uint64, hosts int) *world {
+func newWorld(t testing.TB, seed uint64, hosts int) *world {
 	w := &world{
-		t:      t,
-		rng:    rand.New(rand.NewPCG(seed, 1)),
-		clock:  timer.NewFake(time.Unix(1000, 0)),
-		procs:  make(map[string]*proc),
-		view:   &wire.View{},
-		cut:    make(map[[2]string]bool),
-		frozen: make(map[string]bool),
-		runs:   make(map[string][]string),
-		notRun: make(map[string]bool),
+		t:       t,
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		clock:   timer.NewFake(time.Unix(1000, 0)),
+		procs:   make(map[string]*proc),
+		view:    &wire.View{},
+		cut:     make(map[[2]string]bool),
+		frozen:  make(map[string]bool),
+		noLease: make(map[string]bool),
+		runs:    make(map[string][]string),
+		notRun:  make(map[string]bool),
 	}
 	for i := range hosts {
 		w.names = append(w.names, fmt.Sprintf("h-%d", i+1))
@@ -112,6 +116,9 @@
 		Tries:       1,
 		FinishTries: 1,
 		Workers:     1,
+		Live: func() bool {
+			return !w.noLease[name]
+		},
 		Background: func(f func()) {
 			f()
 		},
@@ -166,10 +173,11 @@
 }
 
 func (w *world) transfer() {
-	for range 4 {
+	for left, pass := 1, 0; left > 0 && pass < 4; pass++ {
+		left = 0
 		for _, name := range w.names {
 			if w.up(name) {
-				w.procs[name].rec.Transfer(context.Background())
+				left += w.procs[name].rec.Transfer(context.Background())
 			}
 		}
 	}
@@ -271,7 +279,7 @@
 }
 
 func (w *world) note(format string, args ...any) {
-	w.trace = append(w.trace, fmt.Sprintf(format, args...))
+	w.trace = append(w.trace, strings.TrimSpace(fmt.Sprintf(format, args...)))
 }
 
 func answer(key, attempt string) *wire.StoredAnswer {
