internal/ingress: benchmark of one hop

Cause: the goals for added latency and throughput need figures. Change: BenchmarkHop calls a stand-in upstream directly and through one ingress in turns, 64 connections, and reports throughput, processor time of the whole process per request, and the latency added at half of saturation.

--- /dev/null
+++ b/internal/ingress/hop_test.go
@@ -0,0 +1,126 @@
+package ingress_test
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hopConnections is the connections of one upstream of the first users.
+const hopConnections = 64
+
+// load sends requests to a URL on hopConnections connections for a time. With
+// a rate each connection keeps to its part of it, else it sends at once again.
+// It returns the requests a second and the sorted latencies.
+func load(b *testing.B, url string, d time.Duration, rate float64) (float64, []time.Duration) {
+	client := &http.Client{
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: hopConnections,
+			MaxConnsPerHost:     hopConnections,
+		},
+	}
+	defer client.CloseIdleConnections()
+	var mu sync.Mutex
+	var all []time.Duration
+	var wg sync.WaitGroup
+	var failed atomic.Int64
+	begin := time.Now()
+	for worker := range hopConnections {
+		wg.Go(func() {
+			var own []time.Duration
+			interval := time.Duration(0)
+			if rate > 0 {
+				interval = time.Duration(float64(time.Second) * hopConnections / rate)
+			}
+			next := begin.Add(interval * time.Duration(worker) / hopConnections)
+			for time.Since(begin) < d {
+				time.Sleep(time.Until(next))
+				next = next.Add(interval)
+				start := time.Now()
+				resp, err := client.Get(url)
+				if err != nil {
+					failed.Add(1)
+					continue
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != http.StatusOK {
+					failed.Add(1)
+				}
+				own = append(own, time.Since(start))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, own...)
+		})
+	}
+	wg.Wait()
+	if failed.Load() > 0 {
+		b.Fatalf("%d requests failed", failed.Load())
+	}
+	slices.Sort(all)
+	return float64(len(all)) / time.Since(begin).Seconds(), all
+}
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	return sorted[int(q*float64(len(sorted)-1))]
+}
+
+// processorTime is what the whole process has used: client, ingress and stand-in.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkHop compares a stand-in upstream called directly and through one
+// ingress, in turns, with the same client and number of connections: first at
+// saturation, then at half of the ingress's saturation. Metrics are medians of
+// the turns. Run it with -benchtime 1x.
+func BenchmarkHop(b *testing.B) {
+	s := newSite(b)
+	u := s.upstream("open", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 64))
+	})
+	u.Slots, u.Connections = hopConnections, hopConnections
+	s.setUpstreams(u)
+	direct, through := "http://"+u.GetAddress()+"/a", s.server.URL+"/q/open/a"
+	const turns = 5
+	const turn = time.Second
+	metrics := make(map[string][]float64)
+	note := func(name string, v float64) { metrics[name] = append(metrics[name], v) }
+	micros := func(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+	for b.Loop() {
+		for range turns {
+			used := processorTime()
+			d, all := load(b, direct, turn, 0)
+			note("direct-cpu-µs", micros(processorTime()-used)/float64(len(all)))
+			used = processorTime()
+			t, all := load(b, through, turn, 0)
+			note("through-cpu-µs", micros(processorTime()-used)/float64(len(all)))
+			note("direct-rps", d)
+			note("through-rps", t)
+			note("throughput-ratio", t/d)
+		}
+		rates := slices.Clone(metrics["through-rps"])
+		slices.Sort(rates)
+		half := rates[len(rates)/2] / 2
+		for range turns {
+			_, d := load(b, direct, turn, half)
+			_, t := load(b, through, turn, half)
+			note("added-p50-µs", micros(quantile(t, 0.5)-quantile(d, 0.5)))
+			note("added-p99-µs", micros(quantile(t, 0.99)-quantile(d, 0.99)))
+		}
+	}
+	for name, values := range metrics {
+		slices.Sort(values)
+		b.ReportMetric(values[len(values)/2], name)
+	}
+}
