internal/ingress: fewer copies of the view

Cause: a view holds the tables of the control state by value, about 7 kB, and was copied for each look at its revision and each call with it. Change: the view is read once at arrival and once before the first byte, passed by pointer, and its revision is kept in an atomic for the router.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -109,7 +109,8 @@
 // gate is the last check before the first byte: a request may have waited for
 // a connection for as long as its deadline.
 func (g *Ingress) gate(c *call, choice router.Choice) (*Problem, error) {
-	if _, refusal := authorise(g.cfg.View(), g.cfg.Clock.Now(), c.credential, c.queue, c.keyed()); refusal != nil {
+	view := g.cfg.View()
+	if _, refusal := authorise(g.saw(&view), g.cfg.Clock.Now(), &c.credential, c.queue, c.keyed()); refusal != nil {
 		return refusal, errNoAuthority
 	}
 	if !g.router.Live(choice) {
--- a/internal/ingress/authority.go
+++ b/internal/ingress/authority.go
@@ -44,7 +44,7 @@
 
 // team returns the team that the key belongs to. The look-up by hash takes no
 // secret; the comparison of the record found is in constant time.
-func (c credential) team(state controller.State) (*wire.Team, bool) {
+func (c *credential) team(state *controller.State) (*wire.Team, bool) {
 	record, ok := state.KeyByHash(c.hash[:])
 	if !ok || subtle.ConstantTimeCompare(record.GetHash(), c.hash[:]) != 1 {
 		return nil, false
@@ -68,7 +68,7 @@
 
 // authorise checks lease, key and scope for a queue. On an open queue it
 // returns a nil team for a request without a usable key.
-func authorise(view follower.View, now time.Time, c credential, queue *wire.Queue, needsLease bool) (*wire.Team, *Problem) {
+func authorise(view *follower.View, now time.Time, c *credential, queue *wire.Queue, needsLease bool) (*wire.Team, *Problem) {
 	live := view.Live(now)
 	if !live && (needsLease || !queue.GetOpen()) {
 		return nil, noLease()
@@ -77,14 +77,14 @@
 		if !live || !c.present {
 			return nil, nil
 		}
-		team, _ := c.team(view.State)
+		team, _ := c.team(&view.State)
 		return team, nil
 	}
 	if !c.present {
 		return nil, problem(http.StatusUnauthorized, "key-missing", "Key is missing",
 			"this queue takes work only with a key: Authorization: Bearer KEY")
 	}
-	team, ok := c.team(view.State)
+	team, ok := c.team(&view.State)
 	if !ok {
 		return nil, keyUnknown()
 	}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -60,7 +60,8 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	view := g.cfg.View()
+	present := g.cfg.View()
+	view := g.saw(&present)
 	name, path := splitPath(r.URL)
 	queue, ok := view.State.Queue(name)
 	if !ok || queue.GetKind() != wire.QueueKind_QUEUE_KIND_REQUESTS {
@@ -76,7 +77,7 @@
 	if c.key, refusal = idempotencyKey(r.Header); refusal != nil {
 		return nil, refusal
 	}
-	if c.team, refusal = authorise(view, now, key, queue, c.keyed()); refusal != nil {
+	if c.team, refusal = authorise(view, now, &c.credential, queue, c.keyed()); refusal != nil {
 		return nil, c.notRun(refusal)
 	}
 	left, refusal := deadline(r.Header)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -33,6 +33,7 @@
 	// policies holds a retrier.Policy for each queue.
 	policies sync.Map
 	bodies   bodyMemory
+	revision atomic.Uint64
 
 	// instance and requests together name a request: instance is new with each process.
 	instance string
@@ -58,7 +59,8 @@
 		Clock:      cfg.Clock,
 		DataCentre: cfg.Self.GetDataCentre(),
 		Source: source{
-			cfg: &g.cfg,
+			cfg:      &g.cfg,
+			revision: &g.revision,
 		},
 		Removed: func(u *wire.Upstream) { g.forwarder.Forget(target(u)) },
 	})
--- a/internal/ingress/tasks.go
+++ b/internal/ingress/tasks.go
@@ -90,7 +90,7 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
-	if !g.cfg.View().Live(g.cfg.Clock.Now()) {
+	if view := g.cfg.View(); !view.Live(g.cfg.Clock.Now()) {
 		return 0, nil, noLease()
 	}
 	size := bodyReserve(r)
@@ -106,12 +106,13 @@
 	if err != nil {
 		return 0, nil, problem(http.StatusBadRequest, "bad-task", "Task is not readable", err.Error())
 	}
-	view := g.cfg.View()
+	present := g.cfg.View()
+	view := g.saw(&present)
 	queue, ok := view.State.Queue(task.GetQueue())
 	if !ok || queue.GetKind() != wire.QueueKind_QUEUE_KIND_TASKS {
 		return 0, nil, unknownQueue("tasks", task.GetQueue())
 	}
-	team, refusal := authorise(view, g.cfg.Clock.Now(), c, queue, true)
+	team, refusal := authorise(view, g.cfg.Clock.Now(), &c, queue, true)
 	if refusal != nil {
 		return 0, nil, refusal
 	}
@@ -146,11 +147,12 @@
 
 // look reads or cancels a task of the key's team.
 func (g *Ingress) look(ctx context.Context, id string, c credential, call func(context.Context, *wire.TaskRequest) *wire.TaskResponse) (int, *taskAnswer, *Problem) {
-	view := g.cfg.View()
+	present := g.cfg.View()
+	view := g.saw(&present)
 	if !view.Live(g.cfg.Clock.Now()) {
 		return 0, nil, noLease().ran(Unknown, NotRun)
 	}
-	team, ok := c.team(view.State)
+	team, ok := c.team(&view.State)
 	if c.present && !ok {
 		return 0, nil, keyUnknown().ran(Unknown, NotRun)
 	}
--- a/internal/ingress/upstreams.go
+++ b/internal/ingress/upstreams.go
@@ -4,10 +4,12 @@
 	"context"
 	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/heathermux/heathermux/internal/follower"
 	"github.com/heathermux/heathermux/internal/forwarder"
 	"github.com/heathermux/heathermux/internal/wire"
 )
@@ -16,6 +18,9 @@
 // the directory whose data centre and pool are in service.
 type source struct {
 	cfg *Config
+	// revision of the control state that was last seen. A view is some
+	// kilobytes, too much to copy on each selection for its revision.
+	revision *atomic.Uint64
 }
 
 // Upstreams returns the upstreams of a queue that may get work.
@@ -36,12 +41,20 @@
 	return in
 }
 
-// Generation changes with the directory and with the control state.
+// Generation changes with the directory and with the control state that a
+// request has seen.
 func (s source) Generation() uint64 {
 	// An odd factor spreads directory generations, so that a change of one
 	// part does not cancel out a change of the other.
 	const factor = 0x9e3779b97f4a7c15
-	return s.cfg.Directory.Generation()*factor + s.cfg.View().State.Revision()
+	return s.cfg.Directory.Generation()*factor + s.revision.Load()
+}
+
+// saw notes the revision of a view for the router. The view is passed on by
+// pointer and stays on the caller's stack.
+func (g *Ingress) saw(view *follower.View) *follower.View {
+	g.revision.Store(view.State.Revision())
+	return view
 }
 
 func target(u *wire.Upstream) forwarder.Target {
