internal/forwarder, internal/ingress: one context and one header copy a request

Cause: each request made two contexts with a cancel function and copied its header twice. Change: the forwarder takes a timeout and makes the only context of an attempt without a key; it changes the header that it is given in place.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -36,14 +36,17 @@
 	Connections int
 }
 
-// Request is one request as the upstream gets it. The header and the body are
-// only read.
+// Request is one request as the upstream gets it.
 type Request struct {
-	Method string
+	// Timeout of the attempt on the machine's clock; not positive means none is left.
+	Timeout time.Duration
+	Method  string
 	// URL holds the path and the query; scheme and host are replaced.
-	URL    *url.URL
+	URL *url.URL
+	// Header is changed by Send and must not be used after it.
 	Header http.Header
-	Body   []byte
+	// Body is only read.
+	Body []byte
 	// ID of this attempt, sent in AttemptHeader.
 	ID string
 	// Gate, if set, is called right before the first byte is written; on an
@@ -66,10 +69,10 @@
 	}
 }
 
-// Send sends the request to the target and waits for the whole answer or the
-// end of the context.
+// Send sends the request to the target and waits for the whole answer, for the
+// timeout, or for the end of the context.
 func (f *Forwarder) Send(ctx context.Context, to Target, r *Request) Outcome {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	a := &attempt{
 		gate:   r.Gate,
--- a/internal/forwarder/header.go
+++ b/internal/forwarder/header.go
@@ -40,12 +40,8 @@
 	lowerIdempotencyKey = "idempotency-key"
 )
 
-// upstreamHeader returns the header that goes to the upstream.
-func upstreamHeader(from http.Header) http.Header {
-	h := make(http.Header, len(from)+2)
-	for name, values := range from {
-		h[name] = values
-	}
+// upstreamHeader makes a caller's header the one that goes to the upstream.
+func upstreamHeader(h http.Header) http.Header {
 	StripHopByHop(h)
 	delete(h, "Expect")
 	if key, ok := h[idempotencyKey]; ok {
--- a/internal/forwarder/upstream_test.go
+++ b/internal/forwarder/upstream_test.go
@@ -51,9 +51,7 @@
 }
 
 func send(f *forwarder.Forwarder, to forwarder.Target, method, path string, body []byte, gate func() error) forwarder.Outcome {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	return sendWithin(ctx, f, to, method, path, body, gate)
+	return sendWithin(context.Background(), f, to, method, path, body, gate)
 }
 
 func sendWithin(ctx context.Context, f *forwarder.Forwarder, to forwarder.Target, method, path string, body []byte, gate func() error) forwarder.Outcome {
@@ -65,8 +63,9 @@
 		Header: http.Header{
 			"Idempotency-Key": {"k"},
 		},
-		Body: body,
-		ID:   path,
-		Gate: gate,
+		Body:    body,
+		ID:      path,
+		Gate:    gate,
+		Timeout: 2 * time.Second,
 	})
 }
--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -60,7 +60,7 @@
 }
 
 // final reports whether no policy can change the result: the call lost its
-// authority, its time is over, or every answer to it is too large.
+// authority, its caller has gone, or every answer to it is too large.
 func (g *Ingress) final(ctx context.Context, res result) bool {
 	if res.outcome.Kind == forwarder.Complete {
 		return false
@@ -82,11 +82,12 @@
 	defer span.End()
 	var refusal *Problem
 	res.outcome = g.forwarder.Send(ctx, target(upstream), &forwarder.Request{
-		Method: c.method,
-		URL:    c.url,
-		Header: g.attemptHeader(ctx, c),
-		Body:   c.body,
-		ID:     c.id + "-" + strconv.Itoa(n),
+		Timeout: c.deadline.Sub(g.cfg.Clock.Now()),
+		Method:  c.method,
+		URL:     c.url,
+		Header:  g.attemptHeader(ctx, c),
+		Body:    c.body,
+		ID:      c.id + "-" + strconv.Itoa(n),
 		Gate: func() error {
 			var err error
 			refusal, err = g.gate(c, choice)
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -50,26 +50,23 @@
 	if c.body, refusal = g.readBody(w, r, c.deadline.Sub(now)); refusal != nil {
 		return nil, c.notRun(refusal)
 	}
-	ctx, cancel := g.callContext(ctx, c)
-	defer cancel()
 	permit, refusal := g.admit(ctx, c)
 	if refusal != nil {
 		return nil, refusal
 	}
 	defer func() { permit.Done(c.service) }()
 	if c.keyed() {
+		ctx, cancel := g.keyedContext(ctx, c)
+		defer cancel()
 		return g.runKeyed(ctx, c)
 	}
 	return g.run(ctx, c)
 }
 
-// callContext ends at the deadline. It also ends when the caller goes, except
-// for a keyed call, whose outcome another attempt may ask for.
-func (g *Ingress) callContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
-	if c.keyed() {
-		ctx = context.WithoutCancel(ctx)
-	}
-	return context.WithTimeout(ctx, c.deadline.Sub(g.cfg.Clock.Now()))
+// keyedContext ends at the deadline, but not when the caller goes: another
+// attempt with the key may ask for the outcome.
+func (g *Ingress) keyedContext(ctx context.Context, c *call) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.WithoutCancel(ctx), c.deadline.Sub(g.cfg.Clock.Now()))
 }
 
 // run sends an admitted call and turns its result into an answer or refusal.
