--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -61,7 +61,8 @@
 	if refusal != nil {
 		return nil, refusal
 	}
-	view := g.cfg.View()
+	present := g.cfg.View()
+	view := g.saw(&present)
 	name, path := splitPath(r.URL)
 	c := &call{
 		credential: key,
@@ -72,10 +73,14 @@
 	if c.key, refusal = idempotencyKey(r.Header); refusal != nil {
 		return nil, refusal
 	}
+<<<<<<< HEAD
 	if c.queue, refusal = findQueue(view, now, wire.QueueKind_QUEUE_KIND_REQUESTS, name); refusal != nil {
 		return nil, c.notRun(refusal)
 	}
 	if c.team, refusal = authorise(view, now, key, c.queue, c.keyed()); refusal != nil {
+=======
+	if c.team, refusal = authorise(view, now, &c.credential, queue, c.keyed()); refusal != nil {
+>>>>>>> requests
 		return nil, c.notRun(refusal)
 	}
 	left, refusal := deadline(r.Header)
--- a/internal/ingress/scope_test.go
+++ b/internal/ingress/scope_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -8,14 +9,14 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/heathermux/heathermux/internal/controller"
-	"github.com/heathermux/heathermux/internal/ingress"
 )
 
 // Invariant key-scope: work that a key does not allow must not reach an
-// upstream, and a key must not reach an upstream, a log or an answer.
+// upstream, and a key must not reach an upstream, a log or an answer. Tests are
+// keyed by path, Authorization and Idempotency-Key; the result is status, name
+// of the problem and what is said of the operation.
 func TestKeyScope(t *testing.T) {
+<<<<<<< HEAD
 	tests := map[string]struct {
 		path          string
 		authorization string
@@ -50,46 +51,60 @@
 			status:        401,
 			name:          "key-unknown",
 		},
+=======
+	const ok = "200  "
+	withLease := map[[3]string]string{
+		{"/q/switch/a", bearer("feeds"), ""}:         ok,
+		{"/q/notice/a", bearer("feeds"), ""}:         "403 queue-not-in-scope not-run",
+		{"/q/switch/a", "", ""}:                      "401 key-missing not-run",
+		{"/q/switch/a", bearer("none"), ""}:          "401 key-unknown not-run",
+		{"/q/switch/a", bearer("operator"), ""}:      "401 key-unknown not-run",
+		{"/q/switch/a", bearer("withdrawn"), ""}:     "401 key-unknown not-run",
+		{"/q/switch/a", "Basic secret-feeds", ""}:    "401 bad-authorization not-run",
+		{"/q/none/a", bearer("feeds"), ""}:           "404 unknown-queue not-run",
+		{"/q/tasks/a", bearer("feeds"), ""}:          "404 unknown-queue not-run",
+		{"/q/open/a", "", ""}:                        ok,
+		{"/q/open/a", bearer("none"), ""}:            ok,
+		{"/q/open/a", "", "two words"}:               "400 bad-idempotency-key not-run",
+		{"/q/open/../switch/a", "", ""}:              ok,
+		{"/q/open%2F..%2Fswitch/a", "", ""}:          "404 unknown-queue not-run",
+		{"/q/switch/a", bearer("none"), "k"}:         "401 key-unknown unknown",
+		{"/q/notice/../switch", bearer("feeds"), ""}: "403 queue-not-in-scope not-run",
+>>>>>>> requests
 	}
-	for name, test := range tests {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			s := newSite(t)
-			var runs atomic.Int64
-			count := func(w http.ResponseWriter, r *http.Request) {
-				runs.Add(1)
-				is.Equal(r.Header.Get("Authorization"), "")
-				echo(w, r)
-			}
-			s.setUpstreams(s.upstream("switch", count), s.upstream("notice", count), s.upstream("open", count))
-			state := controlState()
-			if test.change != nil {
-				state = test.change(state)
-			}
-			s.setView(state, time.Hour+test.lease)
-			got := s.send(http.MethodPost, test.path, nil, present("Authorization", test.authorization, "Idempotency-Key", test.key)...)
-			is.Equal(got.status, test.status)
-			is.True(!strings.Contains(string(got.body)+s.log.String(), "secret"))
-			if test.name == "" {
-				return
-			}
-			is.Equal(got.name(), test.name)
-			is.Equal(got.problem.ThisAttempt, ingress.NotRun)
-			if test.run != "" {
-				is.Equal(got.problem.Run, test.run)
-			}
-			is.Equal(runs.Load(), int64(0))
-		})
+	withoutLease := map[[3]string]string{
+		{"/q/switch/a", bearer("feeds"), ""}:  "503 no-lease not-run",
+		{"/q/switch/a", bearer("feeds"), "k"}: "503 no-lease unknown",
+		{"/q/open/a", "", ""}:                 ok,
+		{"/q/open/a", "", "k"}:                "503 no-lease unknown",
 	}
-}
-
-// present leaves out headers without a value.
-func present(header ...string) []string {
-	var kept []string
-	for i := 0; i < len(header); i += 2 {
-		if header[i+1] != "" {
-			kept = append(kept, header[i:i+2]...)
+	for lease, tests := range map[time.Duration]map[[3]string]string{
+		time.Hour:    withLease,
+		-time.Second: withoutLease,
+	} {
+		for request, want := range tests {
+			t.Run(fmt.Sprint(lease, request), func(t *testing.T) {
+				is := is.New(t)
+				s := newSite(t)
+				var runs atomic.Int64
+				count := func(w http.ResponseWriter, r *http.Request) {
+					runs.Add(1)
+					is.Equal(r.Header.Get("Authorization"), "")
+					echo(w, r)
+				}
+				s.setUpstreams(s.upstream("switch", count), s.upstream("notice", count), s.upstream("open", count))
+				s.setView(controlState().WithoutKey("withdrawn"), lease)
+				var header []string
+				for i, name := range []string{"Authorization", "Idempotency-Key"} {
+					if request[i+1] != "" {
+						header = append(header, name, request[i+1])
+					}
+				}
+				got := s.send(http.MethodPost, request[0], nil, header...)
+				is.Equal(fmt.Sprintf("%d %s %s", got.status, got.name(), got.problem.Run), want)
+				is.Equal(runs.Load() > 0, want == ok)
+				is.True(!strings.Contains(string(got.body)+s.log.String(), "secret"))
+			})
 		}
 	}
-	return kept
 }
