internal/dispatcher: fence own copies and doubtful tasks after a partial rebuild

Cause: with an entry host cut from the control state only, the matrix showed non-idempotent tasks that ran twice. The new scheduler held the former one's copies itself and did not fence them, so that the former one went on storing ends there and acknowledged them. Change: a new scheduler fences its own copies first. Where the former scheduler did not answer, a non-idempotent task that its worker does not name is ordered again on that worker only, which refuses what it has run. Ends are acknowledged only under an authority lease.

--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -40,7 +40,7 @@
 	Poll(ctx context.Context, member *wire.Member, req *wire.WorkerPoll) (*wire.WorkerOrders, error)
 }
 
-// Options sets up a Dispatcher; NewID is optional, the other fields are not.
+// Options sets up a Dispatcher; NewID and Together are optional, the other fields are not.
 type Options struct {
 	// Self is this entry host.
 	Self *wire.Member
@@ -54,6 +54,9 @@
 	Logger *slog.Logger
 	// NewID returns the random part of a task ID; nil means 16 random bytes.
 	NewID func() string
+	// Together runs calls to several peers and waits for them; nil means all
+	// at once. Tests run them in order.
+	Together func(calls []func())
 }
 
 // Dispatcher is the task service of one entry host. Its methods may be called
@@ -79,6 +82,9 @@
 	if opts.NewID == nil {
 		opts.NewID = randomID
 	}
+	if opts.Together == nil {
+		opts.Together = allAtOnce
+	}
 	return &Dispatcher{
 		opts:   opts,
 		copies: make(map[string]*copySet),
--- a/internal/dispatcher/lead.go
+++ b/internal/dispatcher/lead.go
@@ -81,6 +81,9 @@
 	if dc == nil || !view.Live(now) {
 		return
 	}
+	// The former scheduler must not store copies here any more.
+	own := d.copySetOf(dc.GetName())
+	own.fence = max(own.fence, dc.GetSchedulerEpoch())
 	d.lead = &lead{
 		dataCentre:  dc.GetName(),
 		revision:    view.State.Revision(),
--- a/internal/dispatcher/rebuild.go
+++ b/internal/dispatcher/rebuild.go
@@ -78,7 +78,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	answers := make(map[string]*wire.FetchTasksResponse)
-	forEach(members, func(m *wire.Member) {
+	d.forEach(members, func(m *wire.Member) {
 		resp, err := d.opts.Peers.FetchTasks(ctx, m, req)
 		if err != nil {
 			return
@@ -90,11 +90,20 @@
 	return answers
 }
 
-// forEach calls f for all members at once and waits. A view has a handful.
-func forEach(members []*wire.Member, f func(*wire.Member)) {
-	var wait sync.WaitGroup
+// forEach calls f for all members and waits.
+func (d *Dispatcher) forEach(members []*wire.Member, f func(*wire.Member)) {
+	calls := make([]func(), 0, len(members))
 	for _, m := range members {
-		wait.Go(func() { f(m) })
+		calls = append(calls, func() { f(m) })
+	}
+	d.opts.Together(calls)
+}
+
+// allAtOnce runs one goroutine for each call; a view has a handful of members.
+func allAtOnce(calls []func()) {
+	var wait sync.WaitGroup
+	for _, call := range calls {
+		wait.Go(call)
 	}
 	wait.Wait()
 }
@@ -115,6 +124,7 @@
 		d.lead.sched.Step(now, scheduler.Adopt{
 			Tasks:        resp.GetTasks(),
 			Stale:        stale,
+			Partial:      len(l.missing) > 0 || (previous != "" && l.answers[previous] == nil),
 			UnheardUntil: d.unheardUntil(now, l, previous),
 		})
 	}
@@ -161,6 +171,7 @@
 		l.sched.Step(now, scheduler.Adopt{
 			Tasks:        late[name].GetTasks(),
 			Stale:        now.Sub(l.since) >= scheduler.Retention,
+			Partial:      true,
 			UnheardUntil: now.Add(scheduler.WorkerLeaseBound),
 		})
 	}
--- a/internal/dispatcher/replicate.go
+++ b/internal/dispatcher/replicate.go
@@ -211,7 +211,7 @@
 	})
 	call, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	forEach(others, func(m *wire.Member) {
+	d.forEach(others, func(m *wire.Member) {
 		// A host that is not reached is told by the others at a rebuild.
 		_, _ = d.opts.Peers.CopyTasks(call, m, notice)
 	})
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -229,10 +229,19 @@
 	h.view = follower.View{}
 	h.heardAt = w.clock.Now()
 	h.d = dispatcher.New(dispatcher.Options{
-		Self:   proto.CloneOf(h.member),
-		Clock:  w.clock,
-		View:   func() follower.View { return h.view },
-		Peers:  link{h},
+		Self:  proto.CloneOf(h.member),
+		Clock: w.clock,
+		View:  func() follower.View { return h.view },
+		Peers: link{h},
+		NewID: func() string {
+			w.serial++
+			return fmt.Sprint(w.serial)
+		},
+		Together: func(calls []func()) {
+			for _, call := range calls {
+				call()
+			}
+		},
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 }
--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -27,7 +27,7 @@
 		t.attempts = status.GetAttempts()
 		t.ranOn = status.GetWorker()
 		t.incarnation = status.GetIncarnation()
-		s.restore(now, t, status, e.Stale)
+		s.restore(now, t, status, e)
 	}
 }
 
@@ -40,6 +40,9 @@
 		s.complement(now, t, status)
 		return
 	}
+	if t.state == wire.TaskState_TASK_STATE_UNKNOWN && final(status.GetState()) {
+		s.finish(now, t, status.GetState(), status.GetReason())
+	}
 	if !final(t.state) {
 		// The worker knows only the granted size; the copy has the declared one.
 		t.spec = status.GetTask()
@@ -63,17 +66,18 @@
 	s.finish(now, full, t.state, t.reason)
 }
 
-func (s *Scheduler) restore(now time.Time, t *task, status *wire.TaskStatus, stale bool) {
+func (s *Scheduler) restore(now time.Time, t *task, status *wire.TaskStatus, e Adopt) {
 	switch {
 	case final(status.GetState()):
 		s.finish(now, t, status.GetState(), status.GetReason())
-	case stale && !t.spec.GetIdempotent():
+	case e.Stale && !t.spec.GetIdempotent():
 		s.finish(now, t, wire.TaskState_TASK_STATE_UNKNOWN, "the hosts that held its newest copy were lost")
-	case status.GetState() == wire.TaskState_TASK_STATE_RUNNING && !stale:
+	case status.GetState() == wire.TaskState_TASK_STATE_RUNNING && !e.Stale:
 		w := s.workerNamed(status.GetWorker())
 		s.assign(t, w, controller.AmountOf(status.GetGranted()))
 		t.incarnation = status.GetIncarnation()
 		t.handedOut = true
+		t.doubtful = e.Partial
 		t.cancelled = status.GetCancelled()
 	default:
 		s.enqueue(t, false)
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -36,6 +36,9 @@
 	// Stale is true when a newer copy existed and is lost. A non-idempotent
 	// task from a stale copy may have run since.
 	Stale bool
+	// Partial is true when the former scheduler may have recorded ends of
+	// tasks that no fetched copy shows.
+	Partial bool
 	// UnheardUntil is when the lease that a former scheduler may have given to
 	// a worker which has not polled yet has ended. Its tasks count until then.
 	UnheardUntil time.Time
--- a/internal/scheduler/lifecycle.go
+++ b/internal/scheduler/lifecycle.go
@@ -137,7 +137,7 @@
 // lose handles a task whose worker may have run any part of it.
 func (s *Scheduler) lose(now time.Time, t *task, reason string) Action {
 	switch {
-	case !t.handedOut, t.spec.GetIdempotent():
+	case !t.handedOut && !t.doubtful, t.spec.GetIdempotent():
 		return s.requeue(now, t, reason)
 	default:
 		return s.finish(now, t, wire.TaskState_TASK_STATE_UNKNOWN, reason)
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -46,7 +46,7 @@
 		Pool:       w.pool(),
 		PoolEpoch:  w.host.GetPoolEpoch(),
 	}
-	actions = append(actions, s.takeEnded(now, w, p.GetEnded(), orders)...)
+	actions = append(actions, s.takeEnded(now, w, p.GetEnded(), orders, starts)...)
 	s.takeRunning(now, w, p.GetRunning(), orders)
 	actions = append(actions, s.takeAbsent(now, w, p)...)
 	s.order(now, w, orders, starts)
@@ -72,8 +72,8 @@
 }
 
 // takeEnded records the ends of tasks and acknowledges those that a second
-// entry host holds.
-func (s *Scheduler) takeEnded(now time.Time, w *worker, ended []*wire.EndedTask, orders *wire.WorkerOrders) []Action {
+// entry host holds, if this scheduler is known to be the present one.
+func (s *Scheduler) takeEnded(now time.Time, w *worker, ended []*wire.EndedTask, orders *wire.WorkerOrders, starts bool) []Action {
 	var actions []Action
 	for _, e := range ended {
 		t, ok := s.tasks[e.GetTask()]
@@ -85,7 +85,7 @@
 		if !ok && s.complete {
 			t, ok = s.noteEnd(now, w, e)
 		}
-		if (ok && s.secured(t)) || (!ok && s.complete) {
+		if starts && ((ok && s.secured(t)) || (!ok && s.complete)) {
 			orders.Acknowledged = append(orders.Acknowledged, e.GetTask())
 		}
 	}
@@ -212,6 +212,11 @@
 			actions = append(actions, s.lose(now, t, "worker "+w.name+" no longer knows it"))
 			continue
 		}
+		if t.doubtful && !t.spec.GetIdempotent() {
+			// The worker refuses to start it if it has run it before.
+			t.handedOut = false
+			continue
+		}
 		actions = append(actions, s.requeue(now, t, "its start order did not reach worker "+w.name))
 	}
 	return actions
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -51,6 +51,9 @@
 	handedOut bool
 	// confirmed: the worker has reported it as running.
 	confirmed bool
+	// doubtful: its end may be recorded by a former scheduler only. The worker
+	// knows whether it ran.
+	doubtful bool
 	// measured: used is from a report younger than the start.
 	measured bool
 	// cancelled: the worker is to stop it.
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -140,7 +140,13 @@
 	}
 	var actions []Action
 	for _, t := range w.sorted() {
-		if !t.handedOut {
+		switch {
+		case t.handedOut:
+		case t.doubtful:
+			if !s.active(w) {
+				actions = append(actions, s.lose(now, t, "worker "+w.name+" can't be asked for it"))
+			}
+		default:
 			actions = append(actions, s.requeue(now, t, "worker "+w.name+" takes no tasks"))
 		}
 	}
