internal/scheduler: benchmarks

Cause: a pass has to stay under 100 ms at 6,600 workers. Change: benchmarks of a pass, a poll, an urgent start, a wave of cancellations, the distance from shares and the memory held.

--- /dev/null
+++ b/internal/scheduler/benchmark_test.go
@@ -0,0 +1,197 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/scheduler"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+func manyTeams(n int) []team {
+	teams := make([]team, 0, n)
+	for i := range n {
+		teams = append(teams, team{
+			name:  fmt.Sprintf("team-%02d", i),
+			share: int64(1 + i%4),
+			limit: 1 << 40,
+		})
+	}
+	return teams
+}
+
+// loaded returns a fleet of 71 teams that together ask for twice what it has.
+func loaded(workers int) *fleet {
+	f := newFleet(workers, manyTeams(71))
+	for i := range 71 {
+		f.submitMany(workers*32/71+1, fmt.Sprintf("team-%02d", i), size(int64(1000*(1+i%7)), int64(1+i%5)))
+	}
+	return f
+}
+
+// BenchmarkFillPass places tasks until an empty fleet is full.
+func BenchmarkFillPass(b *testing.B) {
+	for _, workers := range []int{50, 700, 6600} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			placed := 0
+			for b.Loop() {
+				b.StopTimer()
+				f := loaded(workers)
+				b.StartTimer()
+				placed = len(f.s.Step(f.now, scheduler.Pass{
+					Starts: true,
+				}))
+			}
+			b.ReportMetric(float64(placed), "tasks/pass")
+		})
+	}
+}
+
+// BenchmarkSteadyPass is the pass of a full fleet in which a hundredth of the
+// tasks has ended.
+func BenchmarkSteadyPass(b *testing.B) {
+	for _, workers := range []int{50, 700, 6600} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			f := loaded(workers)
+			f.round()
+			n := 0
+			for b.Loop() {
+				b.StopTimer()
+				f.outcome = func(string, string) wire.TaskState {
+					n++
+					if n%100 == 0 {
+						return wire.TaskState_TASK_STATE_SUCCEEDED
+					}
+					return wire.TaskState_TASK_STATE_UNSPECIFIED
+				}
+				f.pollAll()
+				f.now = f.now.Add(scheduler.PollInterval)
+				b.StartTimer()
+				f.pass()
+			}
+		})
+	}
+}
+
+// BenchmarkPoll is the answer to one worker that runs 20 tasks.
+func BenchmarkPoll(b *testing.B) {
+	f := loaded(700)
+	f.round()
+	f.round()
+	for b.Loop() {
+		f.sequence++
+		f.poll(workerName(3))
+	}
+}
+
+// BenchmarkUrgentStart measures, in simulated time, how long urgent tasks wait
+// on a full fleet until they start.
+func BenchmarkUrgentStart(b *testing.B) {
+	var worst time.Duration
+	for b.Loop() {
+		f := loaded(50)
+		f.round()
+		f.round()
+		at := f.now
+		for i := range 50 {
+			f.submit(&wire.Task{
+				Id:     fmt.Sprint("urgent-", i),
+				Team:   "team-00",
+				Size:   size(4000, 2),
+				Urgent: true,
+			})
+		}
+		f.pass()
+		f.round()
+		for i := range 50 {
+			if f.state(fmt.Sprint("urgent-", i)) != wire.TaskState_TASK_STATE_RUNNING {
+				b.Fatal("an urgent task does not run after one poll interval")
+			}
+		}
+		worst = max(worst, f.now.Sub(at))
+	}
+	b.ReportMetric(worst.Seconds(), "sim-s/start")
+}
+
+// BenchmarkCancelWave cancels queued tasks.
+func BenchmarkCancelWave(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				f := newFleet(1, manyTeams(1))
+				f.submitMany(n, "team-00", size(1000, 1))
+				b.StartTimer()
+				for i := range n {
+					f.s.Step(f.now, scheduler.Cancel{
+						ID:   fmt.Sprint("team-00-", i),
+						Team: "team-00",
+					})
+				}
+				f.pass()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/task")
+		})
+	}
+}
+
+// BenchmarkShareDistance reports the largest distance of a team from its share
+// on a full fleet whose tasks end and start all the time.
+func BenchmarkShareDistance(b *testing.B) {
+	worst := 0.0
+	for b.Loop() {
+		f := loaded(50)
+		n := 0
+		f.outcome = func(string, string) wire.TaskState {
+			n++
+			if n%7 == 0 {
+				return wire.TaskState_TASK_STATE_SUCCEEDED
+			}
+			return wire.TaskState_TASK_STATE_UNSPECIFIED
+		}
+		for range 5 {
+			f.round()
+		}
+		worst = distance(f.use(), manyTeams(71))
+	}
+	b.ReportMetric(100*worst, "%-of-share")
+}
+
+// distance returns the largest relative distance of a team below its share of
+// the processors in use.
+func distance(use map[string]int64, teams []team) float64 {
+	var total, weights int64
+	for _, t := range teams {
+		total += use[t.name]
+		weights += t.share
+	}
+	worst := 0.0
+	for _, t := range teams {
+		share := float64(total) * float64(t.share) / float64(weights)
+		worst = max(worst, (share-float64(use[t.name]))/share)
+	}
+	return worst
+}
+
+// BenchmarkMemory reports the memory held for each worker and each task.
+func BenchmarkMemory(b *testing.B) {
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	for b.Loop() {
+		before := heap()
+		f := newFleet(6600, manyTeams(1))
+		withWorkers := heap()
+		f.submitMany(100_000, "team-00", size(1000, 1))
+		f.events = nil
+		withTasks := heap()
+		b.ReportMetric(float64(withWorkers-before)/6600, "B/worker")
+		b.ReportMetric(float64(withTasks-withWorkers)/100_000, "B/task")
+		runtime.KeepAlive(f)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/fleet_test.go
@@ -0,0 +1,217 @@
+package scheduler_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/scheduler"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// TestMain fixes the seed of the property tests.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "7")
+	os.Exit(m.Run())
+}
+
+// fleet drives a scheduler with emulated workers.
+type fleet struct {
+	s        *scheduler.Scheduler
+	now      time.Time
+	workers  []string
+	capacity *wire.Resources
+	sequence uint64
+	epoch    uint64
+	running  map[string][]*wire.RunningTask
+	// outcome returns how a task ends on a worker, or unspecified to go on.
+	outcome func(worker, task string) wire.TaskState
+	events  []scheduler.Action
+}
+
+type team struct {
+	name  string
+	share int64
+	limit int64
+}
+
+const gib = 1 << 30
+
+func hostSize() *wire.Resources { return size(64_000, 128) }
+
+func size(milliCores, memoryGiB int64) *wire.Resources {
+	return &wire.Resources{
+		MilliCores:  milliCores,
+		MemoryBytes: memoryGiB * gib,
+	}
+}
+
+func snapshot(workers int, teams []team) *wire.Snapshot {
+	snap := &wire.Snapshot{
+		Revision:    1,
+		DataCentres: []*wire.DataCentre{{Name: "dc", State: wire.ServiceState_SERVICE_STATE_IN}},
+		Pools:       []*wire.Pool{{Name: "pool", State: wire.ServiceState_SERVICE_STATE_IN}},
+		Queues:      []*wire.Queue{{Name: "jobs", Kind: wire.QueueKind_QUEUE_KIND_TASKS, Pool: "pool"}},
+	}
+	contract := &wire.Contract{
+		Customer: "customer",
+	}
+	for _, t := range teams {
+		limit := &wire.Resources{
+			MilliCores:  t.limit,
+			MemoryBytes: 1 << 50,
+		}
+		contract.Teams = append(contract.Teams, &wire.Team{
+			Name:   t.name,
+			Share:  t.share,
+			Limit:  limit,
+			Queues: []string{"jobs"},
+		})
+		snap.Allotments = append(snap.Allotments, &wire.Allotment{
+			Team:       t.name,
+			DataCentre: "dc",
+			Amount:     limit,
+			Target:     limit,
+		})
+	}
+	snap.Contracts = append(snap.Contracts, contract)
+	for i := range workers {
+		snap.Hosts = append(snap.Hosts, &wire.Host{
+			Name:       workerName(i),
+			DataCentre: "dc",
+			Pool:       "pool",
+			State:      wire.HostState_HOST_STATE_ACTIVE,
+			Capacity:   hostSize(),
+		})
+	}
+	return snap
+}
+
+func workerName(i int) string { return fmt.Sprintf("w-%04d", i) }
+
+func newFleet(workers int, teams []team) *fleet {
+	f := &fleet{
+		now:      time.Unix(1000, 0),
+		capacity: hostSize(),
+		running:  make(map[string][]*wire.RunningTask),
+		outcome:  func(string, string) wire.TaskState { return wire.TaskState_TASK_STATE_UNSPECIFIED },
+		s: scheduler.New(scheduler.Options{
+			DataCentre: "dc",
+			Epoch:      1,
+			State:      controller.FromSnapshot(snapshot(workers, teams)),
+		}),
+	}
+	for i := range workers {
+		f.workers = append(f.workers, workerName(i))
+	}
+	f.step(scheduler.Rebuilt{})
+	f.pollAll()
+	return f
+}
+
+func (f *fleet) step(event scheduler.Event) []scheduler.Action {
+	actions := f.s.Step(f.now, event)
+	f.s.Copied(f.s.TakeChanges(f.now).Through)
+	f.events = append(f.events, actions...)
+	return actions
+}
+
+// pollAll lets every worker poll once and carry out its orders.
+func (f *fleet) pollAll() {
+	f.sequence++
+	for _, name := range f.workers {
+		f.poll(name)
+	}
+	f.epoch = 1
+}
+
+func (f *fleet) poll(name string) *wire.WorkerOrders {
+	p := &wire.WorkerPoll{
+		Worker:      name,
+		DataCentre:  "dc",
+		Capacity:    f.capacity,
+		Epoch:       f.epoch,
+		Incarnation: "1",
+		Sequence:    f.sequence,
+	}
+	for _, r := range f.running[name] {
+		if state := f.outcome(name, r.GetTask()); state != wire.TaskState_TASK_STATE_UNSPECIFIED {
+			p.Ended = append(p.Ended, &wire.EndedTask{
+				Task:  r.GetTask(),
+				State: state,
+				Peak:  r.GetDetail().GetSize(),
+			})
+			continue
+		}
+		p.Running = append(p.Running, r)
+	}
+	f.running[name] = p.Running
+	var orders *wire.WorkerOrders
+	for _, action := range f.step(scheduler.Poll{
+		Poll:   p,
+		Starts: true,
+	}) {
+		if ordered, ok := action.(scheduler.Ordered); ok {
+			orders = ordered.Orders
+		}
+	}
+	for _, t := range orders.GetStart() {
+		f.running[name] = append(f.running[name], &wire.RunningTask{
+			Task:   t.GetId(),
+			Detail: t,
+		})
+	}
+	return orders
+}
+
+func (f *fleet) pass() []scheduler.Action {
+	return f.step(scheduler.Pass{
+		Starts: true,
+	})
+}
+
+// round is one poll interval.
+func (f *fleet) round() {
+	f.now = f.now.Add(scheduler.PollInterval)
+	f.pass()
+	f.pollAll()
+}
+
+func (f *fleet) submit(task *wire.Task) scheduler.Action {
+	task.Queue = "jobs"
+	actions := f.step(scheduler.Submit{
+		Task: task,
+	})
+	return actions[len(actions)-1]
+}
+
+func (f *fleet) submitMany(n int, team string, each *wire.Resources) {
+	for i := range n {
+		f.submit(&wire.Task{
+			Id:         fmt.Sprintf("%s-%d", team, i),
+			Team:       team,
+			Size:       each,
+			Idempotent: true,
+		})
+	}
+}
+
+func (f *fleet) state(id string) wire.TaskState {
+	status, _ := f.s.Status(f.now, id)
+	return status.GetState()
+}
+
+// use returns what each team runs, in thousandths of a core.
+func (f *fleet) use() map[string]int64 {
+	use := make(map[string]int64)
+	for _, tasks := range f.running {
+		for _, r := range tasks {
+			use[r.GetDetail().GetTeam()] += r.GetDetail().GetSize().GetMilliCores()
+		}
+	}
+	return use
+}
