internal/scheduler: benchmarks measure a full fleet

Cause: the steady pass was timed while the fleet still filled, and the distance from shares when teams had run out of tasks. Change: both run on a full fleet with enough tasks.

--- a/internal/scheduler/benchmark_test.go
+++ b/internal/scheduler/benchmark_test.go
@@ -22,13 +22,13 @@
 	return teams
 }
 
-// loaded returns a fleet of 71 teams that together ask for twice what it has.
-func loaded(workers int) *fleet {
+// loaded returns a fleet of 71 teams that each ask for a multiple of their share.
+func loaded(workers, multiple int) *fleet {
 	f := newFleet(workers, manyTeams(71))
 	for i := range 71 {
-		// Each team asks for twice its share; shares are 1 to 4, 2.5 on average.
+		// Shares are 1 to 4 and add up to 177.
 		cores := 1 + i%7
-		tasks := 2 * workers * 64 * (1 + i%4) / 177 / cores
+		tasks := multiple * workers * 64 * (1 + i%4) / 177 / cores
 		f.submitMany(tasks+1, fmt.Sprintf("team-%02d", i), size(int64(1000*cores), 1))
 	}
 	return f
@@ -41,7 +41,7 @@
 			placed := 0
 			for b.Loop() {
 				b.StopTimer()
-				f := loaded(workers)
+				f := loaded(workers, 2)
 				b.StartTimer()
 				placed = len(f.s.Step(f.now, scheduler.Pass{
 					Starts: true,
@@ -57,8 +57,10 @@
 func BenchmarkSteadyPass(b *testing.B) {
 	for _, workers := range []int{50, 700, 6600} {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
-			f := loaded(workers)
-			f.round()
+			f := loaded(workers, 2)
+			for range 16 {
+				f.round()
+			}
 			n := 0
 			for b.Loop() {
 				b.StopTimer()
@@ -80,7 +82,7 @@
 
 // BenchmarkPoll is the answer to one worker that runs 20 tasks.
 func BenchmarkPoll(b *testing.B) {
-	f := loaded(700)
+	f := loaded(700, 2)
 	f.round()
 	f.round()
 	for b.Loop() {
@@ -94,7 +96,7 @@
 func BenchmarkUrgentStart(b *testing.B) {
 	var worst time.Duration
 	for b.Loop() {
-		f := loaded(50)
+		f := loaded(50, 2)
 		f.round()
 		f.round()
 		at := f.now
@@ -145,7 +147,7 @@
 func BenchmarkShareDistance(b *testing.B) {
 	worst := 0.0
 	for b.Loop() {
-		f := loaded(50)
+		f := loaded(50, 6)
 		n := 0
 		f.outcome = func(string, string) wire.TaskState {
 			n++
