internal/scheduler: keep the sorted list of workers

Cause: each pass sorted all workers by name twice. Change: the list is kept until a worker comes or goes.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -39,6 +39,8 @@
 	accounts map[string]*account
 	workers  map[string]*worker
 	kinds    map[estimator.Key]*kind
+	// roster is workers by name, or nil when it has to be sorted again.
+	roster []*worker
 
 	estimates estimator.Table
 	changes   changeLog
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -56,6 +56,7 @@
 		}
 		w.host, _ = s.facts.state.Host(name)
 		s.workers[name] = w
+		s.roster = nil
 	}
 	return w
 }
@@ -129,6 +130,7 @@
 		}
 		if now.Sub(w.leaseUntil) > Retention {
 			delete(s.workers, w.name)
+			s.roster = nil
 		}
 	}
 	return actions
@@ -153,7 +155,12 @@
 	return actions
 }
 
+// sortedWorkers returns the workers by name. The list is kept until a worker
+// comes or goes; callers must not change it.
 func (s *Scheduler) sortedWorkers() []*worker {
+	if s.roster != nil {
+		return s.roster
+	}
 	workers := make([]*worker, 0, len(s.workers))
 	for _, w := range s.workers {
 		workers = append(workers, w)
@@ -164,5 +171,6 @@
 		}
 		return 1
 	})
+	s.roster = workers
 	return workers
 }
