--- a/internal/scheduler/settings.go
+++ b/internal/scheduler/settings.go
@@ -41,6 +41,17 @@
 	// MaxQueued bounds the queued tasks of one team, because each holds memory.
 	MaxQueued = 200_000
 
+	// maxPlacements bounds the tasks placed in one pass, so that it stays under
+	// 100 ms; the next pass goes on. Filling 6,600 empty workers with 129,000
+	// tasks in one pass took 407 ms.
+	maxPlacements = 16_000
+
+	// reserveBelow is the part of its fair share below which a team gets a
+	// worker reserved for a task that fits nowhere, and reserveFraction the
+	// largest part of a pool that is reserved, as a divisor.
+	reserveBelow    = 0.9
+	reserveFraction = 8
+
 	// FailedWorkers is the number of different workers on which a task has to
 	// fail before it is stopped.
 	FailedWorkers = 3
