--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -37,7 +37,7 @@
 		return err
 	}
 	d.http = &http.Server{
-		Handler:           d.meter.Wrap(d.routes()),
+		Handler:           d.meter.Wrap(d.closing(d.routes())),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    int(d.opts.Settings.Limits.Header),
@@ -69,6 +69,18 @@
 	return mux
 }
 
+// closing asks clients to close their connections after each response once the
+// host is unready. A kept connection could be closed by the stop at the moment
+// at which a request is on its way.
+func (d *Daemon) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !d.ready.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // serveReady tells the load balancer whether to send new connections here.
 // Without a lease the host still serves open queues, so it stays ready.
 func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -15,6 +15,9 @@
 	// so that the load balancer's next check sees it.
 	unreadyPause = time.Second
 
+	// lingerPause is how long new work is refused before the listener closes.
+	lingerPause = 500 * time.Millisecond
+
 	// stopTimeout bounds the planned stop. It exceeds the default request
 	// deadline, so that no accepted request is interrupted.
 	stopTimeout = 30 * time.Second
@@ -97,6 +100,9 @@
 	if err := d.ingress.Drain(ctx); err != nil {
 		return errors.Wrap(err, "daemon: drain")
 	}
+	// Requests on connections that were idle since the host became unready are
+	// refused for a while, which is clearer to a client than a reset.
+	pause(ctx, lingerPause)
 	return errors.Wrap(d.http.Shutdown(ctx), "daemon: shutdown")
 }
 
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -73,14 +73,10 @@
 	if c.key, refusal = idempotencyKey(r.Header); refusal != nil {
 		return nil, refusal
 	}
-<<<<<<< HEAD
 	if c.queue, refusal = findQueue(view, now, wire.QueueKind_QUEUE_KIND_REQUESTS, name); refusal != nil {
 		return nil, c.notRun(refusal)
 	}
-	if c.team, refusal = authorise(view, now, key, c.queue, c.keyed()); refusal != nil {
-=======
-	if c.team, refusal = authorise(view, now, &c.credential, queue, c.keyed()); refusal != nil {
->>>>>>> requests
+	if c.team, refusal = authorise(view, now, &c.credential, c.queue, c.keyed()); refusal != nil {
 		return nil, c.notRun(refusal)
 	}
 	left, refusal := deadline(r.Header)
@@ -97,7 +93,7 @@
 
 // findQueue returns a queue of the given kind. Without a lease a queue that is
 // not known may have been defined since, so only a host with a lease denies it.
-func findQueue(view follower.View, now time.Time, kind wire.QueueKind, name string) (*wire.Queue, *Problem) {
+func findQueue(view *follower.View, now time.Time, kind wire.QueueKind, name string) (*wire.Queue, *Problem) {
 	queue, ok := view.State.Queue(name)
 	switch {
 	case ok && queue.GetKind() == kind:
--- a/internal/ingress/tasks.go
+++ b/internal/ingress/tasks.go
@@ -106,18 +106,11 @@
 	if err != nil {
 		return 0, nil, problem(http.StatusBadRequest, "bad-task", "Task is not readable", err.Error())
 	}
-<<<<<<< HEAD
-	view := g.cfg.View()
+	present := g.cfg.View()
+	view := g.saw(&present)
 	queue, refusal := findQueue(view, g.cfg.Clock.Now(), wire.QueueKind_QUEUE_KIND_TASKS, task.GetQueue())
 	if refusal != nil {
 		return 0, nil, refusal
-=======
-	present := g.cfg.View()
-	view := g.saw(&present)
-	queue, ok := view.State.Queue(task.GetQueue())
-	if !ok || queue.GetKind() != wire.QueueKind_QUEUE_KIND_TASKS {
-		return 0, nil, unknownQueue("tasks", task.GetQueue())
->>>>>>> requests
 	}
 	team, refusal := authorise(view, g.cfg.Clock.Now(), &c, queue, true)
 	if refusal != nil {
