--- a/cmd/heathermux/cluster_test.go
+++ b/cmd/heathermux/cluster_test.go
@@ -16,6 +16,11 @@
 
 	"github.com/go-resty/resty/v2"
 
+	// The test runs a program that it builds. Without these imports the results
+	// would be cached while that program changes.
+	_ "github.com/heathermux/heathermux/internal/commander"
+	_ "github.com/heathermux/heathermux/internal/daemon"
+	_ "github.com/heathermux/heathermux/internal/demonstrator"
 	"github.com/heathermux/heathermux/internal/emulator"
 	"github.com/heathermux/heathermux/internal/operator"
 	"github.com/heathermux/heathermux/pkg/timer"
@@ -263,8 +268,8 @@
 	c.t.Fatalf("%s did not happen within %s", what, patience)
 }
 
-// upstreams starts one upstream for each queue.
-func (c *cluster) upstreams() {
+// upstreams starts one upstream for each queue, with the given mean time of a request.
+func (c *cluster) upstreams(service time.Duration) {
 	c.t.Helper()
 	var urls []string
 	for _, h := range c.hosts {
@@ -276,7 +281,7 @@
 			Queue:      queue,
 			DataCentre: "dc-1",
 			Slots:      8,
-			Service:    5 * time.Millisecond,
+			Service:    service,
 			EntryHosts: urls[i:],
 			Ledger:     c.ledger,
 			Clock:      timer.System(),
--- a/cmd/heathermux/process_test.go
+++ b/cmd/heathermux/process_test.go
@@ -14,6 +14,12 @@
 	"github.com/matryer/is"
 )
 
+// quick and slow are mean times of requests.
+const (
+	quick = 5 * time.Millisecond
+	slow  = 1500 * time.Millisecond
+)
+
 // in-force: an acknowledged change must survive the kill of the leader and be
 // known to the killed host after its restart; its resend must change nothing.
 func TestKilledLeader(t *testing.T) {
@@ -45,7 +51,7 @@
 	is := is.New(t)
 	c := newCluster(t)
 	c.ready()
-	c.upstreams()
+	c.upstreams(quick)
 	frozen := c.hosts[hostCount-1]
 	c.eventually("the key is accepted", func() bool { return c.serves(frozen, "redeem") })
 	c.signal(frozen, syscall.SIGSTOP)
@@ -71,7 +77,7 @@
 	is := is.New(t)
 	c := newCluster(t)
 	c.ready()
-	c.upstreams()
+	c.upstreams(quick)
 	last := c.hosts[hostCount-1]
 	c.eventually("both queues are served", func() bool { return c.serves(last, "redeem") && c.serves(last, "balance") })
 	c.setZone(last, "dc-3", "out", "out-before")
@@ -120,7 +126,8 @@
 	is := is.New(t)
 	c := newCluster(t)
 	c.ready()
-	c.upstreams()
+	// Requests outlast the time in which the host is unready and still serves.
+	c.upstreams(slow)
 	stopping := c.hosts[hostCount-1]
 	c.eventually("the key is accepted", func() bool { return c.serves(stopping, "redeem") })
 	var group sync.WaitGroup
