internal/admitter, internal/ingress: admit waiting work when limits rise

Cause: a request that waited for its team's concurrency or for an upstream started only at the end or arrival of another one, although the limit had risen. The check was seen to fail without the release of held teams and without the look at the lanes. Conclusion: a raised limit is used within one follow interval.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -5,6 +5,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -171,9 +173,21 @@
 	return a.lane(queue).estimate()
 }
 
-// Wake admits waiting requests after the capacity of a queue has risen.
-func (a *Admitter) Wake(queue string) {
-	a.lane(queue).wake()
+// Wake admits waiting requests after capacities or allotments have risen. The
+// end of a request does so too; Wake is for when none is under way.
+func (a *Admitter) Wake() {
+	a.mu.RLock()
+	lanes := slices.Collect(maps.Values(a.lanes))
+	teams := slices.Collect(maps.Values(a.teams))
+	a.mu.RUnlock()
+	for _, t := range teams {
+		for _, l := range t.unblock() {
+			l.unhold(t)
+		}
+	}
+	for _, l := range lanes {
+		l.wake()
+	}
 }
 
 func (a *Admitter) lane(name string) *lane {
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -212,6 +212,30 @@
 	is.Equal(b.Demands()[0].GetInFlight(), int64(1))
 }
 
+// A waiting request must start when the allotment or the capacity rises,
+// although no other request ends.
+func TestWake(t *testing.T) {
+	is := is.New(t)
+	b := newBench(2, 1000, 1)
+	permits := make(chan admitter.Permit)
+	for range 3 {
+		go func() {
+			p, _ := b.admit("a", 1, time.Hour)
+			permits <- p
+		}()
+	}
+	<-permits
+	b.waiting(2)
+	b.concurrency = 10
+	b.Wake()
+	<-permits
+	b.waiting(1)
+	b.capacity = 10
+	b.Wake()
+	<-permits
+	is.Equal(b.Demands()[0].GetInFlight(), int64(3))
+}
+
 // A queue without bounds lets one team use up the memory of an entry host.
 func TestQueueIsBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/admitter/lane.go
+++ b/internal/admitter/lane.go
@@ -93,9 +93,6 @@
 	}
 	w.item = item
 	t.queue(1)
-	// The allotment may have risen while nothing of the team was in flight
-	// whose end would show it.
-	l.queue.Unhold(account(t))
 	l.dispatch(capacity)
 	return w, nil
 }
--- a/internal/admitter/team.go
+++ b/internal/admitter/team.go
@@ -94,6 +94,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inFlight--
+	return t.unblockLocked()
+}
+
+// unblock returns the lanes in which the team is held, to be unheld.
+func (t *team) unblock() []*lane {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unblockLocked()
+}
+
+func (t *team) unblockLocked() []*lane {
 	blocked := t.blocked
 	t.blocked = nil
 	return blocked
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -105,8 +105,10 @@
 }
 
 // Demands returns the load of each team since the last call, for the next
-// follow call.
+// follow call. Being called regularly, it also admits requests that wait for
+// an allotment or an upstream that has come since.
 func (g *Ingress) Demands() []*wire.TeamDemand {
+	g.admitter.Wake()
 	return g.admitter.Demands()
 }
 
