internal/forwarder, internal/ingress: answers without a body or a valid status

Cause: an answer to HEAD without a length was taken for one that is not delimited, and a status of less than three digits, from an upstream or from the registry, would have made net/http panic while writing it. Change: HEAD needs no length; a status below 200 counts as interrupted, and a stored answer without one as no longer held. Conclusion: three faults less; no upstream can make a handler panic by its status.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -24,18 +24,12 @@
 // readWhole returns the answer only when every byte of it has arrived.
 func readWhole(resp *http.Response, id string, maxBody int64) (*Answer, error) {
 	defer resp.Body.Close()
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		return nil, errors.New("forwarder: upstream switched protocols without being asked")
+	if !ValidStatus(resp.StatusCode) {
+		return nil, errors.Errorf("forwarder: upstream answered with status %d", resp.StatusCode)
 	}
 	if got := resp.Header[AttemptHeader]; len(got) > 0 && got[0] != id {
 		return nil, ErrCrossed
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed {
-		return nil, ErrNotDelimited
-	}
-	if resp.ContentLength > maxBody && resp.Request.Method != http.MethodHead {
-		return nil, ErrTooLarge
-	}
 	body, err := readBody(resp, maxBody)
 	if err != nil {
 		return nil, err
@@ -49,11 +43,20 @@
 	}, nil
 }
 
+// ValidStatus reports whether a status may end a request. Statuses below 200
+// are not final, and net/http panics on writing one that has not three digits.
+func ValidStatus(status int) bool { return status >= 200 && status <= 999 }
+
 func readBody(resp *http.Response, maxBody int64) ([]byte, error) {
-	if resp.Request.Method == http.MethodHead {
+	n := resp.ContentLength
+	switch {
+	case resp.Request.Method == http.MethodHead:
 		return nil, nil
-	}
-	if n := resp.ContentLength; n >= 0 {
+	case n < 0 && len(resp.TransferEncoding) == 0:
+		return nil, ErrNotDelimited
+	case n > maxBody:
+		return nil, ErrTooLarge
+	case n >= 0:
 		body := make([]byte, n)
 		_, err := io.ReadFull(resp.Body, body)
 		return body, errors.Wrap(err, "forwarder: answer was cut")
--- a/internal/ingress/faults_test.go
+++ b/internal/ingress/faults_test.go
@@ -237,6 +237,8 @@
 		wire.BeginOutcome_BEGIN_OUTCOME_IN_PROGRESS: "409 unknown",
 		wire.BeginOutcome_BEGIN_OUTCOME_FORGOTTEN:   "409 run",
 		wire.BeginOutcome_BEGIN_OUTCOME_UNKNOWN:     "409 unknown",
+		// Finished, but without the answer.
+		wire.BeginOutcome_BEGIN_OUTCOME_FINISHED: "409 run",
 	}
 	for outcome, want := range tests {
 		t.Run(outcome.String(), func(t *testing.T) {
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -61,7 +61,11 @@
 // run in any case.
 func replay(b *wire.BeginResponse) (*forwarder.Answer, *Problem) {
 	retry := time.Duration(max(b.GetRetryAfterNanos(), int64(time.Second)))
-	switch b.GetOutcome() {
+	outcome := b.GetOutcome()
+	if outcome == wire.BeginOutcome_BEGIN_OUTCOME_FINISHED && !forwarder.ValidStatus(int(b.GetAnswer().GetStatus())) {
+		outcome = wire.BeginOutcome_BEGIN_OUTCOME_FORGOTTEN
+	}
+	switch outcome {
 	case wire.BeginOutcome_BEGIN_OUTCOME_FINISHED:
 		return replayedAnswer(b.GetAnswer()), nil
 	case wire.BeginOutcome_BEGIN_OUTCOME_IN_PROGRESS:
