internal/voter: tests of callers that give up and of the history

Cause: a run with coverage showed that no test reached a caller that gives up, the trimming of the history, and the machine's file system. Change: TestGiveUp with a sync that hangs, in place of the weaker check of a cancelled context; TestHistory with real files.

--- a/internal/voter/replica/bench_test.go
+++ b/internal/voter/replica/bench_test.go
@@ -16,12 +16,12 @@
 
 // alone is a group of one voter with real files, on a clock of its own.
 type alone struct {
-	b   *testing.B
+	b   testing.TB
 	now time.Time
 	*replica.Replica
 }
 
-func openAlone(b *testing.B, dir string, snapshotEvery uint64) *alone {
+func openAlone(b testing.TB, dir string, snapshotEvery uint64) *alone {
 	a := &alone{
 		b:   b,
 		now: time.Unix(1000, 0),
--- a/internal/voter/replica/group_test.go
+++ b/internal/voter/replica/group_test.go
@@ -242,6 +242,25 @@
 	is.True(resp.GetLeaseNanos() > 0 && resp.GetLeaseNanos() <= int64(follower.LeaseLength))
 }
 
+// TestHistory guards against a gap in the commands that a follower gets, and
+// against memory that grows with the number of changes.
+func TestHistory(t *testing.T) {
+	is := is.New(t)
+	a := openAlone(t, t.TempDir(), 1000)
+	a.fill(0, 4500)
+	for revision, whole := range map[uint64]bool{0: true, 1999: true, 2000: false, 4499: false, 4500: false} {
+		resp := a.Follow(a.now, &wire.FollowRequest{
+			Revision: revision,
+		})
+		is.Equal(resp.GetSnapshot() != nil, whole)
+		for i, c := range resp.GetCommands() {
+			is.Equal(c.GetRevision(), revision+uint64(i)+1)
+		}
+		is.True(whole || revision+uint64(len(resp.GetCommands())) == 4500)
+	}
+	is.NoErr(a.Close())
+}
+
 // FuzzStep guards against a panic on messages that no replica sends.
 func FuzzStep(f *testing.F) {
 	for kind := range replication.MessageKind_name {
--- a/internal/voter/voter_test.go
+++ b/internal/voter/voter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,6 +25,10 @@
 type group struct {
 	voters map[string]*atomic.Pointer[voter.Voter]
 	cut    atomic.Value
+	files  map[string]*faultfs.FS
+	// paused stops the clock; sent counts messages.
+	paused atomic.Bool
+	sent   atomic.Int64
 }
 
 var names = []string{"h-0", "h-1", "h-2"}
@@ -34,6 +39,7 @@
 }
 
 func (l link) Send(to string, env *wire.Envelope) {
+	l.g.sent.Add(1)
 	cut := l.g.cut.Load()
 	if v := l.g.voters[to].Load(); v != nil && cut != to && cut != l.from {
 		v.Step(env)
@@ -100,6 +106,12 @@
 // start runs a group in memory on a fake clock that a goroutine advances.
 func start(t *testing.T) *group {
 	clock := timer.NewFake(time.Unix(1000, 0))
+	files := make(map[string]*faultfs.FS)
+	g := newGroup(t, clock, func(name string) (persister.FS, string) {
+		files[name] = faultfs.New()
+		return files[name], "data"
+	})
+	g.files = files
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
@@ -108,12 +120,13 @@
 			case <-stop:
 				return
 			default:
-				clock.Advance(5 * time.Millisecond)
+				if !g.paused.Load() {
+					clock.Advance(5 * time.Millisecond)
+				}
 				time.Sleep(100 * time.Microsecond)
 			}
 		}
 	}()
-	g := newGroup(t, clock, func(string) (persister.FS, string) { return faultfs.New(), "data" })
 	t.Cleanup(func() {
 		g.close()
 		close(stop)
@@ -148,6 +161,9 @@
 	is.NoErr(err)
 	is.Equal(len(resp.GetCommands()), 1)
 	is.True(resp.GetLeaseNanos() > 0)
+	for len(v.Followers()) != 1 {
+		time.Sleep(time.Millisecond)
+	}
 	is.NoErr(v.Close())
 	_, err = v.Propose(ctx, change("op-3"))
 	is.True(errors.Is(err, voter.ErrClosed))
@@ -173,10 +189,56 @@
 	for v.State().Revision() < r.GetRevision() {
 		time.Sleep(time.Millisecond)
 	}
-	cancelled, cancel := context.WithCancel(ctx)
-	cancel()
-	_, err = v.Propose(cancelled, change("op-2"))
-	is.True(err != nil)
+}
+
+// TestGiveUp guards against a wrong conclusion of a caller that gives up: a
+// command that was appended may still take effect, one that was not never does.
+func TestGiveUp(t *testing.T) {
+	is := is.New(t)
+	g := start(t)
+	leader, v := g.leader("")
+	g.paused.Store(true)
+	g.cut.Store(leader)
+	propose := func(op string, before func()) error {
+		ctx, cancel := context.WithCancel(context.Background())
+		failed := make(chan error, 1)
+		go func() {
+			_, err := v.Propose(ctx, change(op))
+			failed <- err
+		}()
+		before()
+		cancel()
+		return <-failed
+	}
+	// The first message after the clock stands still carries the command.
+	time.Sleep(10 * time.Millisecond)
+	n := g.sent.Load()
+	err := propose("appended", func() {
+		for g.sent.Load() == n {
+			time.Sleep(time.Millisecond)
+		}
+	})
+	is.True(errors.Is(err, voter.ErrOutcomeUnknown))
+	// While a sync hangs, the next command waits to be appended.
+	hangs, release := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	g.files[leader].SetHook(func(op faultfs.Op, _ string) error {
+		if op == faultfs.Sync {
+			once.Do(func() { close(hangs); <-release })
+		}
+		return nil
+	})
+	go func() { _, _ = v.Propose(context.Background(), change("hangs")) }()
+	<-hangs
+	is.True(errors.Is(propose("waits", func() {}), context.Canceled))
+	close(release)
+	g.cut.Store("")
+	g.paused.Store(false)
+	_, v = g.leader("")
+	_, err = v.Propose(context.Background(), change("last"))
+	is.NoErr(err)
+	_, ok := v.State().DataCentre("waits")
+	is.True(!ok)
 }
 
 // BenchmarkPropose measures changes through three voters in one process with
