internal/measurer, cmd/heathermux-measure: cost of each role at growing sizes

Cause: the bounds of the target size (2.7% of a core, 32 MB and 2 KB/s for control on a node) were never compared with what the code costs.

Processor time is that of the process; memory is live heap.

--- /dev/null
+++ b/internal/measurer/directory.go
@@ -0,0 +1,154 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/registrar"
+	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+const (
+	roleDirectory = "directory"
+
+	pullMethod = "Directory.Pull"
+
+	// upstreamChanges is the number of upstream changes a second that all
+	// entry hosts hear of: each of the 800 failures and restarts of a day ends
+	// one announcement and begins another.
+	upstreamChanges = 2 * float64(110+690) / secondsPerDay
+)
+
+// pullRate is the number of pulls a second from one origin.
+var pullRate = 1 / registrar.PullInterval.Seconds()
+
+func directoryProbes() []probe {
+	return []probe{
+		{
+			role:  roleDirectory,
+			name:  "pulls by an entry host from all others, without changes",
+			axis:  "other entry hosts",
+			sizes: []int{2, 5, 10, 21},
+			metrics: []metric{
+				{
+					name:   "bytes of one round",
+					unit:   traffic,
+					target: targetEntryHosts - 1,
+					rate:   pullRate,
+					bound:  boundTraffic,
+				},
+				{
+					name:   "processor time of one round, both sides, without the connections",
+					value:  1,
+					unit:   cpuTime,
+					target: targetEntryHosts - 1,
+					rate:   pullRate,
+					bound:  boundCore,
+				},
+			},
+			measure: measurePulls,
+		},
+		{
+			role:  roleDirectory,
+			name:  "one pull",
+			axis:  "changes",
+			sizes: []int{0, 10, 100, 1000},
+			metrics: []metric{
+				{
+					name:   "bytes, for each change of an upstream",
+					unit:   traffic,
+					target: 1,
+					rate:   upstreamChanges,
+					bound:  boundTraffic,
+				},
+			},
+			measure: func(_ context.Context, n int) ([]float64, error) {
+				request, answer := pullOf(n)
+				return []float64{callBytes(pullMethod, request, answer)}, nil
+			},
+		},
+		{
+			role:  roleDirectory,
+			name:  "records on one entry host",
+			axis:  "upstreams",
+			sizes: []int{100, 420, 1600},
+			metrics: []metric{
+				{
+					name:   "memory",
+					unit:   memory,
+					target: targetUpstreams,
+					bound:  boundMemory,
+				},
+			},
+			measure: func(_ context.Context, n int) ([]float64, error) {
+				return []float64{held(func() *registrar.Registrar {
+					r := newDirectory(0)
+					_, answer := pullOf(n)
+					r.Pulled(start, recode(answer))
+					return r
+				})}, nil
+			},
+		},
+	}
+}
+
+func newDirectory(host int) *registrar.Registrar {
+	return registrar.New(registrar.Options{
+		Self:  targetShape().member(host),
+		Clock: timer.NewFake(start),
+	})
+}
+
+func announce(r *registrar.Registrar, n int) {
+	for i := range n {
+		// The stand-ins never leave, so no announcement is refused.
+		_ = r.Announce(&wire.Upstream{
+			Id:          fmt.Sprintf("upstream-%04d", i),
+			Incarnation: incarnation("upstream"),
+			Queue:       queueName(i % targetPools),
+			Address:     "10.20.30.40:8000",
+			DataCentre:  dataCentreName(0),
+			Rack:        "rack-000",
+			Slots:       8,
+			Connections: 64,
+		})
+	}
+}
+
+// pullOf returns a pull that finds the given number of changes.
+func pullOf(changes int) (*wire.PullRequest, *wire.PullResponse) {
+	origin, reader := newDirectory(1), newDirectory(0)
+	name := targetShape().member(1).GetName()
+	announce(origin, 1)
+	reader.Pulled(start, recode(origin.ServePull(reader.PullRequest(name))))
+	announce(origin, changes+1)
+	request := reader.PullRequest(name)
+	return request, origin.ServePull(request)
+}
+
+func measurePulls(_ context.Context, n int) ([]float64, error) {
+	reader := newDirectory(0)
+	origins := make(map[string]*registrar.Registrar)
+	for i := 1; i <= n; i++ {
+		name := targetShape().member(i).GetName()
+		origins[name] = newDirectory(i)
+		announce(origins[name], targetUpstreams/targetEntryHosts)
+	}
+	now := start
+	bytes := 0.0
+	round := func() {
+		now = now.Add(time.Millisecond)
+		bytes = 0
+		for name, origin := range origins {
+			request := reader.PullRequest(name)
+			answer := origin.ServePull(recode(request))
+			reader.Pulled(now, recode(answer))
+			bytes += callBytes(pullMethod, request, answer)
+		}
+	}
+	round()
+	cost := perCall(round)
+	return []float64{bytes, cost}, nil
+}
--- /dev/null
+++ b/internal/measurer/operators.go
@@ -0,0 +1,130 @@
+package measurer
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/follower"
+	"github.com/heathermux/heathermux/internal/operator"
+	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+const (
+	roleOperators = "operators' side"
+
+	operatorKey = "operator"
+)
+
+func operatorProbes() []probe {
+	return []probe{
+		{
+			role:  roleOperators,
+			name:  "GET /v1/status, twice a second",
+			axis:  "hosts",
+			sizes: []int{700, 2200, 6600},
+			metrics: []metric{
+				{
+					name:   "processor time",
+					unit:   cpuTime,
+					target: targetHosts,
+					rate:   statusCalls,
+					bound:  boundCore,
+				},
+				{
+					name:   "bytes of bodies",
+					value:  1,
+					unit:   traffic,
+					target: targetHosts,
+					rate:   statusCalls,
+				},
+			},
+			measure: func(_ context.Context, n int) ([]float64, error) { return measurePage("/v1/status", n) },
+		},
+		{
+			role:  roleOperators,
+			name:  "GET /v1/hosts, one call",
+			axis:  "hosts",
+			sizes: []int{700, 2200, 6600},
+			metrics: []metric{
+				{
+					name:   "processor time",
+					unit:   duration,
+					target: targetHosts,
+				},
+				{
+					name:   "bytes of bodies",
+					value:  1,
+					unit:   memory,
+					target: targetHosts,
+				},
+			},
+			measure: func(_ context.Context, n int) ([]float64, error) { return measurePage("/v1/hosts", n) },
+		},
+	}
+}
+
+// desk is an entry host with a state and a live lease that takes no changes.
+type desk struct {
+	state controller.State
+}
+
+// View returns the state with a lease that outlasts the measurement.
+func (d desk) View() follower.View {
+	return follower.View{
+		State:      d.state,
+		LeaseUntil: start.Add(time.Second),
+	}
+}
+
+// Propose refuses every change.
+func (desk) Propose(context.Context, *wire.Command) (*wire.Result, error) {
+	return nil, operator.ErrNoLeader
+}
+
+// Status returns the part of the page that one entry host adds.
+func (desk) Status(context.Context) operator.Local {
+	return operator.Local{
+		EntryHost: "entry-00",
+		Leader:    "entry-01",
+	}
+}
+
+func measurePage(path string, n int) ([]float64, error) {
+	s := targetShape()
+	s.hosts = n
+	hash := sha256.Sum256([]byte(operatorKey))
+	d := desk{
+		state: s.state().WithKey(&wire.KeyRecord{
+			Id:   operatorKey,
+			Hash: hash[:],
+			Role: wire.Role_ROLE_OPERATOR,
+		}),
+	}
+	handler := operator.New(operator.Config{
+		Control: d,
+		Status:  d,
+		Clock:   timer.NewFake(start),
+	})
+	serve := func() *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest(http.MethodGet, path, nil)
+		r.Header.Set("Authorization", "Bearer "+operatorKey)
+		handler.ServeHTTP(w, r)
+		return w
+	}
+	w := serve()
+	if w.Code != http.StatusOK {
+		return nil, errors.Errorf("%s answered %d: %s", path, w.Code, w.Body)
+	}
+	return []float64{
+		perCall(func() { serve() }),
+		float64(w.Body.Len()),
+	}, nil
+}
--- /dev/null
+++ b/internal/measurer/registry.go
@@ -0,0 +1,100 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/pkg/deduplicator"
+)
+
+const (
+	roleRegistry = "registry"
+
+	// answerBytes is the size of a stored answer to a small request.
+	answerBytes = 512
+)
+
+func registryProbes() []probe {
+	return []probe{
+		{
+			role:  roleRegistry,
+			name:  "entries with answers of 512 B",
+			axis:  "entries",
+			sizes: []int{1000, 10_000, 30_000, 60_000},
+			metrics: []metric{
+				{
+					name:   "memory",
+					unit:   memory,
+					target: keysKept,
+					bound:  boundMemory,
+				},
+				{
+					name:   "processor time of begin and finish, for each key",
+					value:  1,
+					unit:   duration,
+					target: keysKept,
+				},
+			},
+			measure: measureRegistry,
+		},
+	}
+}
+
+func newTable() *deduplicator.Table {
+	self := deduplicator.Host{
+		Name:        "entry-00",
+		Incarnation: incarnation("entry-00"),
+		DataCentre:  dataCentreName(0),
+	}
+	t := deduplicator.New(deduplicator.Options{
+		Self: self,
+	})
+	view := deduplicator.NewSlotMap(1, []deduplicator.Host{
+		self,
+	})
+	t.SetView(view, nil)
+	for _, slot := range t.Pending() {
+		t.Install(start, view.Epoch(), slot, deduplicator.Content{}, false)
+		t.Open(view.Epoch(), slot)
+	}
+	return t
+}
+
+func store(t *deduplicator.Table, number int) error {
+	key := fmt.Sprintf("%s/%036d", teamName(number%targetTeams), number)
+	d := t.Begin(start, 1, deduplicator.Request{
+		Key:         key,
+		Fingerprint: fmt.Sprintf("%32d", number),
+		Attempt:     incarnation(key),
+	})
+	if d.Outcome != deduplicator.Granted {
+		return errors.Errorf("begin: outcome %d, %s", d.Outcome, d.Reason)
+	}
+	d.Entry.State = deduplicator.Finished
+	d.Entry.Answer = make([]byte, answerBytes)
+	_, reason := t.Finish(start, d.Entry)
+	if reason != "" {
+		return errors.Errorf("finish: %s", reason)
+	}
+	return nil
+}
+
+func measureRegistry(_ context.Context, n int) ([]float64, error) {
+	var failed error
+	fill := func(t *deduplicator.Table) {
+		for i := range n {
+			if err := store(t, i); err != nil && failed == nil {
+				failed = err
+			}
+		}
+	}
+	size := held(func() *deduplicator.Table {
+		t := newTable()
+		fill(t)
+		return t
+	})
+	total := perFreshCall(newTable, fill)
+	return []float64{size, total / float64(n)}, failed
+}
