internal/controller: keep the shards of a table behind a pointer

Cause: a state holds sixteen tables of 64 maps by value and is passed by value, so each look-up copied it whole; every request makes several. Change: the array of shards is behind a pointer and copied on a change only.

--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -16,8 +16,10 @@
 // changed copy that shares all untouched shards. The zero value is an empty
 // table. A Table may be read from any number of goroutines.
 type Table[V any] struct {
-	// Invariant: a map is never changed once it is reachable from a Table.
-	shards [tableShards]map[string]V
+	// Invariant: neither the array nor a map is changed once it is reachable
+	// from a Table. The array is behind a pointer, because a State holds many
+	// tables and is passed by value. Nil stands for an empty table.
+	shards *[tableShards]map[string]V
 	// Invariant: the total number of entries over all shards.
 	size int
 }
@@ -28,6 +30,10 @@
 
 // Get returns the value under name and whether there is one.
 func (t Table[V]) Get(name string) (V, bool) {
+	if t.shards == nil {
+		var none V
+		return none, false
+	}
 	v, ok := t.shards[shardOf(name)][name]
 	return v, ok
 }
@@ -40,34 +46,48 @@
 // With returns a copy of the table that holds v under name.
 func (t Table[V]) With(name string, v V) Table[V] {
 	i := shardOf(name)
-	shard := maps.Clone(t.shards[i])
-	if shard == nil {
-		shard = make(map[string]V, 1)
+	shards := t.copyShards()
+	shards[i] = maps.Clone(shards[i])
+	if shards[i] == nil {
+		shards[i] = make(map[string]V, 1)
 	}
-	if _, ok := shard[name]; !ok {
+	if _, ok := shards[i][name]; !ok {
 		t.size++
 	}
-	shard[name] = v
-	t.shards[i] = shard
+	shards[i][name] = v
+	t.shards = shards
 	return t
 }
 
 // Without returns a copy of the table that holds nothing under name.
 func (t Table[V]) Without(name string) Table[V] {
-	i := shardOf(name)
-	if _, ok := t.shards[i][name]; !ok {
+	if _, ok := t.Get(name); !ok {
 		return t
 	}
-	shard := maps.Clone(t.shards[i])
-	delete(shard, name)
-	t.shards[i] = shard
+	i := shardOf(name)
+	shards := t.copyShards()
+	shards[i] = maps.Clone(shards[i])
+	delete(shards[i], name)
+	t.shards = shards
 	t.size--
 	return t
 }
 
+// copyShards returns a new array with the same maps.
+func (t Table[V]) copyShards() *[tableShards]map[string]V {
+	var shards [tableShards]map[string]V
+	if t.shards != nil {
+		shards = *t.shards
+	}
+	return &shards
+}
+
 // All yields every entry in no particular order.
 func (t Table[V]) All() iter.Seq2[string, V] {
 	return func(yield func(string, V) bool) {
+		if t.shards == nil {
+			return
+		}
 		for _, shard := range t.shards {
 			for name, v := range shard {
 				if !yield(name, v) {
