--- a/internal/planner/demand.go
+++ b/internal/planner/demand.go
@@ -38,8 +38,8 @@
 	return Policy{
 		Headroom: 0.05,
 		React:    45 * time.Second,
-		Quiet:    5 * time.Minute,
-		Surplus:  2,
+		Quiet:    10 * time.Minute,
+		Surplus:  3,
 	}
 }
 
