--- a/internal/certifier/certifier.go
+++ b/internal/certifier/certifier.go
@@ -114,11 +114,11 @@
 // certificate of that authority.
 func (c *Certifier) Server() *tls.Config {
 	return &tls.Config{
-		MinVersion: tls.VersionTLS12,
+		MinVersion: tls.VersionTLS13,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			id := c.current()
 			cfg := &tls.Config{
-				MinVersion:   tls.VersionTLS12,
+				MinVersion:   tls.VersionTLS13,
 				Certificates: []tls.Certificate{*id.certificate},
 				NextProtos:   []string{"http/1.1"},
 			}
@@ -137,7 +137,7 @@
 func (c *Certifier) Client() *tls.Config {
 	id := c.current()
 	return &tls.Config{
-		MinVersion:   tls.VersionTLS12,
+		MinVersion:   tls.VersionTLS13,
 		Certificates: []tls.Certificate{*id.certificate},
 		RootCAs:      id.authorities,
 	}
