internal/daemon, internal/follower, internal/supervisor: leave the view at a planned stop

Cause: a host that stopped as planned was noticed only after 3 s of silence; until then its idempotency keys and its scheduler were out of reach. Change: once drained the host tells the leader that it leaves, waits until the view no longer has it, and answers other hosts for two more seconds.

--- a/cmd/heathermux/process_test.go
+++ b/cmd/heathermux/process_test.go
@@ -158,4 +158,8 @@
 	is.NoErr(c.stop(limit, stopping))
 	group.Wait()
 	is.Equal(interrupted, nil)
+	// The host has left the view before it ended.
+	status, ok := c.status(c.hosts[0])
+	is.True(ok)
+	is.Equal(len(status.EntryHosts), hostCount-1)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -18,13 +18,21 @@
 	// lingerPause is how long new work is refused before the listener closes.
 	lingerPause = 500 * time.Millisecond
 
+	// leaveTimeout bounds the wait for the view without this host. A leader
+	// takes it out within one follow call and one supervisor round.
+	leaveTimeout = 5 * time.Second
+
+	// handoverPause is how long the host answers other entry hosts after it has
+	// left the view. New holders fetch every 200 ms.
+	handoverPause = 2 * time.Second
+
 	// stopTimeout bounds the planned stop. It exceeds the default request
 	// deadline, so that no accepted request is interrupted.
 	stopTimeout = 30 * time.Second
 )
 
 // Run serves until ctx ends and then stops in order: unready, drained,
-// connections closed, control state left last.
+// connections closed, view of entry hosts left last.
 func (d *Daemon) Run(ctx context.Context) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -103,7 +111,27 @@
 	// Requests on connections that were idle since the host became unready are
 	// refused for a while, which is clearer to a client than a reset.
 	pause(ctx, lingerPause)
-	return errors.Wrap(d.http.Shutdown(ctx), "daemon: shutdown")
+	if err := d.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "daemon: shutdown")
+	}
+	d.leave(ctx)
+	return nil
+}
+
+// leave takes this host out of the view and stays for handoverPause, so that
+// the new holders of its idempotency keys and tasks can fetch them. Without a
+// leader the host goes without a word, like one that is lost.
+func (d *Daemon) leave(ctx context.Context) {
+	if len(d.follower.View().State.View().GetMembers()) < 2 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := d.follower.Leave(ctx); err != nil {
+		d.opts.Logger.Warn("daemon: stopping without having left the view", "error", err)
+		return
+	}
+	pause(ctx, handoverPause)
 }
 
 // closeServers ends what still serves, so that the goroutines of Run return.
--- a/internal/follower/follower.go
+++ b/internal/follower/follower.go
@@ -3,10 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/wire"
 	"github.com/heathermux/heathermux/pkg/timer"
@@ -62,6 +66,8 @@
 	allotments map[string]*wire.RequestAllotment
 	// next is the index in Voters of the voter to call next.
 	next int
+	// leaving is sent with each call once the host stops as planned.
+	leaving bool
 	// refetch asks for the whole state with the next call.
 	refetch bool
 	// held is the lease state last written to the log.
@@ -122,7 +128,7 @@
 
 func (f *Follower) request() *wire.FollowRequest {
 	request := &wire.FollowRequest{
-		Member:   f.opts.Self,
+		Member:   f.self(),
 		Revision: f.View().State.Revision(),
 	}
 	if f.refetching() {
@@ -137,6 +143,42 @@
 	return request
 }
 
+// self returns this host as the next call describes it.
+func (f *Follower) self() *wire.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.leaving {
+		return f.opts.Self
+	}
+	m := proto.CloneOf(f.opts.Self)
+	m.Leaving = true
+	return m
+}
+
+// Leave tells the leader that this host stops as planned, and waits until the
+// view no longer has it or ctx ends. Run has to go on meanwhile.
+func (f *Follower) Leave(ctx context.Context) error {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
+	for f.isMember() {
+		t := f.opts.Clock.NewTimer(retryPause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return errors.Wrap(ctx.Err(), "follower: leave")
+		case <-t.C():
+		}
+	}
+	return nil
+}
+
+func (f *Follower) isMember() bool {
+	return slices.ContainsFunc(f.View().State.View().GetMembers(), func(m *wire.Member) bool {
+		return m.GetName() == f.opts.Self.GetName() && m.GetIncarnation() == f.opts.Self.GetIncarnation()
+	})
+}
+
 func (f *Follower) refetching() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/supervisor/membership.go
+++ b/internal/supervisor/membership.go
@@ -54,7 +54,8 @@
 	return next
 }
 
-// lost reports whether an entry host is silent and its authority lease is over.
+// lost reports whether an entry host has left, or is silent and its authority
+// lease is over. A host that leaves has drained and acts no more.
 func lost(now time.Time, f voter.FollowerStatus) bool {
-	return now.Sub(f.LastContact) > LossLimit && now.After(f.LeaseEnd)
+	return f.Member.GetLeaving() || now.Sub(f.LastContact) > LossLimit && now.After(f.LeaseEnd)
 }
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -206,6 +206,19 @@
 	is.Equal(s.state.View().GetMembers()[1].GetIncarnation(), "b-2")
 }
 
+// A host that stops as planned must leave the view at once, so that its keys
+// and tasks are handed over while it still answers.
+func TestLeavingEntryHost(t *testing.T) {
+	is := is.New(t)
+	s := newScene()
+	s.hear("a", "lima", "a-1", nil)
+	s.followers["a"].Member.Leaving = true
+	s.supervisor.Round(context.Background())
+	is.Equal(s.members(), []string{"b", "c"})
+	name, _ := s.scheduler("lima")
+	is.Equal(name, "b")
+}
+
 // A new leader has heard nobody yet and must not empty the view.
 func TestNewLeaderKeepsView(t *testing.T) {
 	is := is.New(t)
