--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -111,25 +111,3 @@
 	}
 	return local
 }
-
-// openMetrics adds the gauges of the parts.
-func (d *Daemon) openMetrics() {
-	d.meter.Gauge("control_revision", "Revision of the control state on this host.", func() float64 {
-		return float64(d.follower.View().State.Revision())
-	})
-	d.meter.Gauge("authority_lease_seconds", "Rest of the authority lease; 0 or less without one.", func() float64 {
-		return d.follower.View().LeaseUntil.Sub(d.clock.Now()).Seconds()
-	})
-	d.meter.Gauge("leader", "1 on the host that leads the control state.", func() float64 {
-		if d.voter == nil {
-			return 0
-		}
-		if _, self := d.voter.Leader(); self {
-			return 1
-		}
-		return 0
-	})
-	d.meter.Gauge("directory_generation", "Changes of the directory of upstreams.", func() float64 {
-		return float64(d.directory.Generation())
-	})
-}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -123,6 +122,3 @@
 
 // Unwrap gives http.ResponseController access to the real writer.
 func (r *statusRecorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
-
-// Seconds converts a duration for a gauge.
-func Seconds(d time.Duration) float64 { return d.Seconds() }
