internal/ingress: keyed refusals before the key check say "unknown"

Cause: a request with an Idempotency-Key that was refused for its queue or its Authorization said that the operation was not run, although an earlier attempt with the key may have run, for example before the queue was removed. Change: every refusal from before the registry's word says "unknown" when the header has a key, also when that key is unusable; the table expected "not-run" there, which was weaker. Figures: go test -race ./internal/ingress passes; the two new cases were seen to fail without the change.

--- a/internal/ingress/admission.go
+++ b/internal/ingress/admission.go
@@ -46,10 +46,6 @@
 const statusClientClosed = 499
 
 func (g *Ingress) stopping(r *http.Request) *Problem {
-	p := problem(http.StatusServiceUnavailable, "stopping", "Entry host is stopping",
-		"this entry host takes no new work; another one does").after(leaseRetry)
-	if r.Header.Get("Idempotency-Key") != "" {
-		return p.ran(Unknown, NotRun)
-	}
-	return p
+	return problem(http.StatusServiceUnavailable, "stopping", "Entry host is stopping",
+		"this entry host takes no new work; another one does").after(leaseRetry).seenKey(r.Header)
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -78,14 +78,14 @@
 		return nil, refusal
 	}
 	if c.team, refusal = authorise(view, now, &c.credential, queue, c.keyed()); refusal != nil {
-		return nil, c.notRun(refusal)
+		return nil, refusal
 	}
 	left, refusal := deadline(r.Header)
 	if refusal != nil {
-		return nil, c.notRun(refusal)
+		return nil, refusal
 	}
 	if headerSize(r.Header) > MaxHeader {
-		return nil, c.notRun(headerTooLarge())
+		return nil, headerTooLarge()
 	}
 	c.deadline = now.Add(left)
 	c.id = g.nextID()
--- a/internal/ingress/problem.go
+++ b/internal/ingress/problem.go
@@ -60,6 +60,16 @@
 	return p
 }
 
+// seenKey returns a refusal from before the registry was asked. With an
+// idempotency key an earlier attempt may have run, so only this attempt is
+// known not to have.
+func (p *Problem) seenKey(h http.Header) *Problem {
+	if _, keyed := h["Idempotency-Key"]; keyed && p.Run == NotRun {
+		p.Run = Unknown
+	}
+	return p
+}
+
 func (p *Problem) write(w http.ResponseWriter) {
 	body, err := json.Marshal(p)
 	if err != nil {
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -39,7 +39,7 @@
 	now := g.cfg.Clock.Now()
 	c, refusal := g.newCall(r, now)
 	if refusal != nil {
-		return nil, refusal
+		return nil, refusal.seenKey(r.Header)
 	}
 	trace.SpanFromContext(ctx).SetAttributes(attribute.String("queue", c.queue.GetName()))
 	size := bodyReserve(r)
--- a/internal/ingress/scope_test.go
+++ b/internal/ingress/scope_test.go
@@ -29,10 +29,12 @@
 		{"/q/tasks/a", bearer("feeds"), ""}:          "404 unknown-queue not-run",
 		{"/q/open/a", "", ""}:                        ok,
 		{"/q/open/a", bearer("none"), ""}:            ok,
-		{"/q/open/a", "", "two words"}:               "400 bad-idempotency-key not-run",
+		{"/q/open/a", "", "two words"}:               "400 bad-idempotency-key unknown",
 		{"/q/open/../switch/a", "", ""}:              ok,
 		{"/q/open%2F..%2Fswitch/a", "", ""}:          "404 unknown-queue not-run",
 		{"/q/switch/a", bearer("none"), "k"}:         "401 key-unknown unknown",
+		{"/q/none/a", bearer("feeds"), "k"}:          "404 unknown-queue unknown",
+		{"/q/switch/a", "Basic secret-feeds", "k"}:   "401 bad-authorization unknown",
 		{"/q/notice/../switch", bearer("feeds"), ""}: "403 queue-not-in-scope not-run",
 	}
 	withoutLease := map[[3]string]string{
--- a/internal/ingress/tasks.go
+++ b/internal/ingress/tasks.go
@@ -41,11 +41,7 @@
 	defer cancel()
 	status, answer, refusal := g.task(ctx, w, r)
 	if refusal != nil {
-		if r.Header.Get("Idempotency-Key") != "" && refusal.Run == NotRun {
-			// An earlier attempt with the key may have been accepted.
-			refusal.Run = Unknown
-		}
-		refusal.write(w)
+		refusal.seenKey(r.Header).write(w)
 		return
 	}
 	body, err := json.Marshal(answer)
