pkg/queuer, internal/ingress: fixed seed for rapid, memory units as a map

Cause: rapid chose a new seed for each run and left a file of a failure that was provoked on purpose; the units relied on their order. Change: the seed is fixed and no failure file is written; a size is split into digits and unit. Conclusion: runs are repeatable.

--- a/internal/ingress/taskfields.go
+++ b/internal/ingress/taskfields.go
@@ -119,16 +119,13 @@
 	return nil
 }
 
-// memoryUnits are tried in this order, because "B" ends the others.
-var memoryUnits = []struct {
-	name  string
-	bytes int64
-}{
-	{"KiB", 1 << 10},
-	{"MiB", 1 << 20},
-	{"GiB", 1 << 30},
-	{"TiB", 1 << 40},
-	{"B", 1},
+// memoryUnits holds the bytes of each unit.
+var memoryUnits = map[string]int64{
+	"B":   1,
+	"KiB": 1 << 10,
+	"MiB": 1 << 20,
+	"GiB": 1 << 30,
+	"TiB": 1 << 40,
 }
 
 func readMemory(t *wire.Task, value json.RawMessage) error {
@@ -146,16 +143,11 @@
 }
 
 func parseMemory(text string) (int64, bool) {
-	for _, unit := range memoryUnits {
-		digits, ok := strings.CutSuffix(text, unit.name)
-		if !ok {
-			continue
-		}
-		n, err := strconv.ParseUint(digits, 10, 63)
-		if err != nil || int64(n) > math.MaxInt64/unit.bytes {
-			return 0, false
-		}
-		return int64(n) * unit.bytes, true
+	unit := strings.TrimLeft(text, "0123456789")
+	n, err := strconv.ParseInt(strings.TrimSuffix(text, unit), 10, 64)
+	size, ok := memoryUnits[unit]
+	if !ok || err != nil || n > math.MaxInt64/size {
+		return 0, false
 	}
-	return 0, false
+	return n * size, true
 }
--- a/pkg/queuer/queuer_test.go
+++ b/pkg/queuer/queuer_test.go
@@ -1,6 +1,8 @@
 package queuer_test
 
 import (
+	"errors"
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +13,15 @@
 	"github.com/heathermux/heathermux/pkg/queuer"
 )
 
+// TestMain fixes the seed of rapid, so that every run checks the same sessions.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := errors.Join(flag.Set("rapid.seed", "20"), flag.Set("rapid.nofailfile", "true")); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
 // Accounts that always wait must be served by weight to within one item: an
 // account that is further ahead takes another one's share. Others come, go,
 // are held and have items removed in the meantime.
