--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -78,9 +78,22 @@
 	next := old.with(view, previous)
 	r.table.SetView(next.present, old.present)
 	r.placement.Store(next)
+	r.logView(view)
 	r.signal()
 }
 
+func (r *Recorder) logView(view *wire.View) {
+	epoch, hosts := view.GetEpoch(), len(view.GetMembers())
+	switch {
+	case !r.placement.Load().present.Has(r.self):
+		r.opts.Logger.Warn("registry: this process is not in the view", "epoch", epoch)
+	case hosts == 1:
+		r.opts.Logger.Warn("registry: the view has a single entry host, intents have no copy", "epoch", epoch)
+	default:
+		r.opts.Logger.Info("registry: view changed", "epoch", epoch, "hosts", hosts, "pending-slots", len(r.table.Pending()))
+	}
+}
+
 // with returns the placement after a view change.
 func (p *placement) with(view, previous *wire.View) *placement {
 	views := append([]*wire.View{view}, p.views...)
--- a/internal/recorder/transfer.go
+++ b/internal/recorder/transfer.go
@@ -45,8 +45,11 @@
 	}
 	pool.StopAndWait()
 	left := len(r.table.Pending())
+	epoch := placement.present.Epoch()
 	if left > 0 {
-		r.opts.Logger.Info("registry: slots are not transferred yet", "slots", left, "epoch", placement.present.Epoch())
+		r.opts.Logger.Info("registry: slots are not transferred yet", "slots", left, "epoch", epoch)
+	} else {
+		r.opts.Logger.Info("registry: all slots are transferred", "slots", len(pending), "epoch", epoch)
 	}
 	return left
 }
