--- a/pkg/deduplicator/table_test.go
+++ b/pkg/deduplicator/table_test.go
@@ -1,6 +1,7 @@
 package deduplicator_test
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -166,6 +167,14 @@
 	}
 }
 
+// Keys of two teams that join to the same text would share an outcome, and so
+// would two requests with the same fingerprint.
+func TestKeysAndFingerprintsDiffer(t *testing.T) {
+	is := is.New(t)
+	is.True(deduplicator.JoinKey("a", "b/c") != deduplicator.JoinKey("a/b", "c"))
+	is.True(!bytes.Equal(deduplicator.Fingerprint("PUT", "/a", []byte("b")), deduplicator.Fingerprint("PUT", "/ab", nil)))
+}
+
 // Both holders in one data centre would be lost together; an uneven map would
 // overload an owner; a restart must not move slots.
 func TestSlotMap(t *testing.T) {
