--- a/internal/dispatcher/matrix_test.go
+++ b/internal/dispatcher/matrix_test.go
@@ -173,11 +173,19 @@
 	for _, row := range steps {
 		for column, fault := range faults {
 			for _, target := range []string{"a1", "a2", "w1"} {
-				t.Run(row+"/"+column+"/"+target, func(t *testing.T) {
-					t.Parallel()
-					seed := xxhash.Sum64String(t.Name())
-					runCell(t, row, target, 1+rand.New(rand.NewPCG(seed, 1)).IntN(12), fault)
-				})
+				name := row + "/" + column + "/" + target
+				seed := xxhash.Sum64String(name)
+				occurrences := []int{1 + rand.New(rand.NewPCG(seed, 1)).IntN(12)}
+				if column == "cut from control" {
+					// These cells showed a former scheduler that was not fenced.
+					occurrences = append(occurrences, 9)
+				}
+				for _, nth := range occurrences {
+					t.Run(fmt.Sprint(name, "/", nth), func(t *testing.T) {
+						t.Parallel()
+						runCell(t, row, target, nth, fault)
+					})
+				}
 			}
 		}
 	}
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -35,6 +35,51 @@
 	is.Equal(w.hosts["a1"].d.Report(), (*wire.SchedulerReport)(nil)) // and only there
 }
 
+// Guards upper-limit, zone-out and at-most-once in long faults on a full fleet,
+// which the cells of the matrix are too short for.
+func TestLongFaults(t *testing.T) {
+	tests := map[string]func(w *world){
+		"worker cut off for longer than its lease": func(w *world) {
+			w.partition("w3", "*>w3", "w3>*")
+		},
+		"scheduler cut off from the control state, zone out": func(w *world) {
+			w.removeAfter = time.Minute
+			w.partition("control", "a1>control", "control>a1")
+			w.setZone(wire.ServiceState_SERVICE_STATE_OUT)
+		},
+		"scheduler cut off from the control state, replaced by its copy holder": func(w *world) {
+			w.assign("a2")
+			w.advance(5 * time.Second)
+			w.partition("control", "a2>control", "control>a2")
+		},
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.advance(5 * time.Second)
+			for i := range 120 {
+				if i == 16 {
+					fault(w)
+				}
+				seconds := 2
+				if i%4 == 1 {
+					seconds = 25
+				}
+				w.submit("a1", &wire.Task{
+					Size:         cores(1000),
+					Idempotent:   i%3 == 0,
+					RunTimeNanos: int64(time.Duration(seconds) * time.Second),
+				})
+				w.advance(300 * time.Millisecond)
+			}
+			w.advance(10 * time.Second)
+			for _, problem := range w.trouble {
+				t.Error(problem)
+			}
+		})
+	}
+}
+
 // Guards against an acknowledgement of a task that one host holds, and against
 // a refusal of a task that is held.
 func TestAcknowledgementNeedsSecondCopy(t *testing.T) {
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -25,8 +25,6 @@
 const (
 	tick      = 100 * time.Millisecond
 	teamLimit = 6000
-	// removeAfter is when the control state gives up on a silent entry host.
-	removeAfter = 4 * time.Second
 )
 
 var errLink = errors.New("link: no response")
@@ -55,6 +53,8 @@
 	outAt    time.Time
 	serial   int
 	trouble  []string
+	// removeAfter is when the control state gives up on a silent entry host.
+	removeAfter time.Duration
 }
 
 type delayed struct {
@@ -74,17 +74,18 @@
 
 func newWorld(t *testing.T) *world {
 	w := &world{
-		t:        t,
-		clock:    timer.NewFake(time.Unix(1000, 0)),
-		hosts:    make(map[string]*entryHost),
-		workers:  make(map[string]*workerHost),
-		step:     func(string, string) {},
-		blocked:  make(map[string]bool),
-		mangle:   make(map[string]string),
-		runs:     make(map[string]int),
-		acked:    make(map[string]bool),
-		idem:     make(map[string]bool),
-		assigned: make(map[string]bool),
+		t:           t,
+		clock:       timer.NewFake(time.Unix(1000, 0)),
+		hosts:       make(map[string]*entryHost),
+		workers:     make(map[string]*workerHost),
+		step:        func(string, string) {},
+		blocked:     make(map[string]bool),
+		mangle:      make(map[string]string),
+		runs:        make(map[string]int),
+		acked:       make(map[string]bool),
+		idem:        make(map[string]bool),
+		removeAfter: 4 * time.Second,
+		assigned:    make(map[string]bool),
 	}
 	for _, name := range []string{"a1", "a2", "b1"} {
 		w.hosts[name] = &entryHost{
@@ -178,7 +179,7 @@
 		Epoch: w.state.View().GetEpoch() + 1,
 	}
 	for _, name := range slices.Sorted(maps.Keys(w.hosts)) {
-		if h := w.hosts[name]; w.clock.Now().Sub(h.heardAt) < removeAfter {
+		if h := w.hosts[name]; w.clock.Now().Sub(h.heardAt) < w.removeAfter {
 			v.Members = append(v.Members, proto.CloneOf(h.member))
 		}
 	}
@@ -288,7 +289,7 @@
 		if h.up && !h.frozen && !w.cut(name, "control") && !w.cut("control", name) {
 			h.heardAt = now
 		}
-		alive := now.Sub(h.heardAt) < removeAfter
+		alive := now.Sub(h.heardAt) < w.removeAfter
 		incarnation, member := in[name]
 		changed = changed || member != alive || (alive && member && incarnation != h.member.GetIncarnation())
 	}
@@ -296,9 +297,9 @@
 		w.setView()
 	}
 	d, _ := w.state.DataCentre("dc-a")
-	if now.Sub(w.hosts[d.GetScheduler()].heardAt) >= removeAfter {
+	if now.Sub(w.hosts[d.GetScheduler()].heardAt) >= w.removeAfter {
 		for _, name := range []string{"a1", "a2", "b1"} {
-			if now.Sub(w.hosts[name].heardAt) < removeAfter {
+			if now.Sub(w.hosts[name].heardAt) < w.removeAfter {
 				w.assign(name)
 				break
 			}
