--- /dev/null
+++ b/internal/dispatcher/service_test.go
@@ -0,0 +1,100 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// Guards against a confirmed cancellation that a scheduler change forgets,
+// and against a cancellation by another team.
+func TestCancelSurvivesSchedulerChange(t *testing.T) {
+	for name, running := range map[string]bool{"running": true, "queued": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.advance(5 * time.Second)
+			if !running {
+				w.setZone(wire.ServiceState_SERVICE_STATE_OUT)
+			}
+			id := w.hosts["a1"].d.ServeSubmit(t.Context(), &wire.SubmitRequest{
+				Task: &wire.Task{
+					Id:           "dc-a.1",
+					Team:         "team",
+					Queue:        "jobs",
+					Size:         cores(1000),
+					Idempotent:   true,
+					RunTimeNanos: int64(time.Minute),
+				},
+			}).GetStatus().GetTask().GetId()
+			w.advance(2 * time.Second)
+			is.Equal(w.runs[id] == 1, running)
+			req := &wire.TaskRequest{
+				Id:   id,
+				Team: "other",
+			}
+			is.True(!w.hosts["b1"].d.Cancel(t.Context(), req).GetFound())
+			req.Team = "team"
+			w.partition("w3", "*>w3", "w3>*") // the stop can't reach the worker yet
+			is.True(w.hosts["b1"].d.Cancel(t.Context(), req).GetFound())
+			w.hosts["a1"].up = false
+			w.advance(60 * time.Second)
+			is.Equal(w.hosts["b1"].d.Get(t.Context(), req).GetStatus().GetState(), wire.TaskState_TASK_STATE_CANCELLED)
+			is.True(w.runs[id] <= 1)
+			is.Equal(len(w.trouble), 0)
+		})
+	}
+}
+
+// Guards against a deployment of one entry host that never starts anything or
+// claims a second copy.
+func TestSingleEntryHost(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.hosts["a2"].up = false
+	w.hosts["b1"].up = false
+	w.advance(10 * time.Second)
+	req := &wire.SubmitRequest{
+		Task: &wire.Task{
+			Team:         "team",
+			Queue:        "jobs",
+			Size:         cores(1000),
+			RunTimeNanos: int64(time.Second),
+		},
+	}
+	is.True(w.hosts["a1"].d.Submit(t.Context(), req).GetRefusal() != "")
+	req.AcceptSingleCopy = true
+	resp := w.hosts["a1"].d.Submit(t.Context(), req)
+	is.Equal(resp.GetCopies(), int32(1))
+	w.advance(5 * time.Second)
+	is.Equal(w.hosts["a1"].d.Get(t.Context(), &wire.TaskRequest{
+		Id:   resp.GetStatus().GetTask().GetId(),
+		Team: "team",
+	}).GetStatus().GetState(), wire.TaskState_TASK_STATE_SUCCEEDED)
+}
+
+// Guards against a resend that becomes a second task.
+func TestResendReturnsFirstTask(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.advance(5 * time.Second)
+	send := func(host string) *wire.SubmitResponse {
+		return w.submit(host, &wire.Task{
+			Size:           cores(1000),
+			IdempotencyKey: "redeem-7",
+			RunTimeNanos:   int64(time.Second),
+		})
+	}
+	first := send("a1")
+	w.mangle["submit"] = "delay"
+	second := send("b1") // the first response is lost, a repeat follows
+	w.advance(5 * time.Second)
+	third := send("a2")
+	is.Equal(second.GetStatus().GetTask().GetId(), first.GetStatus().GetTask().GetId())
+	is.Equal(third.GetStatus().GetTask().GetId(), first.GetStatus().GetTask().GetId())
+	is.Equal(third.GetStatus().GetState(), wire.TaskState_TASK_STATE_SUCCEEDED)
+	is.Equal(len(w.runs), 1)
+}
