internal/dispatcher: a new copy holder must be known to most entry hosts

Cause: a scheduler on the smaller side of a partition could choose a copy holder there within the rest of its authority lease, and a later scheduler would adopt older copies from the other side as the newest. Change: a new generation counts only when most of the view has been told, and a rebuild needs answers of most of the view. Conclusion: a later scheduler learns of the newest generation or prevents it.

--- a/internal/dispatcher/rebuild.go
+++ b/internal/dispatcher/rebuild.go
@@ -14,7 +14,8 @@
 )
 
 // rebuild fetches the copies of the former scheduler from the entry hosts
-// that have not answered yet, and adopts them once all have or patience ends.
+// that have not answered yet, and adopts them once all have, or most when
+// patience ends.
 // It keeps asking the others, so that a host that comes back brings its tasks.
 func (d *Dispatcher) rebuild(now time.Time, view follower.View) {
 	d.mu.Lock()
@@ -54,7 +55,9 @@
 		d.adoptLate(now, l, late)
 	default:
 		l.missing = d.missing(l, view.State)
-		if len(l.missing) == 0 || now.Sub(l.since) >= fetchPatience {
+		members := view.State.View().GetMembers()
+		answered := len(members) - len(l.missing)
+		if len(l.missing) == 0 || (now.Sub(l.since) >= fetchPatience && most(answered, members)) {
 			d.adoptAll(now, l)
 		}
 	}
--- a/internal/dispatcher/replicate.go
+++ b/internal/dispatcher/replicate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/heathermux/heathermux/internal/controller"
@@ -191,14 +192,14 @@
 			return false
 		}
 	}
-	if requests[0].GetWhole() {
-		d.notify(ctx, member, requests[0])
-	}
-	return true
+	return !requests[0].GetWhole() || d.notify(ctx, member, requests[0])
 }
 
-// notify tells the entry hosts other than the holder of a new generation.
-func (d *Dispatcher) notify(ctx context.Context, holder *wire.Member, req *wire.CopyTasksRequest) {
+// notify tells the entry hosts other than the holder of a new generation. It
+// reports whether most of the view knows it, with this host and the holder. A
+// later scheduler asks most of the view too, so that it learns of the newest
+// generation or stops it from being reached.
+func (d *Dispatcher) notify(ctx context.Context, holder *wire.Member, req *wire.CopyTasksRequest) bool {
 	notice := &wire.CopyTasksRequest{
 		DataCentre: req.GetDataCentre(),
 		Epoch:      req.GetEpoch(),
@@ -206,13 +207,21 @@
 		Scheduler:  req.GetScheduler(),
 		Notice:     true,
 	}
-	others := slices.DeleteFunc(slices.Clone(d.opts.View().State.View().GetMembers()), func(m *wire.Member) bool {
+	members := d.opts.View().State.View().GetMembers()
+	others := slices.DeleteFunc(slices.Clone(members), func(m *wire.Member) bool {
 		return m.GetName() == holder.GetName() || m.GetName() == d.opts.Self.GetName()
 	})
+	var told atomic.Int64
+	told.Add(int64(len(members) - len(others))) // this host and the holder
 	call, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
 	d.forEach(others, func(m *wire.Member) {
-		// A host that is not reached is told by the others at a rebuild.
-		_, _ = d.opts.Peers.CopyTasks(call, m, notice)
+		if resp, err := d.opts.Peers.CopyTasks(call, m, notice); err == nil && resp.GetStored() {
+			told.Add(1)
+		}
 	})
+	return most(int(told.Load()), members)
 }
+
+// most reports whether n is more than half of the members.
+func most(n int, members []*wire.Member) bool { return 2*n > len(members) }
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -118,3 +118,39 @@
 		})
 	}
 }
+
+// Guards against a scheduler that goes on with a new copy holder which a later
+// scheduler can't learn of, because most entry hosts are on the other side.
+func TestNewCopyHolderMustBeKnownToMost(t *testing.T) {
+	tests := map[string]struct {
+		cut          []string
+		acknowledged bool
+	}{
+		"most can be told":   {cut: []string{"a2"}, acknowledged: true},
+		"most can't be told": {cut: []string{"a2", "b2", "b3"}},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			for _, name := range []string{"b2", "b3"} {
+				w.hosts[name] = &entryHost{
+					w: w,
+					member: &wire.Member{
+						Name:       name,
+						DataCentre: "dc-b",
+					},
+				}
+				w.boot(name)
+			}
+			w.advance(5 * time.Second)
+			for _, name := range test.cut {
+				w.partition(name, "*>"+name, name+">*")
+			}
+			resp := w.submit("a1", &wire.Task{
+				Size: cores(1000),
+			})
+			is.Equal(resp.GetCopies() == 2, test.acknowledged)
+		})
+	}
+}
