--- a/internal/controller/bench_test.go
+++ b/internal/controller/bench_test.go
@@ -45,3 +45,21 @@
 		})
 	}
 }
+
+// BenchmarkFromSnapshot is what a restart costs after the snapshot is read: a
+// state with the target's hosts and all remembered operations.
+func BenchmarkFromSnapshot(b *testing.B) {
+	s := controller.State{}
+	for i := range 6600 {
+		s = s.WithHost(&wire.Host{
+			Name: fmt.Sprintf("h-%d", i),
+		})
+	}
+	for i := range controller.OperationsKept {
+		s = s.WithOperation(fmt.Sprint(i), &wire.Result{})
+	}
+	snap := s.Snapshot()
+	for b.Loop() {
+		controller.FromSnapshot(snap)
+	}
+}
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"maps"
+
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -42,45 +44,60 @@
 		revision:     snap.GetRevision(),
 		view:         snap.GetView(),
 		previousView: snap.GetPreviousView(),
-	}
-	s = s.withObjects(snap)
-	for _, c := range snap.GetLastChanges() {
-		s.lastChanges = s.lastChanges.With(c.GetObject(), c)
-	}
-	for _, op := range snap.GetOperations() {
-		s = s.WithOperation(op.GetOperationId(), op.GetResult())
-	}
-	return s
-}
-
-func (s State) withObjects(snap *wire.Snapshot) State {
-	for _, d := range snap.GetDataCentres() {
-		s = s.WithDataCentre(d)
-	}
-	for _, p := range snap.GetPools() {
-		s = s.WithPool(p)
-	}
-	for _, q := range snap.GetQueues() {
-		s = s.WithQueue(q)
-	}
-	for _, h := range snap.GetHosts() {
-		s = s.WithHost(h)
-	}
+		queues:       tableOf(named(snap.GetQueues(), (*wire.Queue).GetName)),
+		dataCentres:  tableOf(named(snap.GetDataCentres(), (*wire.DataCentre).GetName)),
+		pools:        tableOf(named(snap.GetPools(), (*wire.Pool).GetName)),
+		hosts:        tableOf(named(snap.GetHosts(), (*wire.Host).GetName)),
+		grants:       tableOf(named(snap.GetGrants(), (*wire.MaintenanceGrant).GetHost)),
+		keys:         tableOf(named(snap.GetKeys(), (*wire.KeyRecord).GetId)),
+		keysByHash:   tableOf(named(snap.GetKeys(), func(k *wire.KeyRecord) string { return string(k.GetHash()) })),
+		lastChanges:  tableOf(named(snap.GetLastChanges(), (*wire.LastChange).GetObject)),
+	}
+	s.unavailable = tableOf(maps.All(unavailableByPool(snap.GetHosts())))
+	// Contracts, roll-outs and allotments are few and have derived tables.
 	for _, c := range snap.GetContracts() {
 		s = s.WithContract(c)
 	}
-	for _, k := range snap.GetKeys() {
-		s = s.WithKey(k)
-	}
-	for _, g := range snap.GetGrants() {
-		s = s.WithGrant(g)
-	}
 	for _, m := range snap.GetMaintenances() {
 		s = s.WithMaintenance(m)
 	}
 	for _, a := range snap.GetAllotments() {
 		s = s.WithAllotment(a)
 	}
+	return s.withOperations(snap.GetOperations())
+}
+
+func unavailableByPool(hosts []*wire.Host) map[string]int64 {
+	counts := make(map[string]int64)
+	for _, h := range hosts {
+		if h.GetState() != wire.HostState_HOST_STATE_ACTIVE {
+			counts[h.GetPool()]++
+		}
+	}
+	return counts
+}
+
+// withOperations returns a state that remembers the operations, the oldest first.
+func (s State) withOperations(records []*wire.OperationRecord) State {
+	s.operationHigh = uint64(len(records))
+	s.operations = tableOf(func(yield func(string, operation) bool) {
+		for i, r := range records {
+			op := operation{
+				number: uint64(i) + 1,
+				result: r.GetResult(),
+			}
+			if !yield(r.GetOperationId(), op) {
+				return
+			}
+		}
+	})
+	s.operationIDs = tableOf(func(yield func(string, string) bool) {
+		for i, r := range records {
+			if !yield(numberName(uint64(i)+1), r.GetOperationId()) {
+				return
+			}
+		}
+	})
 	return s
 }
 
--- a/internal/controller/table.go
+++ b/internal/controller/table.go
@@ -28,6 +28,36 @@
 	return int(xxhash.Sum64String(name) % tableShards)
 }
 
+// tableOf returns a table with a value under each name. It builds all shards
+// at once, where With would copy a shard for each value.
+func tableOf[V any](values iter.Seq2[string, V]) Table[V] {
+	var t Table[V]
+	shards := t.copyShards()
+	for name, v := range values {
+		i := shardOf(name)
+		if shards[i] == nil {
+			shards[i] = make(map[string]V)
+		}
+		if _, ok := shards[i][name]; !ok {
+			t.size++
+		}
+		shards[i][name] = v
+	}
+	t.shards = shards
+	return t
+}
+
+// named yields each message under the name that it has.
+func named[V any](list []V, name func(V) string) iter.Seq2[string, V] {
+	return func(yield func(string, V) bool) {
+		for _, v := range list {
+			if !yield(name(v), v) {
+				return
+			}
+		}
+	}
+}
+
 // Get returns the value under name and whether there is one.
 func (t Table[V]) Get(name string) (V, bool) {
 	if t.shards == nil {
