--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -129,21 +129,22 @@
 	first, _ := b.admit("hold", 1, time.Hour)
 	second, _ := b.admit("hold", 1, time.Hour)
 	third, _ := b.admit("", 1, time.Hour)
-	var mu sync.Mutex
-	var order []string
-	permits := make(chan admitter.Permit, 20)
-	var wg sync.WaitGroup
+	type grant struct {
+		team   string
+		permit admitter.Permit
+	}
+	grants := make(chan grant, 17)
 	wait := func(team string, weight int64) {
-		wg.Go(func() {
+		go func() {
 			p, refusal := b.admit(team, weight, time.Hour)
 			if refusal != nil {
 				t.Error(refusal.Reason)
 			}
-			mu.Lock()
-			order = append(order, team)
-			mu.Unlock()
-			permits <- p
-		})
+			grants <- grant{
+				team:   team,
+				permit: p,
+			}
+		}()
 	}
 	for i := range int64(8) {
 		wait("light", 1)
@@ -153,25 +154,19 @@
 	wait("hold", 50)
 	b.waiting(17)
 	third.Done(0)
-	for range 7 {
-		(<-permits).Done(0)
-	}
-	p := <-permits
-	mu.Lock()
 	count := make(map[string]int)
-	for _, team := range order {
-		count[team]++
+	for range 8 {
+		g := <-grants
+		count[g.team]++
+		g.permit.Done(0)
 	}
-	mu.Unlock()
 	is.Equal(count["hold"], 0)
 	is.True(count["heavy"] >= 5)
 	first.Done(0)
 	second.Done(0)
-	p.Done(0)
 	for range 9 {
-		(<-permits).Done(0)
+		(<-grants).permit.Done(0)
 	}
-	wg.Wait()
 	b.waiting(0)
 }
 
--- a/internal/ingress/hop_test.go
+++ b/internal/ingress/hop_test.go
@@ -59,6 +59,13 @@
 	return sorted[int(q*float64(len(sorted)-1))]
 }
 
+func median(values []float64) float64 {
+	values = slices.Sorted(slices.Values(values))
+	return values[len(values)/2]
+}
+
+func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+
 // processorTime is what the whole process has used: client, ingress and stand-in.
 func processorTime() time.Duration {
 	var u syscall.Rusage
@@ -80,27 +87,24 @@
 	u.Slots, u.Connections = hopConnections, hopConnections
 	s.setUpstreams(u)
 	direct, through := "http://"+u.GetAddress()+"/a", s.server.URL+"/q/open/a"
-	const turns = 5
 	const turn = time.Second
 	metrics := make(map[string][]float64)
 	note := func(name string, v float64) { metrics[name] = append(metrics[name], v) }
-	micros := func(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
+	// use returns the rate of a turn and notes the processor time of a request.
+	use := func(name, url string) float64 {
+		used := processorTime()
+		rate, all := load(b, url, turn, 0)
+		note(name+"-cpu-µs", micros(processorTime()-used)/float64(len(all)))
+		note(name+"-rps", rate)
+		return rate
+	}
 	for b.Loop() {
-		for range turns {
-			used := processorTime()
-			d, all := load(b, direct, turn, 0)
-			note("direct-cpu-µs", micros(processorTime()-used)/float64(len(all)))
-			used = processorTime()
-			t, all := load(b, through, turn, 0)
-			note("through-cpu-µs", micros(processorTime()-used)/float64(len(all)))
-			note("direct-rps", d)
-			note("through-rps", t)
-			note("throughput-ratio", t/d)
+		for range 5 {
+			direct := use("direct", direct)
+			note("throughput-ratio", use("through", through)/direct)
 		}
-		rates := slices.Clone(metrics["through-rps"])
-		slices.Sort(rates)
-		interval := time.Duration(hopConnections * 2 * float64(time.Second) / rates[len(rates)/2])
-		for range turns {
+		interval := time.Duration(hopConnections * 2 * float64(time.Second) / median(metrics["through-rps"]))
+		for range 5 {
 			_, d := load(b, direct, turn, interval)
 			_, t := load(b, through, turn, interval)
 			note("added-p50-µs", micros(quantile(t, 0.5)-quantile(d, 0.5)))
@@ -108,7 +112,6 @@
 		}
 	}
 	for name, values := range metrics {
-		slices.Sort(values)
-		b.ReportMetric(values[len(values)/2], name)
+		b.ReportMetric(median(values), name)
 	}
 }
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -101,19 +101,13 @@
 	is := is.New(t)
 	s := fleet(2, 0)
 	r := newRouter(timer.NewFake(time.Unix(100, 0)), s)
-	_, choices := picks(r, 4)
+	before, choices := picks(r, 4)
 	s.upstreams = s.upstreams[1:]
 	s.generation++
 	for _, c := range choices {
 		is.Equal(r.Live(c), c.Upstream().GetId() == "u-1")
 	}
-	atFirst := 0
-	for _, c := range choices {
-		if c.Upstream().GetId() == "u-0" {
-			atFirst++
-		}
-	}
-	is.Equal(r.Capacity("q"), int64(8+atFirst))
+	is.Equal(r.Capacity("q"), int64(8+before["u-0"]))
 	count, _ := picks(r, 20)
 	is.Equal(count["u-0"], 0)
 	is.Equal(count["u-1"], 20)
@@ -175,10 +169,9 @@
 // Counts that are lost under concurrency would use up the slots for good.
 func TestConcurrentPicks(t *testing.T) {
 	is := is.New(t)
-	r := router.New(router.Config[router.LeastLoaded]{
-		Clock:      timer.System(),
-		DataCentre: "dc-1",
-		Source:     fleet(2, 2),
+	r := router.New(router.Config[router.FreeSlots]{
+		Clock:  timer.System(),
+		Source: fleet(2, 2),
 	})
 	var wg sync.WaitGroup
 	for range 8 {
@@ -191,14 +184,23 @@
 		})
 	}
 	wg.Wait()
-	taken := 0
-	for {
-		if _, ok := r.Pick("q"); !ok {
-			break
-		}
-		taken++
+	_, choices := picks(r, 1000)
+	is.Equal(len(choices), 4*64)
+}
+
+// The policies must differ where upstreams differ in size.
+func TestPolicies(t *testing.T) {
+	is := is.New(t)
+	small := router.Candidate{
+		Slots:       4,
+		Outstanding: 1,
+	}
+	large := router.Candidate{
+		Slots:       16,
+		Outstanding: 8,
 	}
-	is.Equal(taken, 4*64)
+	is.True(router.FreeSlots{}.Better(large, small))
+	is.True(router.LeastLoaded{}.Better(small, large))
 }
 
 // A selection is made for each request; it must not allocate.
