internal/dispatcher, internal/scheduler: hand queued tasks over when a zone is out

Cause: queued tasks of a data centre that was taken out of service waited for its return. Change: they are marked, copied and offered to another data centre; Get and Cancel follow. SubmitRequest gets the field moved. Conclusion: work goes elsewhere while a zone is out.

--- a/internal/dispatcher/forward.go
+++ b/internal/dispatcher/forward.go
@@ -26,10 +26,34 @@
 	return peer(ctx, member, req)
 }
 
+// maxHops bounds the hand-overs that are followed to find a task.
+const maxHops = 4
+
+// follow calls the scheduler of the data centre in which the task entered, and
+// then those that it was handed to.
+func follow(
+	ctx context.Context,
+	d *Dispatcher,
+	req *wire.TaskRequest,
+	here func(context.Context, *wire.TaskRequest) *wire.TaskResponse,
+	peer func(context.Context, *wire.Member, *wire.TaskRequest) (*wire.TaskResponse, error),
+) (*wire.TaskResponse, error) {
+	at := dataCentreOf(req.GetId())
+	for range maxHops {
+		resp, err := callScheduler(ctx, d, at, req, here, peer)
+		next := resp.GetStatus().GetDataCentre()
+		if err != nil || next == "" || next == at {
+			return resp, err
+		}
+		at = next
+	}
+	return &wire.TaskResponse{}, nil
+}
+
 // Get returns the status of a task. When the scheduler can't be reached it
 // asks the other entry hosts for their copy, which may be a little older.
 func (d *Dispatcher) Get(ctx context.Context, req *wire.TaskRequest) *wire.TaskResponse {
-	resp, err := callScheduler(ctx, d, dataCentreOf(req.GetId()), req, d.ServeGet, d.opts.Peers.Get)
+	resp, err := follow(ctx, d, req, d.ServeGet, d.opts.Peers.Get)
 	if err == nil && resp.GetFound() {
 		return resp
 	}
@@ -51,7 +75,7 @@
 // its worker confirms the stop. When the scheduler can't be reached the
 // response is not found with TASK_STATE_UNKNOWN, and the call may be repeated.
 func (d *Dispatcher) Cancel(ctx context.Context, req *wire.TaskRequest) *wire.TaskResponse {
-	resp, err := callScheduler(ctx, d, dataCentreOf(req.GetId()), req, d.ServeCancel, d.opts.Peers.Cancel)
+	resp, err := follow(ctx, d, req, d.ServeCancel, d.opts.Peers.Cancel)
 	if err == nil {
 		return resp
 	}
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -25,6 +25,7 @@
 	}
 	d.mu.Unlock()
 	d.replicate(context.Background())
+	d.moveOut(context.Background(), view)
 }
 
 // pass runs one scheduling pass. d.mu is held.
@@ -80,11 +81,14 @@
 	if copies < 2 && !req.GetAcceptSingleCopy() {
 		// A copy may have arrived although its confirmation did not, so that
 		// a refusal would not be proven.
-		d.lead.sched.Step(now, scheduler.Cancel{
-			ID:   id,
-			Team: req.GetTask().GetTeam(),
-		})
-		return undecided(req.GetTask(), "the copy was not confirmed; the task is being cancelled")
+		// A task that is handed over was acknowledged before and is kept.
+		if !req.GetMoved() {
+			d.lead.sched.Step(now, scheduler.Cancel{
+				ID:   id,
+				Team: req.GetTask().GetTeam(),
+			})
+		}
+		return undecided(req.GetTask(), "the copy was not confirmed")
 	}
 	return &wire.SubmitResponse{
 		Status: status,
@@ -119,11 +123,12 @@
 	if l == nil {
 		return refusal(reason)
 	}
-	if !strings.HasPrefix(req.GetTask().GetId(), idPrefix(l.dataCentre)) {
+	if !req.GetMoved() && !strings.HasPrefix(req.GetTask().GetId(), idPrefix(l.dataCentre)) {
 		return refusal("this entry host schedules another data centre")
 	}
 	for _, action := range l.sched.Step(now, scheduler.Submit{
-		Task: req.GetTask(),
+		Task:  req.GetTask(),
+		Moved: req.GetMoved(),
 	}) {
 		if refused, ok := action.(scheduler.Refused); ok {
 			return &wire.SubmitResponse{
@@ -159,10 +164,10 @@
 	if d.lead != nil {
 		status, ok = d.lead.sched.Status(now, req.GetId())
 	}
-	if c := d.copies[dataCentreOf(req.GetId())]; c != nil && !ok {
-		var held heldTask
-		if held, ok = c.tasks[req.GetId()]; ok {
+	for _, c := range d.copies {
+		if held, found := c.tasks[req.GetId()]; found && !ok {
 			status = held.aged(now)
+			ok = true
 		}
 	}
 	if !ok || status.GetTask().GetTeam() != req.GetTeam() {
--- a/internal/dispatcher/service_test.go
+++ b/internal/dispatcher/service_test.go
@@ -98,3 +98,65 @@
 	is.Equal(third.GetStatus().GetState(), wire.TaskState_TASK_STATE_SUCCEEDED)
 	is.Equal(len(w.runs), 1)
 }
+
+// Guards against queued tasks that are lost, run twice or left behind when
+// their data centre is taken out of service, also when offers are lost and the
+// scheduler changes in between.
+func TestQueuedTasksMoveToAnotherDataCentre(t *testing.T) {
+	tests := map[string]func(w *world){
+		"no fault":      func(*world) {},
+		"lost response": func(w *world) { w.partition("b1", "b1>*") },
+		"lost response, zone returns": func(w *world) {
+			w.partition("b1", "b1>*")
+			w.after(2*time.Second, func() { w.setZone(wire.ServiceState_SERVICE_STATE_IN) })
+		},
+		"delayed offer":    func(w *world) { w.mangle["submit"] = "delay" },
+		"duplicate offer":  func(w *world) { w.mangle["submit"] = "duplicate" },
+		"scheduler killed": func(w *world) { w.after(300*time.Millisecond, func() { w.kill("a1", time.Minute) }) },
+		"target restarted": func(w *world) { w.after(300*time.Millisecond, func() { w.kill("b1", 0) }) },
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.workers["x1"] = &workerHost{
+				w:    w,
+				name: "x1",
+				zone: "dc-b",
+			}
+			w.bootWorker("x1")
+			w.apply(&wire.Command{
+				Change: &wire.Command_AddHosts{
+					AddHosts: &wire.AddHosts{
+						Hosts: []*wire.Host{{Name: "x1", DataCentre: "dc-b", Pool: "pool", Capacity: cores(4000)}},
+					},
+				},
+			})
+			w.allot(teamLimit/2, teamLimit/2)
+			w.apply(&wire.Command{
+				Change: &wire.Command_AssignScheduler{
+					AssignScheduler: &wire.AssignScheduler{
+						DataCentre: "dc-b",
+						EntryHost:  "b1",
+					},
+				},
+			})
+			w.advance(25 * time.Second)
+			for i := range 12 {
+				w.submit("a1", &wire.Task{
+					Size:         cores(1000),
+					Idempotent:   i%2 == 0,
+					RunTimeNanos: int64(3 * time.Second),
+				})
+			}
+			w.advance(time.Second)
+			w.setZone(wire.ServiceState_SERVICE_STATE_OUT)
+			fault(w)
+			w.advance(90 * time.Second)
+			is.Equal(len(w.acked), 12)
+			for _, problem := range append(w.trouble, w.lost()...) {
+				t.Error(problem)
+			}
+		})
+	}
+}
--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -79,6 +79,13 @@
 		t.handedOut = true
 		t.doubtful = e.Partial
 		t.cancelled = status.GetCancelled()
+	case status.GetDataCentre() != "" && status.GetDataCentre() != s.opts.DataCentre:
+		// Whether the other data centre holds it is found out by asking again.
+		t.state = status.GetState()
+		t.doubtful = true
+		t.movingTo = status.GetDataCentre()
+		s.moving[t.spec.GetId()] = t
+		s.touch(t)
 	default:
 		s.enqueue(t, false)
 	}
--- a/internal/scheduler/event.go
+++ b/internal/scheduler/event.go
@@ -15,7 +15,11 @@
 
 // Submit asks to accept a task. The ID is set; a known ID returns the status
 // of the first task.
-type Submit struct{ Task *wire.Task }
+type Submit struct {
+	Task *wire.Task
+	// Moved is true when another data centre hands the task over.
+	Moved bool
+}
 
 // Cancel asks to end a task of the team.
 type Cancel struct {
@@ -47,19 +51,43 @@
 // Rebuilt states that all copies that can be reached were adopted.
 type Rebuilt struct{}
 
+// Move marks queued tasks for a hand-over to another data centre, while this
+// one is out of service. They do not start here any more.
+type Move struct {
+	To string
+	// Max bounds the hand-overs that are under way.
+	Max int
+	// Fits reports whether the other data centre may run the task.
+	Fits func(*wire.Task) bool
+}
+
+// Moved states that the other data centre holds the task.
+type Moved struct{ ID string }
+
+// MoveRefused states that the other data centre did not take the task from
+// this offer. The task returns to its queue unless an earlier offer is unknown.
+type MoveRefused struct{ ID string }
+
+// MoveUnknown states that the other data centre may hold the task.
+type MoveUnknown struct{ ID string }
+
 // Pass runs the periodic work: expiry, withdrawal and placement.
 type Pass struct {
 	// Starts is false while no authority lease allows to start tasks.
 	Starts bool
 }
 
-func (Facts) event()   {}
-func (Submit) event()  {}
-func (Cancel) event()  {}
-func (Poll) event()    {}
-func (Adopt) event()   {}
-func (Rebuilt) event() {}
-func (Pass) event()    {}
+func (Facts) event()       {}
+func (Submit) event()      {}
+func (Cancel) event()      {}
+func (Poll) event()        {}
+func (Adopt) event()       {}
+func (Rebuilt) event()     {}
+func (Pass) event()        {}
+func (Move) event()        {}
+func (Moved) event()       {}
+func (MoveRefused) event() {}
+func (MoveUnknown) event() {}
 
 // Action is something that follows from a Step.
 type Action interface{ action() }
--- a/internal/scheduler/lifecycle.go
+++ b/internal/scheduler/lifecycle.go
@@ -44,6 +44,7 @@
 		dirty: t.dirty,
 	}
 	s.touch(t)
+	t.queued = true
 	a := t.account
 	t.pool = s.poolOf(t.spec.GetQueue())
 	t.grant = s.sizeOf(t, t.pool)
@@ -70,6 +71,10 @@
 // unqueue takes the task out of the count of queued tasks; its entry is
 // skipped when it is reached.
 func (t *task) unqueue() {
+	if !t.queued {
+		return
+	}
+	t.queued = false
 	t.account.queued--
 	t.account.waiting[t.pool] = t.account.waiting[t.pool].Minus(t.grant)
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -37,8 +37,10 @@
 	// Retention.
 	tasks    map[string]*task
 	accounts map[string]*account
-	workers  map[string]*worker
-	kinds    map[estimator.Key]*kind
+	// Invariant: holds the tasks whose hand-over has not been answered.
+	moving  map[string]*task
+	workers map[string]*worker
+	kinds   map[estimator.Key]*kind
 	// roster is workers by name, or nil when it has to be sorted again.
 	roster []*worker
 
@@ -67,6 +69,7 @@
 	s := &Scheduler{
 		opts:     opts,
 		tasks:    make(map[string]*task),
+		moving:   make(map[string]*task),
 		accounts: make(map[string]*account),
 		workers:  make(map[string]*worker),
 		kinds:    make(map[estimator.Key]*kind),
@@ -85,13 +88,23 @@
 	case Facts:
 		s.setFacts(now, e.State)
 	case Submit:
-		return s.submit(now, e.Task)
+		return s.submit(now, e.Task, e.Moved)
 	case Cancel:
 		return s.cancel(now, e)
 	case Poll:
 		return s.poll(now, e.Poll, e.Starts)
 	case Adopt:
 		s.adopt(now, e)
+	case Move:
+		s.move(e)
+	case Moved:
+		s.moved(now, e.ID)
+	case MoveUnknown:
+		if t := s.moving[e.ID]; t != nil {
+			t.doubtful = true
+		}
+	case MoveRefused:
+		s.moveRefused(e.ID)
 	case Rebuilt:
 		s.complete = true
 	case Pass:
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -10,13 +10,19 @@
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
-func (s *Scheduler) submit(now time.Time, spec *wire.Task) []Action {
+func (s *Scheduler) submit(now time.Time, spec *wire.Task, moved bool) []Action {
 	if !s.complete {
 		return refused(retryAfter, "the scheduler of %s is being rebuilt", s.opts.DataCentre)
 	}
 	if t, ok := s.tasks[spec.GetId()]; ok {
+		if t.movingTo != "" && moved {
+			return refused(retryAfter, "the task was handed over by %s before", s.opts.DataCentre)
+		}
 		return s.answered(now, t)
 	}
+	if moved && !s.facts.inService() {
+		return refused(retryAfter, "%s is out of service", s.opts.DataCentre)
+	}
 	if refusal := s.reject(spec); refusal != nil {
 		return refusal
 	}
@@ -88,11 +94,15 @@
 }
 
 // cancel ends a queued task at once and asks the worker to stop a running one.
+// For a task that was handed over it only tells where the task is.
 func (s *Scheduler) cancel(now time.Time, e Cancel) []Action {
 	t, ok := s.tasks[e.ID]
 	if !ok || t.spec.GetTeam() != e.Team {
 		return nil
 	}
+	if t.movingTo != "" {
+		return s.answered(now, t)
+	}
 	var actions []Action
 	switch t.state {
 	case wire.TaskState_TASK_STATE_QUEUED:
@@ -124,7 +134,7 @@
 	var actions []Action
 	for len(s.deadlines) > 0 && !s.deadlines[0].at.After(now) {
 		t := heap.Pop(&s.deadlines).(deadline).task
-		if t.state == wire.TaskState_TASK_STATE_QUEUED {
+		if t.state == wire.TaskState_TASK_STATE_QUEUED && t.movingTo == "" {
 			actions = append(actions, s.finish(now, t, wire.TaskState_TASK_STATE_STOPPED, "it was not started before its deadline"))
 		}
 	}
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -26,6 +26,9 @@
 	// assigned with while it runs.
 	grant controller.Amount
 	used  controller.Amount
+	// movingTo is the data centre that the task is handed to; it stays queued
+	// here, outside the class queues, until it is forgotten.
+	movingTo string
 	// number orders tasks by acceptance.
 	number     uint64
 	acceptedAt time.Time
@@ -45,14 +48,15 @@
 type flags struct {
 	// dirty: the last change has not been handed to the copy holder.
 	dirty bool
-	// queued: an entry of a class queue refers to the task.
+	// queued: an entry of a class queue refers to the task and it is counted.
 	queued bool
 	// handedOut: a response with the start may have reached the worker.
 	handedOut bool
 	// confirmed: the worker has reported it as running.
 	confirmed bool
-	// doubtful: its end may be recorded by a former scheduler only. The worker
-	// knows whether it ran.
+	// doubtful: its end may be recorded by a former scheduler only, and the
+	// worker knows whether it ran. Of a task that is being handed over: the
+	// other data centre may hold it.
 	doubtful bool
 	// measured: used is from a report younger than the start.
 	measured bool
@@ -103,13 +107,17 @@
 }
 
 func (s *Scheduler) status(now time.Time, t *task) *wire.TaskStatus {
+	dataCentre := s.opts.DataCentre
+	if t.movingTo != "" {
+		dataCentre = t.movingTo
+	}
 	status := &wire.TaskStatus{
 		Task:        t.spec,
 		State:       t.state,
 		Worker:      t.ranOn,
 		Reason:      t.reason,
 		Attempts:    t.attempts,
-		DataCentre:  s.opts.DataCentre,
+		DataCentre:  dataCentre,
 		Incarnation: t.incarnation,
 		AgeNanos:    int64(now.Sub(t.acceptedAt)),
 	}
