--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/heathermux/heathermux/internal/allocator"
 	"github.com/heathermux/heathermux/internal/certifier"
+	"github.com/heathermux/heathermux/internal/condenser"
 	"github.com/heathermux/heathermux/internal/dispatcher"
 	"github.com/heathermux/heathermux/internal/follower"
 	"github.com/heathermux/heathermux/internal/ingress"
@@ -181,9 +182,9 @@
 		Voters: voters(s),
 		Clock:  d.clock,
 		Source: &localSource{
-			self:  d.self,
-			voter: d.voter,
-			calls: d.calls,
+			self:   d.self,
+			voter:  d.voter,
+			remote: condenser.NewSender(d.calls),
 		},
 		Logger:   d.opts.Logger,
 		Demands:  d.demands,
@@ -263,9 +264,7 @@
 		"Replication": &replicationService{
 			voter: d.voter,
 		},
-		"Control": &controlService{
-			voter: d.voter,
-		},
+		"Control": newControlService(d.voter),
 		"Directory": &directoryService{
 			directory: d.directory,
 		},
--- a/internal/daemon/local.go
+++ b/internal/daemon/local.go
@@ -10,9 +10,9 @@
 
 // localSource calls the voter of this host directly and others over the network.
 type localSource struct {
-	self  *wire.Member
-	voter *voter.Voter
-	calls *calls
+	self   *wire.Member
+	voter  *voter.Voter
+	remote follower.Source
 }
 
 // Follow asks a voter for changes and a lease.
@@ -20,7 +20,7 @@
 	if s.voter != nil && m.GetName() == s.self.GetName() {
 		return s.voter.Follow(ctx, r)
 	}
-	return s.calls.Follow(ctx, m, r)
+	return s.remote.Follow(ctx, m, r)
 }
 
 var _ follower.Source = (*localSource)(nil)
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/heathermux/heathermux/internal/condenser"
 	"github.com/heathermux/heathermux/internal/dispatcher"
 	"github.com/heathermux/heathermux/internal/messenger"
 	"github.com/heathermux/heathermux/internal/recorder"
@@ -41,7 +42,16 @@
 
 // controlService serves changes and followers.
 type controlService struct {
-	voter *voter.Voter
+	voter    *voter.Voter
+	receiver *condenser.Receiver
+}
+
+// newControlService returns the service of a host; the voter is nil on one that is none.
+func newControlService(v *voter.Voter) *controlService {
+	return &controlService{
+		voter:    v,
+		receiver: condenser.NewReceiver(v),
+	}
 }
 
 // Propose runs a change through the log.
@@ -80,7 +90,7 @@
 	if s.voter == nil {
 		return errNotVoter
 	}
-	response, err := s.voter.Follow(r.Context(), r.Message)
+	response, err := s.receiver.Follow(r.Context(), r.Message)
 	return fill(answer, response, err)
 }
 
