internal/measurer: first and steady follow calls

Cause: with differences the first call of a follower and a steady one cost different amounts, and the processor time of both sides was a difference of two separate loops.

Change: the follow probes run the sender, the receiver and the allocator over an encoded connection, in the whole and in the steady form; each side is timed within the same calls.

--- a/internal/measurer/follow.go
+++ b/internal/measurer/follow.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/heathermux/heathermux/internal/allocator"
+	"github.com/heathermux/heathermux/internal/condenser"
 	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/follower"
 	"github.com/heathermux/heathermux/internal/wire"
@@ -14,46 +18,42 @@
 	roleFollower = "follower and ingress"
 
 	followMethod = "Control.Follow"
+
+	// measuredCalls are in one repeat. The parts of a call are timed in it, so
+	// that a single call would be too short.
+	measuredCalls = 200
 )
 
 // followRate is the number of follow calls a second of one entry host.
 var followRate = 1 / follower.Interval.Seconds()
 
 func followProbes() []probe {
+	teams := probe{
+		role:  roleFollower,
+		axis:  "teams",
+		sizes: []int{10, 35, 71, 142},
+	}
+	hosts := probe{
+		role:  roleScheduler,
+		axis:  "hosts",
+		sizes: []int{50, 200, 600, 1200},
+	}
 	return []probe{
-		{
-			role:  roleFollower,
-			name:  "follow call with demand for every team",
-			axis:  "teams",
-			sizes: []int{10, 35, 71, 142},
-			metrics: append(followMetrics(targetTeams), metric{
-				name:   "processor time on the leader for 22 entry hosts",
-				value:  2,
-				unit:   cpuTime,
-				target: targetTeams,
-				rate:   followRate * targetEntryHosts,
-				bound:  boundCore,
-			}),
-			measure: func(_ context.Context, n int) ([]float64, error) {
-				s := targetShape()
-				s.hosts = 100
-				s.teams = n
-				return newFollowing(s, nil).measure(), nil
-			},
-		},
-		{
-			role:    roleScheduler,
-			name:    "follow call with the report, tasks on every host",
-			axis:    "hosts",
-			sizes:   []int{50, 200, 600, 1200},
-			metrics: followMetrics(hostsHere),
-			measure: func(_ context.Context, n int) ([]float64, error) {
-				return newFollowing(here(n), newSite(here(n), tasksOfWorker)).measure(), nil
-			},
-		},
+		teams.following("first follow call, whole", targetTeams, newTeamsFollowing, (*following).measureWhole),
+		teams.following("steady follow call", targetTeams, newTeamsFollowing, (*following).measureSteady),
+		hosts.following("first follow call with the report, whole", hostsHere, newHostsFollowing, (*following).measureWhole),
+		hosts.following("steady follow call, a quarter of the hosts changed", hostsHere, newHostsFollowing, (*following).measureSteady),
 	}
 }
 
+// following returns the probe of one form of follow calls.
+func (p probe) following(name string, target float64, build func(n int) *following, measure func(*following) []float64) probe {
+	p.name = name
+	p.metrics = followMetrics(target)
+	p.measure = func(_ context.Context, n int) ([]float64, error) { return measure(build(n)), nil }
+	return p
+}
+
 func followMetrics(target float64) []metric {
 	return []metric{
 		{
@@ -71,99 +71,196 @@
 			rate:   followRate,
 			bound:  boundCore,
 		},
+		{
+			name:   "processor time of the leader for one caller",
+			value:  2,
+			unit:   cpuTime,
+			target: target,
+			rate:   followRate,
+		},
 	}
 }
 
-// following is one entry host, without a scheduler or with that of a site, and
-// what the leader does to answer it.
+// following is the entry hosts of a fleet and the leader that they follow. The
+// host 0 may report for a scheduler.
 type following struct {
-	shape shape
-	state controller.State
-	site  *site
-	held  map[string]*wire.RequestAllotment
-	grant *allocator.Allocator
-	now   time.Time
-	host  int
+	shape   shape
+	state   controller.State
+	grant   *allocator.Allocator
+	sources []follower.Source
+	held    []map[string]*wire.RequestAllotment
+	// reports are sent in turn; nil without a scheduler.
+	reports []*wire.SchedulerReport
+	now     time.Time
+	calls   int
+	bytes   float64
+	// leading is the processor time in the leader.
+	leading time.Duration
+}
+
+func newTeamsFollowing(teams int) *following {
+	s := targetShape()
+	s.hosts = 100
+	s.teams = teams
+	return newFollowing(s, nil)
+}
+
+func newHostsFollowing(hosts int) *following {
+	first := summaryOf(newSite(here(hosts), tasksOfWorker))
+	return newFollowing(here(hosts), []*wire.SchedulerReport{
+		first,
+		later(first),
+	})
+}
+
+// later returns the report after some tasks have started and ended. With 20
+// tasks of a minute on a host, a quarter of the hosts see a start or an end
+// between two calls, and every team and pool does.
+func later(r *wire.SchedulerReport) *wire.SchedulerReport {
+	next := proto.CloneOf(r)
+	for i, h := range next.GetHosts() {
+		if i%4 == 0 {
+			h.Tasks++
+			h.Running = part(h.GetRunning(), 99, 100)
+		}
+	}
+	for _, t := range next.GetTeams() {
+		t.Running = part(t.GetRunning(), 99, 100)
+	}
+	for _, p := range next.GetPools() {
+		p.Running = part(p.GetRunning(), 99, 100)
+	}
+	return next
 }
 
-func newFollowing(s shape, t *site) *following {
+func newFollowing(s shape, reports []*wire.SchedulerReport) *following {
 	f := &following{
-		shape: s,
-		state: s.state(),
-		site:  t,
-		held:  make(map[string]*wire.RequestAllotment),
-		grant: allocator.New(),
-		now:   start,
+		shape:   s,
+		state:   s.state(),
+		grant:   allocator.New(),
+		reports: reports,
+		now:     start,
+	}
+	receiver := condenser.NewReceiver(f)
+	for range s.entryHosts {
+		f.held = append(f.held, nil)
+		f.sources = append(f.sources, condenser.NewSender(&line{
+			to:        receiver,
+			following: f,
+		}))
 	}
-	// All entry hosts of the view hold parts before the calls are measured.
-	for range 20 * s.entryHosts {
-		f.call()
+	// All entry hosts hold steady parts before calls are measured.
+	for range 20 {
+		f.round()
 	}
 	return f
 }
 
-// call is one follow call of one entry host after the other.
-func (f *following) call() (*wire.FollowRequest, *wire.FollowResponse) {
-	request := f.request()
-	return request, f.answer(request)
+// round lets all entry hosts call once.
+func (f *following) round() {
+	for i := range f.sources {
+		f.now = f.now.Add(follower.Interval / time.Duration(len(f.sources)))
+		f.call(i)
+	}
+}
+
+// call is one follow call of a host; the stand-in of the connection loses none.
+func (f *following) call(host int) {
+	answer, err := f.sources[host].Follow(context.Background(), f.shape.member(0), f.request(host))
+	if err != nil {
+		panic(err)
+	}
+	f.held[host] = make(map[string]*wire.RequestAllotment)
+	for _, a := range answer.GetAllotments() {
+		f.held[host][a.GetTeam()] = a
+	}
 }
 
 // request fills in what internal/daemon and internal/follower do.
-func (f *following) request() *wire.FollowRequest {
-	f.now = f.now.Add(follower.Interval / time.Duration(f.shape.entryHosts))
-	f.host = (f.host + 1) % f.shape.entryHosts
+func (f *following) request(host int) *wire.FollowRequest {
 	r := &wire.FollowRequest{
-		Member:   f.shape.member(f.host),
+		Member:   f.shape.member(host),
 		Revision: f.state.Revision(),
 	}
 	for _, ref := range f.state.Teams() {
 		name := ref.Team.GetName()
 		r.Demands = append(r.Demands, &wire.TeamDemand{
 			Team:            name,
-			HeldRate:        f.held[r.GetMember().GetName()+name].GetRate(),
-			HeldConcurrency: f.held[r.GetMember().GetName()+name].GetConcurrency(),
+			HeldRate:        f.held[host][name].GetRate(),
+			HeldConcurrency: f.held[host][name].GetConcurrency(),
 		})
 	}
-	if f.site != nil {
-		r.Report = f.report()
+	if host == 0 && f.reports != nil {
+		f.calls++
+		r.Report = f.reports[f.calls%len(f.reports)]
 	}
 	return r
 }
 
-// report lets every worker poll once, which changes the use of its tasks.
-func (f *following) report() *wire.SchedulerReport {
-	f.site.now = f.now
-	for i := range f.shape.hosts {
-		f.site.poll(i)
-	}
-	return f.site.sched.Report(f.now)
-}
-
-// answer does what the leader does for one call.
-func (f *following) answer(r *wire.FollowRequest) *wire.FollowResponse {
-	answer := &wire.FollowResponse{
+// Follow does what the leader does for one call.
+func (f *following) Follow(_ context.Context, r *wire.FollowRequest) (*wire.FollowResponse, error) {
+	return &wire.FollowResponse{
 		Leader:     f.shape.member(0).GetName(),
 		Revision:   f.state.Revision(),
 		LeaseNanos: int64(follower.LeaseLength),
 		Allotments: f.grant.Grant(f.now, r.GetMember(), r.GetDemands(), f.state),
-	}
-	for _, a := range answer.GetAllotments() {
-		f.held[r.GetMember().GetName()+a.GetTeam()] = a
-	}
-	return answer
+	}, nil
+}
+
+// line is the connection of one entry host to the leader.
+type line struct {
+	to *condenser.Receiver
+	*following
+}
+
+// Follow carries one call as the messenger does.
+func (l *line) Follow(ctx context.Context, _ *wire.Member, r *wire.FollowRequest) (*wire.FollowResponse, error) {
+	encoded := marshal(r)
+	began := processorTime()
+	answer, err := l.to.Follow(ctx, unmarshal[wire.FollowRequest](encoded))
+	answered := marshal(answer)
+	l.leading += processorTime() - began
+	l.bytes = callBytes(followMethod, r, answer)
+	return unmarshal[wire.FollowResponse](answered), err
+}
+
+// measureSteady returns the bytes of a call of host 0 and the processor time
+// that it costs the caller and the leader.
+func (f *following) measureSteady() []float64 {
+	return f.measure(func() { f.call(0) })
+}
+
+// measureWhole is measureSteady for a caller that the leader does not know.
+func (f *following) measureWhole() []float64 {
+	receiver := condenser.NewReceiver(f)
+	return f.measure(func() {
+		f.sources[0] = condenser.NewSender(&line{
+			to:        receiver,
+			following: f,
+		})
+		receiver = condenser.NewReceiver(f)
+		f.call(0)
+	})
 }
 
-// measure returns the bytes of one call and the processor time that it costs
-// the caller and the leader.
-func (f *following) measure() []float64 {
-	request, answer := f.call()
-	bytes := callBytes(followMethod, request, answer)
-	whole := perCall(func() { recode(f.answer(recode(f.request()))) })
-	leader := perCall(func() { recode(f.answer(request)) })
-	if f.site != nil {
-		// The polls belong to another line.
-		whole -= perCall(func() { f.report() })
-		whole += perCall(func() { f.site.sched.Report(f.now) })
+func (f *following) measure(call func()) []float64 {
+	call()
+	var caller, leader float64
+	for i := range repeats {
+		runtime.GC()
+		f.leading = 0
+		began := processorTime()
+		for range measuredCalls {
+			f.now = f.now.Add(follower.Interval)
+			call()
+		}
+		whole := processorTime() - began
+		if each := float64(whole-f.leading) / measuredCalls; i == 0 || each < caller {
+			caller = each
+		}
+		if each := float64(f.leading) / measuredCalls; i == 0 || each < leader {
+			leader = each
+		}
 	}
-	return []float64{bytes, max(whole-leader, 0), leader}
+	return []float64{f.bytes, caller, leader}
 }
--- a/internal/measurer/gauge.go
+++ b/internal/measurer/gauge.go
@@ -104,14 +104,29 @@
 }
 
 // recode encodes and decodes a message as a connection would.
-func recode[M proto.Message](m M) M {
+func recode[R any, PR interface {
+	*R
+	proto.Message
+}](m PR) PR {
+	return unmarshal[R, PR](marshal(m))
+}
+
+// marshal fails only for strings that are not UTF-8; the stand-ins have none.
+func marshal(m proto.Message) []byte {
 	data, err := proto.Marshal(m)
 	if err != nil {
 		panic(err)
 	}
-	copied := m.ProtoReflect().New().Interface().(M)
-	if err := proto.Unmarshal(data, copied); err != nil {
+	return data
+}
+
+func unmarshal[R any, PR interface {
+	*R
+	proto.Message
+}](data []byte) PR {
+	m := PR(new(R))
+	if err := proto.Unmarshal(data, m); err != nil {
 		panic(err)
 	}
-	return copied
+	return m
 }
--- a/internal/measurer/workers.go
+++ b/internal/measurer/workers.go
@@ -52,7 +52,7 @@
 	})
 }
 
-// pollOf is the report of one worker; the use of its tasks differs each time.
+// pollOf is the report of one worker whose tasks use less than they declared.
 func (t *site) pollOf(host int) *wire.WorkerPoll {
 	h := t.shape.host(host)
 	p := &wire.WorkerPoll{
@@ -70,7 +70,7 @@
 		p.Running = append(p.Running, &wire.RunningTask{
 			Task:     task.GetId(),
 			Epoch:    1,
-			Used:     part(task.GetSize(), 80+int(t.sequence%10), 100),
+			Used:     part(task.GetSize(), 80, 100),
 			RunNanos: int64(time.Minute),
 			Detail:   task,
 		})
@@ -116,3 +116,6 @@
 		Starts: true,
 	})
 }
+
+// summaryOf returns the report that the daemon of the scheduler sends.
+func summaryOf(t *site) *wire.SchedulerReport { return t.sched.Report(t.now) }
