internal/daemon: pass callers' paths on unchanged; keep upstream bytes out of logs

Cause: ServeMux redirects paths with '//' or '..' that belong to the upstream, and net/http writes up to 4 KB of unsolicited answers to the standard logger.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"time"
@@ -41,6 +42,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    int(d.opts.Settings.Limits.Header),
+		ErrorLog:          slog.NewLogLogger(d.opts.Logger.Handler(), slog.LevelDebug),
 	}
 	if certificates != nil {
 		d.http.TLSConfig = certificates.Server()
@@ -50,10 +52,6 @@
 
 func (d *Daemon) routes() http.Handler {
 	mux := http.NewServeMux()
-	callers := d.ingress.Handler()
-	mux.Handle("/q/", callers)
-	mux.Handle("/v1/tasks", callers)
-	mux.Handle("/v1/tasks/", callers)
 	announcements := announcer.NewHandler(d.directory, d.dispatcher)
 	mux.Handle("/v1/upstreams", announcements)
 	mux.Handle("/v1/upstreams/", announcements)
@@ -66,7 +64,16 @@
 	mux.Handle("/metrics", d.meter.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.serveReady)
-	return mux
+	callers := d.ingress.Handler()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// ServeMux would redirect paths with "//" or "..", which are the
+		// upstream's to interpret.
+		if d.ingress.Handles(r.URL.Path) {
+			callers.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // closing asks clients to close their connections after each response once the
