--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -11,6 +11,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/heathermux/heathermux/internal/announcer"
+	"github.com/heathermux/heathermux/internal/ingress"
 	"github.com/heathermux/heathermux/internal/operator"
 	"github.com/heathermux/heathermux/internal/wire"
 )
@@ -68,7 +69,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		// ServeMux would redirect paths with "//" or "..", which are the
 		// upstream's to interpret.
-		if d.ingress.Handles(r.URL.Path) {
+		if ingress.Handles(r.URL.Path) {
 			callers.ServeHTTP(w, r)
 			return
 		}
