--- a/internal/planner/fake_test.go
+++ b/internal/planner/fake_test.go
@@ -35,8 +35,6 @@
 	demand map[string]float64
 	// only limits the hosts under maintenance at once; 0 means no limit.
 	only int
-	// frozen applies no moves, for the baseline of a fixed buffer.
-	frozen bool
 
 	operations int
 	moves      int
@@ -166,10 +164,7 @@
 }
 
 func (f *fakeFleet) accept(cmd *wire.Command) {
-	if move := cmd.GetMoveHost(); move != nil {
-		if f.frozen {
-			return
-		}
+	if cmd.GetMoveHost() != nil {
 		f.moves++
 	}
 	if grant := cmd.GetGrantMaintenance(); grant != nil && f.only > 0 {
--- a/internal/planner/maintenance.go
+++ b/internal/planner/maintenance.go
@@ -42,7 +42,7 @@
 // then hosts of racks that are under maintenance already.
 func (p *Planner) grants(f fleet, b budgets) []*wire.Command {
 	// A pool whose budget is used up must not hold up the other pools.
-	candidates := slices.DeleteFunc(waiting(f), func(h host) bool { return b[h.GetPool()] < 1 || !p.mayDrain(f, h) })
+	candidates := slices.DeleteFunc(waiting(f), func(h host) bool { return !b.allows(f, h) || !p.mayDrain(f, h) })
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -59,7 +59,7 @@
 	})
 	var names []string
 	for _, h := range candidates {
-		if b.take(h.GetPool()) {
+		if b.take(f, h) {
 			names = append(names, h.GetName())
 		}
 	}
--- a/internal/planner/moves.go
+++ b/internal/planner/moves.go
@@ -103,7 +103,7 @@
 // centre in which the pool has the fewest hosts.
 func spareHost(f fleet, b budgets, pool string) (host, bool) {
 	spare, ok := sparePool(f)
-	if !ok || b[spare] < 1 {
+	if !ok {
 		return host{}, false
 	}
 	perRack := make(map[string]int)
@@ -115,28 +115,25 @@
 		}
 	}
 	best, found := least(f, func(h host) bool {
-		return h.GetPool() == spare && h.usable() && inService(f, h)
+		return h.GetPool() == spare && h.usable() && inService(f, h) && b.allows(f, h)
 	}, func(a, b host) int {
 		return cmp.Or(
 			cmp.Compare(perDataCentre[a.GetDataCentre()], perDataCentre[b.GetDataCentre()]),
 			cmp.Compare(perRack[rackOf(a)], perRack[rackOf(b)]),
 		)
 	})
-	return best, found && b.take(spare)
+	return best, found && b.take(f, best)
 }
 
 // surplusHost returns the host of a pool that is cheapest to give up: idle
 // hosts first, then those with the fewest tasks.
 func surplusHost(f fleet, b budgets, pool string) (host, bool) {
-	if b[pool] < 1 {
-		return host{}, false
-	}
 	best, found := least(f, func(h host) bool {
-		return h.GetPool() == pool && h.usable() && inService(f, h)
+		return h.GetPool() == pool && h.usable() && inService(f, h) && b.allows(f, h)
 	}, func(a, b host) int {
 		return cmp.Compare(a.use.GetTasks(), b.use.GetTasks())
 	})
-	return best, found && b.take(pool)
+	return best, found && b.take(f, best)
 }
 
 // least returns the first host in the given order among those that fit; the
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -162,6 +162,47 @@
 	}
 }
 
+// Pools that lack hosts at the same time must not be given the same spare host.
+func TestPoolsGetDifferentHosts(t *testing.T) {
+	is := is.New(t)
+	// In one data centre and rack all pools prefer the same host.
+	l := today
+	l.dataCentres = 1
+	l.perRack = l.hosts
+	f := newFleet(l)
+	f.run(10 * time.Second)
+	for _, pool := range today.pools {
+		f.demand[pool] = 9
+	}
+	f.run(3 * time.Minute)
+	is.True(f.moves > 1)
+	is.Equal(len(f.rejected), 0)
+}
+
+// availability-budget: hosts of a data centre that is out of service are
+// unavailable too, so maintenance goes on only among them.
+func TestDataCentreOutUsesUpTheBudget(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(today)
+	f.run(10 * time.Second)
+	setDataCentre(f, wire.ServiceState_SERVICE_STATE_OUT)
+	f.startMaintenance()
+	for range 20 * 60 {
+		f.step()
+		for _, g := range f.state.Grants() {
+			h, _ := f.state.Host(g.GetHost())
+			is.True(h.GetDataCentre() == "dc-1" || h.GetPool() == "spare")
+		}
+	}
+	for _, h := range f.state.Hosts() {
+		is.True(h.GetDataCentre() != "dc-1" || h.GetMaintainedWave() == 1)
+	}
+	is.True(!f.maintained())
+	setDataCentre(f, wire.ServiceState_SERVICE_STATE_IN)
+	f.run(time.Hour)
+	is.True(f.maintained())
+}
+
 // A rack that dies must stop new drains until its failures are a minute old.
 func TestCorrelatedFailuresWithholdGrants(t *testing.T) {
 	is := is.New(t)
@@ -279,7 +320,9 @@
 			l := today
 			l.spareHosts = 0
 			*f = *newFleet(l)
-			f.frozen = true
+			f.planner = planner.New(planner.Options{
+				Policies: fixedBuffer,
+			})
 		},
 		"one-at-a-time": func(f *fakeFleet) { f.only = 1 },
 	}
@@ -298,6 +341,13 @@
 	}
 }
 
+// fixedBuffer never returns a host.
+func fixedBuffer(*wire.Pool) planner.Policy {
+	p := planner.FavourShares()
+	p.Quiet = 1000 * time.Hour
+	return p
+}
+
 func withPolicy(p wire.PlanPolicy) layout {
 	l := today
 	l.policy = p
--- a/internal/supervisor/schedulers.go
+++ b/internal/supervisor/schedulers.go
@@ -6,7 +6,7 @@
 )
 
 // schedulerChanges returns an assignment for each data centre whose scheduler
-// is not in the view. The scheduler runs in its own data centre, because a
+// is not in the view, or was lent by another data centre and can go home. The scheduler runs in its own data centre, because a
 // partition would otherwise stop starts on both sides; a data centre without
 // entry hosts gets an idle one of another data centre, or none.
 func schedulerChanges(s controller.State) []*wire.AssignScheduler {
@@ -16,11 +16,12 @@
 	}
 	var changes []*wire.AssignScheduler
 	for _, d := range s.DataCentres() {
-		if isMember(s, d.GetScheduler()) {
-			continue
-		}
 		name := idleMember(s, d.GetName(), assigned)
-		if name == "" {
+		present, ok := member(s, d.GetScheduler())
+		next, _ := member(s, name)
+		atHome := present.GetDataCentre() == d.GetName()
+		goesHome := next.GetDataCentre() == d.GetName()
+		if name == "" || ok && (atHome || !goesHome) {
 			continue
 		}
 		assigned[name] = true
@@ -32,13 +33,13 @@
 	return changes
 }
 
-func isMember(s controller.State, name string) bool {
+func member(s controller.State, name string) (*wire.Member, bool) {
 	for _, m := range s.View().GetMembers() {
 		if m.GetName() == name {
-			return true
+			return m, true
 		}
 	}
-	return false
+	return nil, false
 }
 
 // idleMember returns a member without an assignment, one in the data centre
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -244,6 +244,10 @@
 	callao, _ := s.scheduler("callao")
 	is.Equal(lima, "a")
 	is.Equal(callao, "b")
+	// It gets its own scheduler back, which a partition can't take from it.
+	s.pass(time.Second, "")
+	callao, _ = s.scheduler("callao")
+	is.Equal(callao, "c")
 }
 
 // The only entry host of a data centre must not be lent to another one that
