internal/ingress, internal/daemon: apply the limits of the settings

Cause: header, body, payload, waiting requests and the default deadline could be set, and nothing used them. Change: the ingress takes its bounds from the settings; the server reads twice the header bound, so that the caller gets the ingress's clearer refusal.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,6 +239,7 @@
 		Directory:  d.directory,
 		Tasks:      d.dispatcher,
 		Allotments: d.follower,
+		Limits:     d.limits(),
 	})
 	return err
 }
@@ -307,3 +308,16 @@
 	}
 	return list
 }
+
+// limits returns what the settings allow one request or task.
+func (d *Daemon) limits() ingress.Limits {
+	s := d.opts.Settings
+	return ingress.Limits{
+		Header:      int(s.Limits.Header),
+		Body:        int64(s.Limits.Body),
+		TaskPayload: int(s.Limits.TaskPayload),
+		Deadline:    s.RequestDeadline,
+		Waiting:     s.Limits.Queue,
+		TeamWaiting: s.Limits.QueuePerTeam,
+	}
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -42,8 +42,9 @@
 		Handler:           d.meter.Wrap(d.closing(d.routes())),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(d.opts.Settings.Limits.Header),
-		ErrorLog:          slog.NewLogLogger(d.opts.Logger.Handler(), slog.LevelDebug),
+		// The ingress refuses with a clearer error than the server.
+		MaxHeaderBytes: 2 * int(d.opts.Settings.Limits.Header),
+		ErrorLog:       slog.NewLogLogger(d.opts.Logger.Handler(), slog.LevelDebug),
 	}
 	if certificates != nil {
 		d.http.TLSConfig = certificates.Server()
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -15,31 +16,31 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if r.ContentLength > forwarder.MaxBody {
-		return nil, bodyTooLarge()
+	if r.ContentLength > g.cfg.Limits.Body {
+		return nil, g.bodyTooLarge()
 	}
 	control := http.NewResponseController(w)
 	// Sockets run on the machine's own clock.
 	_ = control.SetReadDeadline(time.Now().Add(left))
-	body, err := readUpTo(r)
+	body, err := readUpTo(r, g.cfg.Limits.Body)
 	if err != nil {
 		return nil, problem(http.StatusBadRequest, "body-cut", "Body did not arrive",
 			"the body did not arrive in whole before the deadline")
 	}
 	_ = control.SetReadDeadline(time.Time{})
-	if len(body) > forwarder.MaxBody {
-		return nil, bodyTooLarge()
+	if int64(len(body)) > g.cfg.Limits.Body {
+		return nil, g.bodyTooLarge()
 	}
 	return body, nil
 }
 
-func readUpTo(r *http.Request) ([]byte, error) {
+func readUpTo(r *http.Request, most int64) ([]byte, error) {
 	if n := r.ContentLength; n >= 0 {
 		body := make([]byte, n)
 		_, err := io.ReadFull(r.Body, body)
 		return body, err
 	}
-	return io.ReadAll(io.LimitReader(r.Body, forwarder.MaxBody+1))
+	return io.ReadAll(io.LimitReader(r.Body, most+1))
 }
 
 // maxBodies bounds the memory of the request bodies that are held at once. It
@@ -62,9 +63,9 @@
 func (m *bodyMemory) release(size int64) { m.held.Add(-size) }
 
 // bodyReserve returns the most bytes that the body of a request may take.
-func bodyReserve(r *http.Request) int64 {
-	if r.ContentLength < 0 || r.ContentLength > forwarder.MaxBody {
-		return forwarder.MaxBody
+func (g *Ingress) bodyReserve(r *http.Request) int64 {
+	if r.ContentLength < 0 || r.ContentLength > g.cfg.Limits.Body {
+		return g.cfg.Limits.Body
 	}
 	return r.ContentLength
 }
@@ -74,7 +75,7 @@
 		"this entry host holds as many request bodies as it may")
 }
 
-func bodyTooLarge() *Problem {
+func (g *Ingress) bodyTooLarge() *Problem {
 	return problem(http.StatusRequestEntityTooLarge, "body-too-large", "Body is too large",
-		"a body has at most 8 MiB")
+		"a body has at most "+strconv.FormatInt(g.cfg.Limits.Body, 10)+" bytes")
 }
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -79,12 +79,12 @@
 	if c.team, refusal = authorise(view, now, &c.credential, c.queue, c.keyed()); refusal != nil {
 		return nil, refusal
 	}
-	left, refusal := deadline(r.Header)
+	left, refusal := g.deadline(r.Header)
 	if refusal != nil {
 		return nil, refusal
 	}
-	if headerSize(r.Header) > MaxHeader {
-		return nil, headerTooLarge()
+	if headerSize(r.Header) > g.cfg.Limits.Header {
+		return nil, g.headerTooLarge()
 	}
 	c.deadline = now.Add(left)
 	c.id = g.nextID()
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -55,4 +55,6 @@
 	Directory  Directory
 	Tasks      Tasks
 	Allotments Allotments
+	// Limits bound requests and tasks; zero fields mean the defaults.
+	Limits Limits
 }
--- a/internal/ingress/deadline.go
+++ b/internal/ingress/deadline.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// defaultDeadline is the time that a request without a deadline has.
+	// defaultDeadline is the default of Limits.Deadline.
 	defaultDeadline = 5 * time.Second
 	// maxDeadline bounds how long a request may hold resources. Work that
 	// takes longer is a task.
@@ -30,10 +30,10 @@
 }
 
 // deadline returns the time that the request has, from its arrival.
-func deadline(h http.Header) (time.Duration, *Problem) {
+func (g *Ingress) deadline(h http.Header) (time.Duration, *Problem) {
 	values := h[deadlineHeader]
 	if len(values) == 0 {
-		return defaultDeadline, nil
+		return g.cfg.Limits.Deadline, nil
 	}
 	d, ok := parseDuration(values[0])
 	if len(values) > 1 || !ok || d > maxDeadline {
--- a/internal/ingress/fakes_test.go
+++ b/internal/ingress/fakes_test.go
@@ -213,6 +213,11 @@
 }
 
 func newSite(t testing.TB) *site {
+	t.Helper()
+	return newLimitedSite(t, ingress.Limits{})
+}
+
+func newLimitedSite(t testing.TB, limits ingress.Limits) *site {
 	t.Helper()
 	s := &site{
 		t: t,
@@ -235,6 +240,7 @@
 		Directory:  s,
 		Tasks:      s.tasks,
 		Allotments: s,
+		Limits:     limits,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/ingress/header.go
+++ b/internal/ingress/header.go
@@ -1,8 +1,11 @@
 package ingress
 
-import "net/http"
+import (
+	"net/http"
+	"strconv"
+)
 
-// MaxHeader is the largest request header, in bytes.
+// MaxHeader is the default of Limits.Header.
 const MaxHeader = 32 << 10
 
 // headerSize is the size of a header on the wire.
@@ -17,7 +20,7 @@
 	return size
 }
 
-func headerTooLarge() *Problem {
+func (g *Ingress) headerTooLarge() *Problem {
 	return problem(http.StatusRequestHeaderFieldsTooLarge, "header-too-large", "Header is too large",
-		"a request header has at most 32 KiB")
+		"a request header has at most "+strconv.Itoa(g.cfg.Limits.Header)+" bytes")
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -49,6 +49,7 @@
 	if cfg.Tracer == nil {
 		cfg.Tracer = noop.NewTracerProvider()
 	}
+	cfg.Limits = cfg.Limits.withDefaults()
 	g := &Ingress{
 		cfg:       cfg,
 		tracer:    cfg.Tracer.Tracer("github.com/heathermux/heathermux/internal/ingress"),
@@ -68,6 +69,9 @@
 		Clock:     cfg.Clock,
 		Allotment: cfg.Allotments.Allotment,
 		Capacity:  g.router.Capacity,
+
+		MaxWaiting:     cfg.Limits.Waiting,
+		MaxTeamWaiting: cfg.Limits.TeamWaiting,
 	})
 	return g, nil
 }
--- a/internal/ingress/parse_test.go
+++ b/internal/ingress/parse_test.go
@@ -112,6 +112,28 @@
 	is.Equal(got.problem.Run, ingress.NotRun)
 }
 
+// A bound of the settings must be the one that is applied.
+func TestLimits(t *testing.T) {
+	is := is.New(t)
+	s := newLimitedSite(t, ingress.Limits{
+		Header:      1 << 10,
+		Body:        2 << 10,
+		TaskPayload: 16,
+		Deadline:    50 * time.Millisecond,
+	})
+	s.setUpstreams(s.upstream("open", echo))
+	is.Equal(s.send(http.MethodPost, "/q/open/", make([]byte, 2<<10)).status, http.StatusOK)
+	is.Equal(s.send(http.MethodPost, "/q/open/", make([]byte, 2<<10+1)).status, http.StatusRequestEntityTooLarge)
+	is.Equal(s.send(http.MethodPost, "/q/open/", nil, "Padding", strings.Repeat("x", 1<<10)).status, http.StatusRequestHeaderFieldsTooLarge)
+	task := `{"queue":"tasks","deadline":"1s","payload":"0123456789abcdef"}`
+	is.Equal(s.send(http.MethodPost, "/v1/tasks", []byte(task), "Authorization", bearer("feeds")).name(), "payload-too-large")
+	s.setUpstreams(s.upstream("open", func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		echo(w, r)
+	}))
+	is.Equal(s.send(http.MethodPost, "/q/open/", nil).status, http.StatusGatewayTimeout)
+}
+
 // Invariant own-answer: callers that share upstream connections, some with
 // deadlines that pass, must never get each other's answers.
 func TestCrossedAnswers(t *testing.T) {
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -42,7 +42,7 @@
 		return nil, refusal.seenKey(r.Header)
 	}
 	trace.SpanFromContext(ctx).SetAttributes(attribute.String("queue", c.queue.GetName()))
-	size := bodyReserve(r)
+	size := g.bodyReserve(r)
 	if !g.bodies.reserve(size) {
 		return nil, c.notRun(bodyMemoryFull()).after(time.Second)
 	}
--- a/internal/ingress/tasks.go
+++ b/internal/ingress/tasks.go
@@ -89,7 +89,7 @@
 	if view := g.cfg.View(); !view.Live(g.cfg.Clock.Now()) {
 		return 0, nil, noLease()
 	}
-	size := bodyReserve(r)
+	size := g.bodyReserve(r)
 	if !g.bodies.reserve(size) {
 		return 0, nil, bodyMemoryFull().after(time.Second)
 	}
@@ -102,6 +102,10 @@
 	if err != nil {
 		return 0, nil, problem(http.StatusBadRequest, "bad-task", "Task is not readable", err.Error())
 	}
+	if most := g.cfg.Limits.TaskPayload; len(task.GetPayload()) > most {
+		return 0, nil, problem(http.StatusRequestEntityTooLarge, "payload-too-large", "Payload is too large",
+			"the payload of a task has at most "+strconv.Itoa(most)+" bytes")
+	}
 	present := g.cfg.View()
 	view := g.saw(&present)
 	queue, refusal := findQueue(view, g.cfg.Clock.Now(), wire.QueueKind_QUEUE_KIND_TASKS, task.GetQueue())
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -85,9 +85,9 @@
 	Body Bytes `json:"body" validate:"min=1024,max=8388608" allow:"an amount of memory from \"1KiB\" to \"8MiB\""`
 	// Connections is the number of client connections at once.
 	Connections int `json:"connections" validate:"min=16,max=100000" allow:"a whole number from 16 to 100000"`
-	// Queue is the number of requests that wait at once.
+	// Queue is the number of requests that wait in one queue at once.
 	Queue int `json:"queue" validate:"min=1,max=100000" allow:"a whole number from 1 to 100000"`
-	// QueuePerTeam is the number of requests of one team that wait at once.
+	// QueuePerTeam is the number of requests of one team that wait in one queue at once.
 	QueuePerTeam int `json:"queue-per-team" validate:"min=1,max=100000,ltefield=Queue" allow:"a whole number from 1 to the value of queue"`
 	// Tasks is the number of accepted tasks that a scheduler holds at once.
 	Tasks int `json:"tasks" validate:"min=1,max=1000000" allow:"a whole number from 1 to 1000000"`
