internal/recorder: fewer slots are given up as lost

Hosts with an old view counted refused fetches as lost holders, one lost message left a host out of a whole pass, and a gap in the middle of the history was never filled. Close waited for abandon messages of up to 30 s. Change: no slot is lost while a host answers from a later view; a host is left out after three failures in a row; missing views are learned in any place of the history; Close gives up abandon messages.

--- a/internal/recorder/client.go
+++ b/internal/recorder/client.go
@@ -107,8 +107,10 @@
 // abandon reports in the background that an attempt will never send its
 // request, so that an intent whose grant was lost does not block the key.
 func (r *Recorder) abandon(ctx context.Context, key string, fingerprint []byte, attempt string) {
-	ctx = context.WithoutCancel(ctx)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	r.opts.Background(func() {
+		defer cancel()
+		defer context.AfterFunc(r.closing, cancel)()
 		r.Finish(ctx, &wire.RegistryEntry{
 			Key:         key,
 			State:       wire.EntryState_ENTRY_STATE_ABANDONED,
--- a/internal/recorder/options.go
+++ b/internal/recorder/options.go
@@ -73,6 +73,9 @@
 	// lostPasses is the number of passes in which every earlier holder must be
 	// out of the view and unreachable before the slot counts as lost.
 	lostPasses = 3
+	// maxFailures is above 1 because a single lost message would otherwise make
+	// all remaining slots of a pass count as unreachable.
+	maxFailures = 3
 	// historyLength is the number of earlier views that are kept for surveys.
 	historyLength = 8
 
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -20,6 +20,9 @@
 	table *deduplicator.Table
 	// notices sends abandon messages in the background.
 	notices pond.Pool
+	// closing ends when Close is called.
+	closing context.Context
+	close   context.CancelFunc
 	// wake tells Run that slots are pending.
 	wake chan struct{}
 
@@ -43,9 +46,12 @@
 // New returns a recorder that refuses every key until SetView is called.
 func New(opts Options) *Recorder {
 	opts = opts.withDefaults()
+	closing, cancel := context.WithCancel(context.Background())
 	r := &Recorder{
-		opts: opts,
-		self: hostOf(opts.Self),
+		closing: closing,
+		close:   cancel,
+		opts:    opts,
+		self:    hostOf(opts.Self),
 		table: deduplicator.New(deduplicator.Options{
 			Self:       hostOf(opts.Self),
 			Retention:  opts.Retention,
@@ -149,8 +155,10 @@
 	return r.table.Stats()
 }
 
-// Close waits for the abandon messages in progress. End Run first.
+// Close gives up the abandon messages that are not sent yet and returns when
+// the worker pool has ended. End Run first.
 func (r *Recorder) Close() {
+	r.close()
 	r.notices.StopAndWait()
 }
 
--- a/internal/recorder/transfer.go
+++ b/internal/recorder/transfer.go
@@ -1,6 +1,7 @@
 package recorder
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -26,7 +27,7 @@
 		r:         r,
 		placement: placement,
 		number:    placement.passes.Add(1),
-		failed:    make(map[deduplicator.Host]bool),
+		failed:    make(map[deduplicator.Host]int),
 		views:     placement.views,
 		maps:      placement.history,
 	}
@@ -54,16 +55,21 @@
 	return left
 }
 
-// pass is one pass over the pending slots. It calls a host that did not answer
-// only once, so that a frozen host costs one timeout for each worker.
+// pass is one pass over the pending slots. It leaves out a host that has not
+// answered maxFailures calls in a row, so that a frozen host costs a few
+// timeouts and not one for each slot.
 type pass struct {
 	r         *Recorder
 	placement *placement
 	number    int64
 
-	mu     sync.Mutex
-	failed map[deduplicator.Host]bool
-	// views are those of the placement and older ones that other hosts know,
+	mu sync.Mutex
+	// stale is true when a host has seen a later view. No slot counts as lost
+	// then, because hosts that refuse to answer may still hold it.
+	stale bool
+	// failed counts the calls in a row that a host did not answer.
+	failed map[deduplicator.Host]int
+	// views are those of the placement and earlier ones that other hosts know,
 	// newest first.
 	views []*wire.View
 	// maps are those of the views but the present one.
@@ -78,7 +84,7 @@
 		var verdict deduplicator.Verdict
 		taken, verdict = p.survey(ctx, slot)
 		lost = verdict == deduplicator.Lost
-		if verdict == deduplicator.Wait || (lost && p.number < lostPasses) {
+		if verdict == deduplicator.Wait || (lost && (p.number < lostPasses || p.isStale())) {
 			return
 		}
 	}
@@ -99,22 +105,34 @@
 func (p *pass) survey(ctx context.Context, slot int) (deduplicator.Content, deduplicator.Verdict) {
 	present := p.placement.present
 	answers := make(map[deduplicator.Host]deduplicator.Content)
+	asked := make(map[deduplicator.Host]bool)
 	history := p.history()
-	for i := 0; i < len(history); i++ {
-		for _, h := range p.order(history[i].Holders(slot).List()) {
-			if _, answered := answers[h]; answered {
-				continue
-			}
-			if content, ok := p.fetch(ctx, h, slot); ok {
-				answers[h] = content
-			}
-			history = p.history()
-			if content, verdict := deduplicator.Survey(present, history, slot, answers); verdict == deduplicator.Take {
-				return content, verdict
+	for {
+		h, ok := p.next(history, slot, asked)
+		if !ok {
+			return deduplicator.Survey(present, history, slot, answers)
+		}
+		asked[h] = true
+		if content, ok := p.fetch(ctx, h, slot); ok {
+			answers[h] = content
+		}
+		history = p.history()
+		if content, verdict := deduplicator.Survey(present, history, slot, answers); verdict == deduplicator.Take {
+			return content, verdict
+		}
+	}
+}
+
+// next returns the holder to ask after those that were asked.
+func (p *pass) next(history []*deduplicator.SlotMap, slot int, asked map[deduplicator.Host]bool) (deduplicator.Host, bool) {
+	for _, m := range history {
+		for _, h := range p.order(m.Holders(slot).List()) {
+			if !asked[h] {
+				return h, true
 			}
 		}
 	}
-	return deduplicator.Survey(present, history, slot, answers)
+	return deduplicator.Host{}, false
 }
 
 // history returns the maps before the present one.
@@ -124,15 +142,19 @@
 	return p.maps
 }
 
-// learn adds older views that another host knows. The control state gives an
+// learn adds earlier views that another host knows, so that a host that joined
+// or skipped a view has a history without gaps. The control state gives an
 // epoch to one view only, so that views of one epoch are equal.
 func (p *pass) learn(views []*wire.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, v := range views {
-		if v.GetEpoch()+1 == p.views[len(p.views)-1].GetEpoch() {
-			p.views = append(slices.Clip(p.views), v)
-			p.maps = append(slices.Clip(p.maps), mapOf(v))
+		i, known := slices.BinarySearchFunc(p.views, v, func(a, b *wire.View) int {
+			return cmp.Compare(b.GetEpoch(), a.GetEpoch())
+		})
+		if !known && i > 0 {
+			p.views = slices.Insert(slices.Clone(p.views), i, v)
+			p.maps = slices.Insert(slices.Clone(p.maps), i-1, mapOf(v))
 		}
 	}
 }
@@ -169,11 +191,16 @@
 			Slot:  uint32(slot),
 		})
 	})
+	p.record(from, err)
 	if err != nil {
-		p.fail(from)
 		return deduplicator.Content{}, false
 	}
-	if resp.GetIncarnation() != from.Incarnation {
+	switch resp.GetIncarnation() {
+	case from.Incarnation:
+	case "":
+		p.setStale()
+		return deduplicator.Content{}, false
+	default:
 		// A restarted process answers at the address; its table is empty.
 		return deduplicator.Content{}, false
 	}
@@ -213,11 +240,8 @@
 			LostNanos: int64(content.Lost),
 		})
 	})
-	if err != nil {
-		p.fail(to.Copy)
-		return false
-	}
-	return resp.GetStored()
+	p.record(to.Copy, err)
+	return err == nil && resp.GetStored()
 }
 
 // member returns the member that is the host in any view of the pass.
@@ -227,14 +251,30 @@
 	return memberOf(p.views, h)
 }
 
+func (p *pass) setStale() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = true
+}
+
+func (p *pass) isStale() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stale
+}
+
 func (p *pass) hasFailed(h deduplicator.Host) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.failed[h]
+	return p.failed[h] >= maxFailures
 }
 
-func (p *pass) fail(h deduplicator.Host) {
+// record counts the result of a call to the host.
+func (p *pass) record(h deduplicator.Host, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failed[h] = true
+	p.failed[h]++
+	if err == nil {
+		p.failed[h] = 0
+	}
 }
