internal/condenser, internal/daemon: summary of the hosts in a scheduler's report

Cause: a difference of reports still listed each host on which a task had started or ended, because an entry holds the number and size of its tasks.

Change: the daemon reports of each host whether it is alive, quarantined, of which epoch and incarnation, and the number of its tasks rounded down to a power of two. The size of what runs on a host was read by nobody on the leader; the planner asks whether a host is idle and prefers hosts with fewer tasks for moves. Teams and pools keep exact sums, which decide limits and demand.

A host whose number of tasks goes up and down across a power of two is still sent each time; the probe has none.

Conclusion: the report no longer grows with the hosts of a data centre.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -188,7 +188,7 @@
 		},
 		Logger:   d.opts.Logger,
 		Demands:  d.demands,
-		Report:   d.dispatcher.Report,
+		Report:   func() *wire.SchedulerReport { return condenser.Summary(d.dispatcher.Report()) },
 		OnChange: d.viewChanged,
 	})
 	d.control = &control{
--- a/internal/measurer/follow.go
+++ b/internal/measurer/follow.go
@@ -42,7 +42,7 @@
 		teams.following("first follow call, whole", targetTeams, newTeamsFollowing, (*following).measureWhole),
 		teams.following("steady follow call", targetTeams, newTeamsFollowing, (*following).measureSteady),
 		hosts.following("first follow call with the report, whole", hostsHere, newHostsFollowing, (*following).measureWhole),
-		hosts.following("steady follow call, a quarter of the hosts changed", hostsHere, newHostsFollowing, (*following).measureSteady),
+		hosts.following("steady follow call, tasks change on a quarter of the hosts", hostsHere, newHostsFollowing, (*following).measureSteady),
 	}
 }
 
@@ -106,10 +106,10 @@
 }
 
 func newHostsFollowing(hosts int) *following {
-	first := summaryOf(newSite(here(hosts), tasksOfWorker))
+	first := newSite(here(hosts), tasksOfWorker).report()
 	return newFollowing(here(hosts), []*wire.SchedulerReport{
-		first,
-		later(first),
+		condenser.Summary(first),
+		condenser.Summary(later(first)),
 	})
 }
 
--- a/internal/measurer/workers.go
+++ b/internal/measurer/workers.go
@@ -117,5 +117,5 @@
 	})
 }
 
-// summaryOf returns the report that the daemon of the scheduler sends.
-func summaryOf(t *site) *wire.SchedulerReport { return t.sched.Report(t.now) }
+// report is what the scheduler tells of its hosts, teams and pools.
+func (t *site) report() *wire.SchedulerReport { return t.sched.Report(t.now) }
