internal/measurer: idle fleets settle for 22 s; traffic of the leader

Cause: a new scheduler waits 17 s for worker leases of its predecessor.

Change: the fleets settle for 22 s. The bytes of the calls that the busiest entry host answers and the leader's processor time for all callers are lines of their own.

Conclusion: figures of idle entry hosts before this change include the start of the schedulers.

--- a/internal/measurer/follow.go
+++ b/internal/measurer/follow.go
@@ -39,22 +39,22 @@
 		sizes: []int{50, 200, 600, 1200},
 	}
 	return []probe{
-		teams.following("first follow call, whole", targetTeams, newTeamsFollowing, (*following).measureWhole),
-		teams.following("steady follow call", targetTeams, newTeamsFollowing, (*following).measureSteady),
-		hosts.following("first follow call with the report, whole", hostsHere, newHostsFollowing, (*following).measureWhole),
-		hosts.following("steady follow call, tasks change on a quarter of the hosts", hostsHere, newHostsFollowing, (*following).measureSteady),
+		teams.following("first follow call, whole", targetTeams, targetEntryHosts, newTeamsFollowing, (*following).measureWhole),
+		teams.following("steady follow call", targetTeams, targetEntryHosts, newTeamsFollowing, (*following).measureSteady),
+		hosts.following("first follow call with the report, whole", hostsHere, targetDataCentres, newHostsFollowing, (*following).measureWhole),
+		hosts.following("steady follow call, tasks change on a quarter of the hosts", hostsHere, targetDataCentres, newHostsFollowing, (*following).measureSteady),
 	}
 }
 
 // following returns the probe of one form of follow calls.
-func (p probe) following(name string, target float64, build func(n int) *following, measure func(*following) []float64) probe {
+func (p probe) following(name string, target, callers float64, build func(n int) *following, measure func(*following) []float64) probe {
 	p.name = name
-	p.metrics = followMetrics(target)
+	p.metrics = followMetrics(target, callers)
 	p.measure = func(_ context.Context, n int) ([]float64, error) { return measure(build(n)), nil }
 	return p
 }
 
-func followMetrics(target float64) []metric {
+func followMetrics(target, callers float64) []metric {
 	return []metric{
 		{
 			name:   "bytes",
@@ -72,11 +72,12 @@
 			bound:  boundCore,
 		},
 		{
-			name:   "processor time of the leader for one caller",
+			name:   "processor time of the leader for all callers",
 			value:  2,
 			unit:   cpuTime,
 			target: target,
-			rate:   followRate,
+			rate:   followRate * callers,
+			bound:  boundCore,
 		},
 	}
 }
--- a/internal/measurer/process.go
+++ b/internal/measurer/process.go
@@ -21,8 +21,9 @@
 	roleProcess = "whole entry host, idle"
 
 	// settleTime is how long a fleet runs before it is measured. Election,
-	// view, schedulers and the first state transfers are over by then.
-	settleTime = 8 * time.Second
+	// view, first state transfers and the wait of new schedulers for the leases of
+	// workers (17 s) are over by then.
+	settleTime = 22 * time.Second
 
 	// watchTime is how long an idle fleet is measured.
 	watchTime = 6 * time.Second
@@ -53,6 +54,14 @@
 					rate:   1,
 					bound:  boundTraffic,
 				},
+				{
+					name:   "bytes a second of calls that the busiest one, the leader, answers",
+					value:  3,
+					unit:   traffic,
+					target: targetEntryHosts,
+					rate:   1,
+					bound:  boundTraffic,
+				},
 				{
 					name:   "heap in use and stacks",
 					value:  2,
@@ -102,10 +111,11 @@
 
 // entryHosts is a fleet of daemons in this process.
 type entryHosts struct {
-	shape  shape
-	http   []net.Listener
-	peers  []net.Listener
-	bytes  atomic.Int64
+	shape shape
+	http  []net.Listener
+	peers []net.Listener
+	// bytes are those of the connections that each host accepted.
+	bytes  []atomic.Int64
 	folder string
 	done   []chan error
 	stop   context.CancelFunc
@@ -119,6 +129,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	e := &entryHosts{
 		shape:  s,
+		bytes:  make([]atomic.Int64, s.entryHosts),
 		folder: folder,
 		stop:   stop,
 	}
@@ -180,7 +191,7 @@
 		HTTP:     e.http[host],
 		Peers: countingListener{
 			Listener: e.peers[host],
-			bytes:    &e.bytes,
+			bytes:    &e.bytes[host],
 		},
 		Bootstrap: snap,
 		Traces:    io.Discard,
@@ -212,7 +223,7 @@
 func measureProcesses(ctx context.Context, n int) (values []float64, failed error) {
 	s := targetShape()
 	s.entryHosts = n
-	before := used()
+	empty := used()
 	e, err := startEntryHosts(ctx, s)
 	if e != nil {
 		defer func() {
@@ -225,20 +236,39 @@
 		return nil, err
 	}
 	time.Sleep(settleTime)
-	bytes, processor, began := e.bytes.Load(), processorTime(), time.Now()
+	before, processor, began := e.traffic(), processorTime(), time.Now()
 	time.Sleep(watchTime)
 	seconds := time.Since(began).Seconds()
 	processor = processorTime() - processor
-	bytes = e.bytes.Load() - bytes
+	total, most := growth(before, e.traffic())
 	each := 1 / float64(n)
 	return []float64{
 		float64(processor) * each / seconds,
 		// Each byte concerns the two hosts at its ends.
-		2 * float64(bytes) * each / seconds,
-		(used() - before) * each,
+		2 * total * each / seconds,
+		(used() - empty) * each,
+		most / seconds,
 	}, nil
 }
 
+// traffic returns the bytes of the connections that each host accepted.
+func (e *entryHosts) traffic() []float64 {
+	list := make([]float64, len(e.bytes))
+	for i := range e.bytes {
+		list[i] = float64(e.bytes[i].Load())
+	}
+	return list
+}
+
+// growth returns the sum of the differences and the largest one.
+func growth(before, after []float64) (total, most float64) {
+	for i := range before {
+		total += after[i] - before[i]
+		most = max(most, after[i]-before[i])
+	}
+	return total, most
+}
+
 // used returns the bytes of heap spans and stacks.
 func used() float64 {
 	var m runtime.MemStats
