internal/dashboard, internal/operator, internal/daemon: operators' status page

Cause: operators saw the deployment only through the command line. Change: an embedded page at /status reads GET /v1/status every two seconds. The status gains unavailable hosts, running maintenance, team limits with allotments, and on the leader the use of teams and the revision and lease of every entry host.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -10,8 +10,8 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/heathermux/heathermux/internal/announcer"
+	"github.com/heathermux/heathermux/internal/dashboard"
 	"github.com/heathermux/heathermux/internal/operator"
-	"github.com/heathermux/heathermux/internal/wire"
 )
 
 const (
@@ -63,6 +63,9 @@
 		Status:  d,
 		Clock:   d.clock,
 	}))
+	page := dashboard.New()
+	mux.Handle("/status", page)
+	mux.Handle("/status/", page)
 	mux.Handle("/metrics", d.meter.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("/readyz", d.serveReady)
@@ -90,24 +93,3 @@
 	}
 	w.WriteHeader(http.StatusOK)
 }
-
-// Status returns what this host knows besides the control state.
-func (d *Daemon) Status(context.Context) operator.Local {
-	local := operator.Local{
-		EntryHost:  d.self.GetName(),
-		DataCentre: d.self.GetDataCentre(),
-		Leader:     d.follower.Leader().GetName(),
-		Voters:     d.opts.Settings.Voters,
-	}
-	state := d.follower.View().State
-	for _, q := range state.Queues() {
-		if q.GetKind() != wire.QueueKind_QUEUE_KIND_REQUESTS {
-			continue
-		}
-		local.Queues = append(local.Queues, operator.QueueStatus{
-			Queue:     q.GetName(),
-			Upstreams: len(d.directory.Upstreams(q.GetName())),
-		})
-	}
-	return local
-}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/loader"
+	"github.com/heathermux/heathermux/internal/operator"
+	"github.com/heathermux/heathermux/internal/supervisor"
+	"github.com/heathermux/heathermux/internal/voter"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+// Status returns what this host knows besides the control state.
+func (d *Daemon) Status(context.Context) operator.Local {
+	local := operator.Local{
+		EntryHost:  d.self.GetName(),
+		DataCentre: d.self.GetDataCentre(),
+		Leader:     d.follower.Leader().GetName(),
+		Voters:     d.opts.Settings.Voters,
+	}
+	state := d.follower.View().State
+	for _, q := range state.Queues() {
+		if q.GetKind() != wire.QueueKind_QUEUE_KIND_REQUESTS {
+			continue
+		}
+		local.Queues = append(local.Queues, operator.QueueStatus{
+			Queue:     q.GetName(),
+			Upstreams: len(d.directory.Upstreams(q.GetName())),
+		})
+	}
+	return d.withFleet(local, state)
+}
+
+// withFleet adds what only the leader knows; elsewhere it adds nothing.
+func (d *Daemon) withFleet(local operator.Local, state controller.State) operator.Local {
+	if !d.leads() {
+		return local
+	}
+	followers := d.voter.Followers()
+	local.FleetKnown = true
+	now := d.clock.Now()
+	for _, f := range followers {
+		local.Followers = append(local.Followers, operator.Follower{
+			Name:        f.Member.GetName(),
+			Incarnation: f.Member.GetIncarnation(),
+			Revision:    f.Confirmed,
+			LeaseLeft:   f.LeaseEnd.Sub(now),
+		})
+	}
+	reports := make(map[string]*wire.SchedulerReport)
+	for _, c := range state.DataCentres() {
+		f, ok := reportOf(c, followers)
+		if !ok || now.Sub(f.LastContact) > supervisor.LossLimit {
+			local.SilentSchedulers = append(local.SilentSchedulers, c.GetName())
+		}
+		reports[c.GetName()] = f.Report
+	}
+	local.Teams = teamsOf(state, reports)
+	return local
+}
+
+// reportOf returns the status of the present scheduler of a data centre with
+// its report. A former scheduler no longer knows what is started.
+func reportOf(c *wire.DataCentre, followers []voter.FollowerStatus) (voter.FollowerStatus, bool) {
+	for _, f := range followers {
+		if f.Report != nil && f.Report.GetDataCentre() == c.GetName() &&
+			f.Member.GetName() == c.GetScheduler() && f.Report.GetEpoch() == c.GetSchedulerEpoch() {
+			return f, true
+		}
+	}
+	return voter.FollowerStatus{}, false
+}
+
+// teamsOf adds up what each team runs and waits for in all data centres.
+func teamsOf(state controller.State, reports map[string]*wire.SchedulerReport) []operator.TeamStatus {
+	running := make(map[string]controller.Amount)
+	waiting := make(map[string]controller.Amount)
+	for _, report := range reports {
+		for _, use := range report.GetTeams() {
+			team := use.GetTeam()
+			running[team] = running[team].Plus(controller.AmountOf(use.GetRunning()))
+			waiting[team] = waiting[team].Plus(controller.AmountOf(use.GetWaiting()))
+		}
+	}
+	var teams []operator.TeamStatus
+	for _, ref := range state.Teams() {
+		name := ref.Team.GetName()
+		teams = append(teams, operator.TeamStatus{
+			Team:    name,
+			Running: loader.CapacityOf(running[name].Wire()),
+			Waiting: loader.CapacityOf(waiting[name].Wire()),
+		})
+	}
+	return teams
+}
--- /dev/null
+++ b/internal/dashboard/dashboard.go
@@ -0,0 +1,81 @@
+// Package dashboard serves the operators' status page: one HTML page, one
+// stylesheet and one script, all embedded in the program.
+//
+// The files hold no state of the deployment and need no key. The script in the
+// browser reads GET /v1/status with the key that the operator enters.
+package dashboard
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"embed"
+	"encoding/hex"
+	"net/http"
+	"time"
+)
+
+//go:embed files
+var files embed.FS
+
+// policy allows only the page's own script and stylesheet and calls to its own
+// host. Forms are never sent: without the script a browser would put the fields
+// of a form into the URL.
+const policy = "default-src 'none'; script-src 'self'; style-src 'self'; connect-src 'self'; " +
+	"form-action 'none'; base-uri 'none'; frame-ancestors 'none'"
+
+// asset is one file with the headers that depend on it.
+type asset struct {
+	contentType string
+	etag        string
+	data        []byte
+}
+
+// New returns the handler for /status and all paths under /status/. It holds no
+// mutable state and may serve any number of requests at once.
+func New() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/status", load("page.html", "text/html; charset=utf-8"))
+	mux.Handle("/status/page.css", load("page.css", "text/css; charset=utf-8"))
+	mux.Handle("/status/page.js", load("page.js", "text/javascript; charset=utf-8"))
+	mux.Handle("/status/{$}", http.RedirectHandler("/status", http.StatusPermanentRedirect))
+	return secured(mux)
+}
+
+// load returns an embedded file. The files are part of the program, so one that
+// is missing is a fault of the build.
+func load(name, contentType string) asset {
+	data, err := files.ReadFile("files/" + name)
+	if err != nil {
+		panic("dashboard: " + err.Error())
+	}
+	sum := sha256.Sum256(data)
+	return asset{
+		contentType: contentType,
+		etag:        `"` + hex.EncodeToString(sum[:8]) + `"`,
+		data:        data,
+	}
+}
+
+// ServeHTTP answers with the file. Browsers ask each time whether it has
+// changed, so that the page and the script never come from different releases.
+func (a asset) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", a.contentType)
+	w.Header().Set("Cache-Control", "no-cache")
+	w.Header().Set("ETag", a.etag)
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(a.data))
+}
+
+// secured sets the headers of every answer and refuses methods that change.
+func secured(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Security-Policy", policy)
+		w.Header().Set("Referrer-Policy", "no-referrer")
+		w.Header().Set("X-Content-Type-Options", "nosniff")
+		if r.Method != http.MethodGet && r.Method != http.MethodHead {
+			w.Header().Set("Allow", "GET, HEAD")
+			http.Error(w, "the status page is only read", http.StatusMethodNotAllowed)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/dashboard/files/page.js
@@ -0,0 +1,342 @@
+"use strict";
+
+const statusPath = "/v1/status";
+
+// Time between the starts of two calls, in milliseconds.
+const pollInterval = 2000;
+
+// A frozen host accepts connections and never answers, so each call is bounded.
+const callTimeout = 5000;
+
+const dash = "–";
+
+// The key is held here only. It is never stored and goes into no URL.
+let key = "";
+
+// Counts the entered and forgotten keys, so that an answer to an earlier key is dropped.
+let session = 0;
+
+let timer = 0;
+let call = null;
+let lastAnswer = null;
+
+const element = (id) => document.getElementById(id);
+
+function showMessage(text) {
+  // An unchanged message is not set again, because screen readers would repeat it.
+  if (element("message").textContent !== text) {
+    element("message").textContent = text;
+  }
+  element("message").hidden = text === "";
+}
+
+function forgetKey(reason) {
+  session++;
+  key = "";
+  lastAnswer = null;
+  clearTimeout(timer);
+  if (call) {
+    call.abort();
+  }
+  for (const section of element("status").querySelectorAll("div")) {
+    section.replaceChildren();
+  }
+  element("summary").textContent = "";
+  element("status").hidden = true;
+  element("forget").hidden = true;
+  element("login").hidden = false;
+  showMessage(reason);
+}
+
+function useKey(event) {
+  event.preventDefault();
+  const entered = element("key").value.trim();
+  element("key").value = "";
+  // HTTP header values from a script hold ASCII only; no granted key has other characters.
+  if (!/^[\x21-\x7e]+$/.test(entered)) {
+    showMessage("The key is empty or has characters that no key contains.");
+    return;
+  }
+  session++;
+  key = entered;
+  element("login").hidden = true;
+  element("forget").hidden = false;
+  showMessage("Waiting for the first answer.");
+  poll(session);
+}
+
+async function poll(current) {
+  const started = Date.now();
+  const pause = await readStatus(current);
+  if (current !== session) {
+    return;
+  }
+  const rest = Math.max(pause, pollInterval - (Date.now() - started));
+  timer = setTimeout(() => poll(current), rest);
+}
+
+// Reads the status once and returns how long to wait before the next call, in
+// milliseconds; 0 means the usual interval.
+async function readStatus(current) {
+  call = new AbortController();
+  const timeout = setTimeout(() => call.abort(), callTimeout);
+  let response;
+  let body;
+  try {
+    response = await fetch(statusPath, {
+      headers: { Authorization: "Bearer " + key },
+      cache: "no-store",
+      credentials: "omit",
+      redirect: "error",
+      referrerPolicy: "no-referrer",
+      signal: call.signal,
+    });
+    body = await response.json();
+  } catch {
+    body = null;
+  } finally {
+    clearTimeout(timeout);
+  }
+  if (current !== session) {
+    return 0;
+  }
+  return take(response, body);
+}
+
+function take(response, body) {
+  if (!response) {
+    return keepOld("The entry host does not answer. Trying again.");
+  }
+  if (response.status === 401) {
+    forgetKey("The key is not known (401). It may have been withdrawn. Enter another one.");
+    return 0;
+  }
+  if (response.status === 403) {
+    forgetKey("The key has no operator role (403). Enter an operator key.");
+    return 0;
+  }
+  if (response.status === 503) {
+    const seconds = Number(response.headers.get("Retry-After")) || 0;
+    const detail = (body && body.detail) || "no reason given";
+    keepOld(`The entry host can't answer now (503): ${detail}. Trying again.`);
+    return seconds * 1000;
+  }
+  if (response.status !== 200 || !body) {
+    return keepOld(`The answer can't be used (status ${response.status}). Trying again.`);
+  }
+  lastAnswer = new Date();
+  showMessage("");
+  render(body);
+  element("status").classList.remove("stale");
+  element("status").hidden = false;
+  return 0;
+}
+
+// Leaves the last values on the page and tells how old they are.
+function keepOld(text) {
+  element("status").classList.add("stale");
+  const age = lastAnswer ? ` The values below are from ${time(lastAnswer)}.` : "";
+  showMessage(text + age);
+  return 0;
+}
+
+const time = (value) => (value ? new Date(value).toISOString().replace("T", " ").replace(/\.\d+Z$/, " UTC") : dash);
+
+const capacity = (c) => (c ? `${c.processors}, ${c.memory}, ${c.accelerators} acc.` : dash);
+
+// Durations of the API are in the form of Go, such as "1m2.5s" or "950ms".
+function seconds(text) {
+  const units = { h: 3600, m: 60, s: 1, ms: 1e-3, "µs": 1e-6, ns: 1e-9 };
+  let sum = 0;
+  for (const [, number, unit] of text.matchAll(/([\d.]+)(ms|µs|ns|h|m|s)/g)) {
+    sum += Number(number) * units[unit];
+  }
+  return sum;
+}
+
+const lease = (text) => (text ? (seconds(text) > 0 ? seconds(text).toFixed(1) + " s" : attention("none")) : dash);
+
+function attention(text) {
+  const strong = document.createElement("strong");
+  strong.className = "attention";
+  strong.textContent = "▲ " + text;
+  return strong;
+}
+
+// Data centres and pools are in or out of service.
+const service = (state) => (state === "in" ? "in service" : attention("OUT of service"));
+
+function lines(texts) {
+  const box = document.createElement("span");
+  for (const text of texts) {
+    const line = document.createElement("span");
+    line.className = "line";
+    line.textContent = text;
+    box.append(line);
+  }
+  return texts.length ? box : dash;
+}
+
+// Fills a section with a table. Each row holds texts or elements, one for each heading.
+function fill(id, headings, rows, none) {
+  if (rows.length === 0) {
+    element(id).textContent = none;
+    return;
+  }
+  const table = document.createElement("table");
+  const head = table.createTHead().insertRow();
+  for (const heading of headings) {
+    const th = document.createElement("th");
+    th.scope = "col";
+    th.textContent = heading;
+    head.append(th);
+  }
+  const body = table.createTBody();
+  for (const row of rows) {
+    const tr = body.insertRow();
+    row.forEach((value, i) => {
+      const td = tr.insertCell();
+      td.dataset.label = headings[i];
+      td.append(value);
+    });
+  }
+  // An equal table stays, so that a selection of text survives the next answer.
+  if (!table.isEqualNode(element(id).firstChild)) {
+    element(id).replaceChildren(table);
+  }
+}
+
+function render(status) {
+  renderSummary(status);
+  renderZones(status.zones);
+  renderEntryHosts(status);
+  renderMaintenance(status.maintenance);
+  renderUnavailableHosts(status["unavailable-hosts"]);
+  renderPools(status.pools);
+  renderTeams(status);
+}
+
+function renderSummary(status) {
+  element("summary").textContent =
+    `Answer of ${status["entry-host"]} in ${status["data-centre"]} at ${time(lastAnswer)}: ` +
+    `revision ${status.revision}, view ${status["view-epoch"]}, leader ${status.leader || "not known"}, ` +
+    `voters ${(status.voters || []).join(", ")}.`;
+}
+
+function renderZones(zones) {
+  const rows = zones.map((z) => [
+    z.name,
+    z.region,
+    service(z.state),
+    z.scheduler || attention("none"),
+    z["changed-at"] ? time(z["changed-at"]) : "start",
+  ]);
+  fill("zones", ["Data centre", "Region", "State", "Scheduler", "Since"], rows, "No data centre is defined.");
+}
+
+function renderEntryHosts(status) {
+  const rows = status["entry-hosts"].map((h) => [
+    h.name,
+    h["data-centre"],
+    h.leader ? "★ leader" : status.voters.includes(h.name) ? "voter" : "follower",
+    h.revision === undefined ? dash : String(h.revision),
+    lease(h["lease-left"]),
+  ]);
+  const present = new Set(status["entry-hosts"].map((h) => h.name));
+  for (const name of status.voters.filter((v) => !present.has(v))) {
+    rows.push([name, dash, attention("voter, not in the view"), dash, dash]);
+  }
+  fill("entry-hosts", ["Entry host", "Data centre", "Role", "Revision", "Lease left"], rows, "The view is empty.");
+}
+
+function renderMaintenance(list) {
+  const rows = list.map((m) => [
+    String(m.wave),
+    m.pool || "every pool",
+    time(m["started-at"]),
+    progress(m),
+  ]);
+  fill("maintenance", ["Wave", "Pool", "Started", "Progress"], rows, "None.");
+}
+
+function progress(m) {
+  const total = m["hosts-done"] + m["hosts-down"] + m["hosts-waiting"];
+  const box = document.createElement("div");
+  const bar = document.createElement("progress");
+  bar.max = Math.max(total, 1);
+  bar.value = m["hosts-done"];
+  bar.setAttribute("aria-hidden", "true");
+  box.append(bar, `${m["hosts-done"]} of ${total} done, ${m["hosts-down"]} down, ${m["hosts-waiting"]} waiting`);
+  return box;
+}
+
+function renderUnavailableHosts(hosts) {
+  const rows = hosts.map((h) => [
+    h.name,
+    h["data-centre"],
+    h.rack,
+    h.pool,
+    h.state === "maintenance" ? "under maintenance" : h["moving-to"] ? `draining, moves to ${h["moving-to"]}` : "draining",
+    h.wave ? `${h.wave}, since ${time(h["granted-at"])}` : dash,
+  ]);
+  fill("unavailable-hosts", ["Host", "Data centre", "Rack", "Pool", "State", "Maintenance wave"], rows, "None.");
+}
+
+function renderPools(pools) {
+  const rows = pools.map((p) => [
+    p.spare ? `${p.name} (spare)` : p.name,
+    service(p.state),
+    `${p.hosts} (${p["min-hosts"]} to ${p["max-hosts"]})`,
+    budget(p),
+    `favour ${p.favour}`,
+  ]);
+  fill("pools", ["Pool", "State", "Hosts (bounds)", "Unavailable / budget", "Policy"], rows, "No pool is defined.");
+}
+
+function budget(p) {
+  const text = `${p.unavailable} / ${p["availability-budget"]}`;
+  if (p.unavailable > p["availability-budget"]) {
+    return attention(`${text} over budget`);
+  }
+  return p.unavailable > 0 && p.unavailable === p["availability-budget"] ? `${text} budget used up` : text;
+}
+
+function renderTeams(status) {
+  const uses = new Map((status.teams || []).map((t) => [t.team, t]));
+  const rows = status["team-limits"].map((t) => {
+    const use = uses.get(t.team);
+    return [
+      t.team,
+      t.customer,
+      String(t.share),
+      capacity(t.limit),
+      lines(t.allotments.map(allotment)),
+      capacity(use && use.running),
+      capacity(use && use.waiting),
+    ];
+  });
+  fill("teams", ["Team", "Customer", "Share", "Limit", "Allotment", "Runs", "Waits"], rows, "No team has a contract.");
+  const note = teamNote(status);
+  element("team-note").textContent = note;
+  element("team-note").hidden = note === "";
+}
+
+function allotment(a) {
+  const amount = capacity(a.amount);
+  const target = capacity(a.target);
+  return `${a["data-centre"]}: ${amount}` + (target === amount ? "" : ` (shrinks to ${target})`);
+}
+
+function teamNote(status) {
+  if (!status["fleet-known"]) {
+    return `${status["entry-host"]} does not know what teams run, nor the revision and lease of other entry hosts. ` +
+      `The leader knows: ${status.leader || "not known now"}.`;
+  }
+  const silent = status["silent-schedulers"] || [];
+  return silent.length ? `No recent report from the scheduler of ${silent.join(", ")}; its part of the use is old or missing.` : "";
+}
+
+element("login").addEventListener("submit", useKey);
+element("forget").addEventListener("click", () => forgetKey("The key is forgotten."));
+// Browsers may keep a page that was left in memory; the key must not stay there.
+addEventListener("pagehide", () => forgetKey(""));
--- a/internal/operator/maintenance.go
+++ b/internal/operator/maintenance.go
@@ -48,6 +48,17 @@
 	return list, nil
 }
 
+// runningMaintenanceOf returns the roll-outs that are not done.
+func runningMaintenanceOf(state controller.State) []Maintenance {
+	running := make([]Maintenance, 0)
+	for _, m := range state.Maintenances() {
+		if !m.GetDone() {
+			running = append(running, maintenanceOf(state, m))
+		}
+	}
+	return running
+}
+
 func maintenanceOf(state controller.State, m *wire.Maintenance) Maintenance {
 	shown := Maintenance{
 		Wave:      m.GetWave(),
