internal/dashboard, internal/operator, internal/daemon: tests, status page documented

Cause: the page and the new status members had no tests, and a look at the page in headless Chromium showed faults: amounts in millicores and bytes, a note far from the dashes that it explains, a heading cut in two at 400 px, and a 503 message about resending changes. Change: amounts are rounded, the note stands at the top, the heading is shorter and the 503 message names the cause. AddFleet is a pure function, so that the choice of scheduler reports is tested without a process. The leader names itself as the leader.

--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/loader"
@@ -29,17 +30,16 @@
 			Upstreams: len(d.directory.Upstreams(q.GetName())),
 		})
 	}
-	return d.withFleet(local, state)
-}
-
-// withFleet adds what only the leader knows; elsewhere it adds nothing.
-func (d *Daemon) withFleet(local operator.Local, state controller.State) operator.Local {
 	if !d.leads() {
 		return local
 	}
-	followers := d.voter.Followers()
+	local.Leader = local.EntryHost
+	return AddFleet(local, d.clock.Now(), state, d.voter.Followers())
+}
+
+// AddFleet adds what the leader knows from the requests of the entry hosts.
+func AddFleet(local operator.Local, now time.Time, state controller.State, followers []voter.FollowerStatus) operator.Local {
 	local.FleetKnown = true
-	now := d.clock.Now()
 	for _, f := range followers {
 		local.Followers = append(local.Followers, operator.Follower{
 			Name:        f.Member.GetName(),
@@ -48,13 +48,13 @@
 			LeaseLeft:   f.LeaseEnd.Sub(now),
 		})
 	}
-	reports := make(map[string]*wire.SchedulerReport)
+	var reports []*wire.SchedulerReport
 	for _, c := range state.DataCentres() {
 		f, ok := reportOf(c, followers)
 		if !ok || now.Sub(f.LastContact) > supervisor.LossLimit {
 			local.SilentSchedulers = append(local.SilentSchedulers, c.GetName())
 		}
-		reports[c.GetName()] = f.Report
+		reports = append(reports, f.Report)
 	}
 	local.Teams = teamsOf(state, reports)
 	return local
@@ -73,7 +73,7 @@
 }
 
 // teamsOf adds up what each team runs and waits for in all data centres.
-func teamsOf(state controller.State, reports map[string]*wire.SchedulerReport) []operator.TeamStatus {
+func teamsOf(state controller.State, reports []*wire.SchedulerReport) []operator.TeamStatus {
 	running := make(map[string]controller.Amount)
 	waiting := make(map[string]controller.Amount)
 	for _, report := range reports {
--- a/internal/dashboard/files/page.js
+++ b/internal/dashboard/files/page.js
@@ -42,6 +42,7 @@
     section.replaceChildren();
   }
   element("summary").textContent = "";
+  element("note").textContent = "";
   element("status").hidden = true;
   element("forget").hidden = true;
   element("login").hidden = false;
@@ -117,8 +118,9 @@
   }
   if (response.status === 503) {
     const seconds = Number(response.headers.get("Retry-After")) || 0;
-    const detail = (body && body.detail) || "no reason given";
-    keepOld(`The entry host can't answer now (503): ${detail}. Trying again.`);
+    const leaderless = body && body.code === "no-leader";
+    const reason = leaderless ? "it has no contact with the leader; another entry host may answer" : "no reason is known";
+    keepOld(`The entry host can't answer now (503): ${reason}. Trying again.`);
     return seconds * 1000;
   }
   if (response.status !== 200 || !body) {
@@ -142,7 +144,27 @@
 
 const time = (value) => (value ? new Date(value).toISOString().replace("T", " ").replace(/\.\d+Z$/, " UTC") : dash);
 
-const capacity = (c) => (c ? `${c.processors}, ${c.memory}, ${c.accelerators} acc.` : dash);
+// Splits of a limit are seldom whole, so amounts are rounded to tenths.
+const rounded = (n) => String(Math.round(n * 10) / 10);
+
+function cores(text) {
+  const [number, unit] = text.split(" ");
+  return rounded(unit === "millicores" ? number / 1000 : Number(number)) + " cores";
+}
+
+function memory(text) {
+  const units = { B: 1, KiB: 2 ** 10, MiB: 2 ** 20, GiB: 2 ** 30, TiB: 2 ** 40 };
+  const [, number, unit] = /^(\d+)(\w+)$/.exec(text) || [];
+  return unit in units ? rounded((number * units[unit]) / units.GiB) + " GiB" : text;
+}
+
+function capacity(c) {
+  if (!c) {
+    return dash;
+  }
+  const accelerators = c.accelerators ? `, ${c.accelerators} accelerators` : "";
+  return `${cores(c.processors)}, ${memory(c.memory)}${accelerators}`;
+}
 
 // Durations of the API are in the form of Go, such as "1m2.5s" or "950ms".
 function seconds(text) {
@@ -208,6 +230,7 @@
 
 function render(status) {
   renderSummary(status);
+  renderNote(status);
   renderZones(status.zones);
   renderEntryHosts(status);
   renderMaintenance(status.maintenance);
@@ -279,12 +302,12 @@
     h.state === "maintenance" ? "under maintenance" : h["moving-to"] ? `draining, moves to ${h["moving-to"]}` : "draining",
     h.wave ? `${h.wave}, since ${time(h["granted-at"])}` : dash,
   ]);
-  fill("unavailable-hosts", ["Host", "Data centre", "Rack", "Pool", "State", "Maintenance wave"], rows, "None.");
+  fill("unavailable-hosts", ["Host", "Data centre", "Rack", "Pool", "State", "Wave"], rows, "None.");
 }
 
 function renderPools(pools) {
   const rows = pools.map((p) => [
-    p.spare ? `${p.name} (spare)` : p.name,
+    p.spare && p.name !== "spare" ? `${p.name} (spare)` : p.name,
     service(p.state),
     `${p.hosts} (${p["min-hosts"]} to ${p["max-hosts"]})`,
     budget(p),
@@ -316,9 +339,6 @@
     ];
   });
   fill("teams", ["Team", "Customer", "Share", "Limit", "Allotment", "Runs", "Waits"], rows, "No team has a contract.");
-  const note = teamNote(status);
-  element("team-note").textContent = note;
-  element("team-note").hidden = note === "";
 }
 
 function allotment(a) {
@@ -327,7 +347,14 @@
   return `${a["data-centre"]}: ${amount}` + (target === amount ? "" : ` (shrinks to ${target})`);
 }
 
-function teamNote(status) {
+function renderNote(status) {
+  const note = noteOf(status);
+  element("note").textContent = note;
+  element("note").hidden = note === "";
+}
+
+// Tells what this entry host or the leader does not know.
+function noteOf(status) {
   if (!status["fleet-known"]) {
     return `${status["entry-host"]} does not know what teams run, nor the revision and lease of other entry hosts. ` +
       `The leader knows: ${status.leader || "not known now"}.`;
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -74,6 +74,13 @@
 }
 
 func newServer(t *testing.T) *server {
+	t.Helper()
+	return newServerWith(t, nil)
+}
+
+// newServerWith takes what the control state doesn't hold from a provider; nil
+// stands for the fake control.
+func newServerWith(t *testing.T, provider operator.StatusProvider) *server {
 	t.Helper()
 	path, data, _ := examples.Deployment("qhapaq")
 	dep, problems := loader.ParseDeployment(path, data)
@@ -93,11 +100,14 @@
 	}); err != nil {
 		t.Fatal(err)
 	}
+	if provider == nil {
+		provider = control
+	}
 	return &server{
 		control: control,
 		handler: operator.New(operator.Config{
 			Control: control,
-			Status:  control,
+			Status:  provider,
 			Clock:   timer.NewFake(epoch),
 		}),
 	}
