internal/forwarder: own connections in place of http.Transport

Cause: http.Transport returns a connection to its pool before it looks for bytes after an answer, so that the forwarder had to wait for its reader before each reuse, and two goroutines a connection handed over every request. Change: a pool for each target under its own lock, and connections that carry one request at a time in the goroutine of the request, with http.Request.Write and http.ReadResponse. A connection is checked for bytes and for its end when a request takes it, and every second while it is idle. The header name Idempotency-Key keeps its case: nothing repeats requests now. An answer that is refused (too large, crossed) is no longer read to its end. The existing tests are unchanged but for three comments.

--- a/internal/forwarder/answer.go
+++ b/internal/forwarder/answer.go
@@ -21,9 +21,9 @@
 	ErrCrossed = errors.New("forwarder: answer belongs to another attempt")
 )
 
-// readWhole returns the answer only when every byte of it has arrived.
+// readWhole returns the answer only when every byte of it has arrived. It does
+// not close the body, because that would read the rest of a refused one.
 func readWhole(resp *http.Response, id string, maxBody int64) (*Answer, error) {
-	defer resp.Body.Close()
 	if !ValidStatus(resp.StatusCode) {
 		return nil, errors.Errorf("forwarder: upstream answered with status %d", resp.StatusCode)
 	}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -4,10 +4,10 @@
 package forwarder
 
 import (
+	"bytes"
 	"context"
-	"net"
+	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync"
 	"time"
@@ -24,6 +24,9 @@
 	dialTimeout = time.Second
 	// idleTimeout closes connections that a quiet queue does not use.
 	idleTimeout = 30 * time.Second
+	// sweepInterval is the time between checks of idle connections. One that
+	// the upstream has closed or sent bytes on is closed within two intervals.
+	sweepInterval = time.Second
 	// maxHeader bounds the header of an answer, in bytes.
 	maxHeader = 64 << 10
 )
@@ -50,7 +53,7 @@
 	// ID of this attempt, sent in AttemptHeader.
 	ID string
 	// Gate, if set, is called right before the first byte is written; on an
-	// error nothing is written. It is called from another goroutine.
+	// error nothing is written. It may be called from another goroutine.
 	Gate func() error
 }
 
@@ -59,52 +62,56 @@
 type Forwarder struct {
 	mu sync.RWMutex
 	// Invariant: one pool for each target that was used and not forgotten.
-	pools map[Target]*http.Transport
+	pools map[Target]*pool
 }
 
 // New returns a forwarder without connections.
 func New() *Forwarder {
 	return &Forwarder{
-		pools: make(map[Target]*http.Transport),
+		pools: make(map[Target]*pool),
 	}
 }
 
 // Send sends the request to the target and waits for the whole answer, for the
 // timeout, or for the end of the context.
 func (f *Forwarder) Send(ctx context.Context, to Target, r *Request) Outcome {
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
-	defer cancel()
-	a := &attempt{
-		gate:   r.Gate,
-		cancel: cancel,
-	}
-	var conn *guardedConn
-	trace := &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			conn = info.Conn.(*guardedConn)
-			conn.begin(a)
-		},
-	}
-	resp, err := f.pool(to).RoundTrip(newRequest(httptrace.WithClientTrace(ctx, trace), to, r))
-	if err != nil {
-		return failed(ctx, a, err)
+	deadline := time.Now().Add(r.Timeout)
+	if r.Timeout <= 0 {
+		return failed(NotSent, context.DeadlineExceeded)
 	}
-	if sent, _ := a.seal(); !sent {
-		// An answer to nothing: the connection held bytes of another request.
-		conn.Close()
-		resp.Body.Close()
-		return failed(ctx, a, errUnsolicited)
+	if err := ctx.Err(); err != nil {
+		return failed(NotSent, err)
 	}
-	answer, err := readWhole(resp, r.ID, MaxBody)
-	conn.end(a)
+	p := f.pool(to)
+	c, err := p.take(ctx, deadline)
 	if err != nil {
-		conn.Close()
-		return failed(ctx, a, err)
+		return failed(NotSent, reason(ctx, deadline, err))
 	}
-	return Outcome{
-		Kind:   Complete,
-		Answer: answer,
+	e := &exchange{
+		ctx:  ctx,
+		conn: c,
+		gate: r.Gate,
 	}
+	answer, reusable, err := e.within(deadline, newRequest(to, r), r.ID)
+	if reusable {
+		p.put(c)
+	} else {
+		p.discard(c)
+	}
+	switch {
+	case err == nil:
+		return Outcome{
+			Kind:   Complete,
+			Answer: answer,
+		}
+	case e.refusal != nil:
+		return failed(NotSent, e.refusal)
+	case !e.sent:
+		return failed(NotSent, reason(ctx, deadline, err))
+	case ended(ctx, deadline) != nil:
+		return failed(TimedOut, ended(ctx, deadline))
+	}
+	return failed(Interrupted, err)
 }
 
 // Forget closes the idle connections to a target that has left. Requests under
@@ -115,7 +122,7 @@
 	delete(f.pools, to)
 	f.mu.Unlock()
 	if pool != nil {
-		pool.CloseIdleConnections()
+		pool.leave()
 	}
 }
 
@@ -123,14 +130,14 @@
 func (f *Forwarder) Close() {
 	f.mu.Lock()
 	pools := f.pools
-	f.pools = make(map[Target]*http.Transport)
+	f.pools = make(map[Target]*pool)
 	f.mu.Unlock()
 	for _, pool := range pools {
-		pool.CloseIdleConnections()
+		pool.leave()
 	}
 }
 
-func (f *Forwarder) pool(to Target) *http.Transport {
+func (f *Forwarder) pool(to Target) *pool {
 	f.mu.RLock()
 	pool := f.pools[to]
 	f.mu.RUnlock()
@@ -145,54 +152,46 @@
 	return f.pools[to]
 }
 
-func newPool(to Target) *http.Transport {
-	dialer := &net.Dialer{
-		Timeout: dialTimeout,
-	}
-	connections := max(to.Connections, 1)
-	return &http.Transport{
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return guard(c)
-		},
-		DisableCompression:     true,
-		IdleConnTimeout:        idleTimeout,
-		MaxConnsPerHost:        connections,
-		MaxIdleConnsPerHost:    connections,
-		MaxResponseHeaderBytes: maxHeader,
-	}
-}
-
-func newRequest(ctx context.Context, to Target, r *Request) *http.Request {
+func newRequest(to Target, r *Request) *http.Request {
 	u := *r.URL
 	u.Scheme = "http"
 	u.Host = to.Address
-	req := (&http.Request{
-		Method: r.Method,
-		URL:    &u,
-		Header: upstreamHeader(r.Header),
-	}).WithContext(ctx)
+	req := &http.Request{
+		Method:        r.Method,
+		URL:           &u,
+		Header:        upstreamHeader(r.Header),
+		Body:          http.NoBody,
+		ContentLength: int64(len(r.Body)),
+	}
 	if r.ID != "" {
 		req.Header[AttemptHeader] = []string{r.ID}
 	}
-	setBody(req, r.Body)
+	if len(r.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(r.Body))
+	}
 	return req
 }
 
-func failed(ctx context.Context, a *attempt, err error) Outcome {
-	sent, refusal := a.seal()
-	kind := NotSent
-	switch {
-	case sent && ctx.Err() != nil:
-		kind = TimedOut
-	case sent:
-		kind = Interrupted
-	case refusal != nil:
-		err = refusal
+// ended returns why no time is left, or nil.
+func ended(ctx context.Context, deadline time.Time) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// reason returns why no time is left, or else the error.
+func reason(ctx context.Context, deadline time.Time, err error) error {
+	if end := ended(ctx, deadline); end != nil {
+		return end
 	}
+	return err
+}
+
+func failed(kind Kind, err error) Outcome {
 	return Outcome{
 		Kind: kind,
 		Err:  errors.WithMessage(err, "forwarder: "+kind.String()),
--- a/internal/forwarder/forwarder_test.go
+++ b/internal/forwarder/forwarder_test.go
@@ -68,8 +68,8 @@
 }
 
 // afterFirst counts the requests after the first one on each connection, which
-// succeeds, so that a fault meets a reused connection: http.Transport would
-// repeat a request on it.
+// succeeds, so that a fault meets a reused connection, on which
+// some HTTP clients repeat a request.
 func afterFirst(runs *atomic.Int64, s script) script {
 	return func(c net.Conn, r *http.Request, n int) bool {
 		if n == 0 {
@@ -82,7 +82,7 @@
 }
 
 // An answer that is not whole must be reported as such, and the request must
-// run once: a repeat by the transport itself would break at-most-once.
+// run once: a repeat by the forwarder itself would break at-most-once.
 func TestInterrupted(t *testing.T) {
 	tests := map[string]script{
 		"cut in the header":     says("HTTP/1.1 200 OK\r\nContent-", false),
@@ -140,7 +140,7 @@
 // A second answer that nobody asked for must not become the answer of the next
 // request, whether it comes with the first answer or after it, whole or cut.
 // Callers wait for the one connection, so that the next request takes it at
-// the moment at which the transport returns it.
+// the moment at which it is returned.
 func TestUnaskedAnswers(t *testing.T) {
 	const wrong = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"
 	for _, extra := range []string{wrong, wrong[:20], wrong[:1]} {
--- a/internal/forwarder/header.go
+++ b/internal/forwarder/header.go
@@ -32,24 +32,12 @@
 	}
 }
 
-// idempotencyKey and lowerIdempotencyKey are the same field on the wire.
-// http.Transport sends a request a second time when its header has the
-// canonical name, which at-most-once forbids; the lower-case name hides it.
-const (
-	idempotencyKey      = "Idempotency-Key"
-	lowerIdempotencyKey = "idempotency-key"
-)
-
 // upstreamHeader makes a caller's header the one that goes to the upstream.
 func upstreamHeader(h http.Header) http.Header {
 	StripHopByHop(h)
 	delete(h, "Expect")
-	if key, ok := h[idempotencyKey]; ok {
-		delete(h, idempotencyKey)
-		h[lowerIdempotencyKey] = key
-	}
 	if _, ok := h["User-Agent"]; !ok {
-		// Without a value the transport would add its own name.
+		// Without a value net/http would add its own name.
 		h["User-Agent"] = nil
 	}
 	return h
