--- a/cmd/heathermux/process_test.go
+++ b/cmd/heathermux/process_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/heathermux/heathermux/internal/operator"
 )
 
 // quick and slow are mean times of requests.
@@ -101,14 +103,16 @@
 	c.ready()
 	c.setZone(c.hosts[0], "dc-3", "out", "out-before")
 	lost, second := c.hosts[0], c.hosts[1]
+	before, _ := c.status(c.hosts[2])
 	c.kill(lost)
 	if err := os.RemoveAll(lost.data); err != nil {
 		t.Fatal(err)
 	}
 	c.start(lost)
-	c.eventually("the repaired voter votes", func() bool {
+	c.eventually("the repaired voter has replaced the lost one", func() bool {
 		status, ok := c.status(lost)
-		return ok && len(status.Voters) == voterCount && c.zone(lost, "dc-3") == "out"
+		return ok && len(status.Voters) == voterCount && voterOf(status, lost) != "" &&
+			voterOf(status, lost) != voterOf(before, lost) && c.zone(lost, "dc-3") == "out"
 	})
 	c.kill(second)
 	c.setZone(lost, "dc-2", "out", "out-after")
@@ -119,6 +123,16 @@
 	}
 }
 
+// voterOf returns the ID under which the host votes, or "".
+func voterOf(status operator.Status, h *process) string {
+	for _, id := range status.Voters {
+		if strings.HasPrefix(id, h.name+"#") {
+			return id
+		}
+	}
+	return ""
+}
+
 // clean-stop and at-most-once: during a planned stop every request must be
 // answered or refused as not run, and none may run twice. The load balancer
 // sends new requests only while the host says that it is ready.
--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -20,6 +20,9 @@
 		Leader:     d.follower.Leader().GetName(),
 		Voters:     d.opts.Settings.Voters,
 	}
+	if d.voter != nil {
+		local.Voters = d.voter.Voters()
+	}
 	state := d.follower.View().State
 	for _, q := range state.Queues() {
 		if q.GetKind() != wire.QueueKind_QUEUE_KIND_REQUESTS {
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -13,7 +13,8 @@
 	DataCentre string `json:"data-centre"`
 	// Leader is the entry host that leads the control state; empty if unknown.
 	Leader string `json:"leader"`
-	// Voters are the present voters.
+	// Voters are the IDs of the present voters on a host that votes, and the
+	// names of the initial voters on others.
 	Voters []string `json:"voters"`
 	// Queues are in the order of their names.
 	Queues []QueueStatus `json:"queues,omitempty"`
--- a/internal/voter/replica/replica.go
+++ b/internal/voter/replica/replica.go
@@ -289,6 +289,22 @@
 	return nameOf(string(r.core.Leader())), r.core.Leading()
 }
 
+// Voters returns the IDs of the present voters as this replica knows them, and
+// none before the group is formed. An ID is a host's name with the identity of
+// its files.
+func (r *Replica) Voters() []string {
+	if !r.formed() {
+		return nil
+	}
+	var ids []string
+	for _, m := range r.core.Status().Membership.GetMembers() {
+		if !m.GetLearner() {
+			ids = append(ids, m.GetId())
+		}
+	}
+	return ids
+}
+
 // Status returns a summary of the log.
 func (r *Replica) Status() replicator.Status { return r.core.Status() }
 
--- a/internal/voter/run.go
+++ b/internal/voter/run.go
@@ -48,6 +48,7 @@
 		state:     v.replica.State(),
 		leader:    name,
 		leading:   self,
+		voters:    v.replica.Voters(),
 		followers: v.replica.Followers(),
 	})
 }
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -37,6 +37,7 @@
 	state     controller.State
 	leader    string
 	leading   bool
+	voters    []string
 	followers []FollowerStatus
 }
 
@@ -132,6 +133,10 @@
 	return s.leader, s.leading
 }
 
+// Voters returns the IDs of the present voters as this voter knows them. The ID
+// of a host that lost its disk is another one than before.
+func (v *Voter) Voters() []string { return v.shown.Load().voters }
+
 // Followers returns what this voter, as the leader, knows of the entry hosts,
 // by name and the newest incarnation of each last; nil while it does not lead.
 func (v *Voter) Followers() []FollowerStatus { return v.shown.Load().followers }
