internal/scheduler, internal/dispatcher, internal/daemon: apply limits.tasks

Cause: the setting bounded nothing, so a flood of submissions took memory without end. Change: a scheduler that holds as many tasks as it may refuses new ones with a retry hint. Figures: TestMaxTasks fails without the check.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -176,6 +176,8 @@
 		View:   func() follower.View { return d.follower.View() },
 		Peers:  taskCalls{d.calls},
 		Logger: d.opts.Logger,
+
+		MaxTasks: s.Limits.Tasks,
 	})
 	d.follower = follower.New(follower.Options{
 		Self:   d.self,
--- a/internal/dispatcher/dispatcher.go
+++ b/internal/dispatcher/dispatcher.go
@@ -50,6 +50,8 @@
 	View func() follower.View
 	// Peers reaches the other entry hosts.
 	Peers Peers
+	// MaxTasks bounds the tasks that a scheduler holds at once; 0 means no bound.
+	MaxTasks int
 	// Logger takes short sentences with the prefix "dispatcher:".
 	Logger *slog.Logger
 	// NewID returns the random part of a task ID; nil means 16 random bytes.
--- a/internal/dispatcher/lead.go
+++ b/internal/dispatcher/lead.go
@@ -95,6 +95,7 @@
 			DataCentre: dc.GetName(),
 			Epoch:      dc.GetSchedulerEpoch(),
 			State:      view.State,
+			MaxTasks:   d.opts.MaxTasks,
 		}),
 		copying: newCopying(dc.GetSchedulerEpoch()),
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -24,6 +24,9 @@
 	Epoch uint64
 	// State is the control state to start with.
 	State controller.State
+	// MaxTasks bounds the tasks that are held at once, ended ones that are
+	// still remembered included; 0 means no bound.
+	MaxTasks int
 }
 
 // Scheduler holds the tasks and workers of one data centre. Make one with New.
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -241,3 +241,34 @@
 	f.round()
 	is.Equal(f.use()["b"], int64(32_000))
 }
+
+// A scheduler must not take more tasks than it may hold, so that a flood of
+// submissions costs refusals and not memory; a repeat of a held task is no new one.
+func TestMaxTasks(t *testing.T) {
+	is := is.New(t)
+	s := scheduler.New(scheduler.Options{
+		DataCentre: "dc",
+		Epoch:      1,
+		State:      controller.FromSnapshot(snapshot(1, oneTeam)),
+		MaxTasks:   2,
+	})
+	now := time.Unix(1000, 0)
+	s.Step(now, scheduler.Rebuilt{})
+	accepts := func(id string) bool {
+		actions := s.Step(now, scheduler.Submit{
+			Task: &wire.Task{
+				Id:            id,
+				Team:          "a",
+				Queue:         "jobs",
+				Size:          size(1000, 1),
+				DeadlineNanos: int64(time.Minute),
+			},
+		})
+		_, ok := actions[0].(scheduler.Answered)
+		return ok
+	}
+	is.True(accepts("1"))
+	is.True(accepts("2"))
+	is.True(!accepts("3"))
+	is.True(accepts("2"))
+}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -61,6 +61,9 @@
 	if !queue.GetOpen() && !slices.Contains(ref.Team.GetQueues(), spec.GetQueue()) {
 		return refused(0, "team %q may not use queue %q", spec.GetTeam(), spec.GetQueue())
 	}
+	if most := s.opts.MaxTasks; most > 0 && len(s.tasks) >= most {
+		return refused(retryAfter, "%s holds %d tasks, as many as it may", s.opts.DataCentre, most)
+	}
 	if a := s.accounts[spec.GetTeam()]; a != nil && a.queued >= MaxQueued {
 		return refused(retryAfter, "team %q has %d tasks queued", spec.GetTeam(), MaxQueued)
 	}
