internal/ingress: keyed task submissions go through the registry

Cause: a scheduler finds repeats only among its own tasks, so a resend through another entry host could become a second task in another data centre. Change: intent, submission and response of a keyed submission are held by the registry like those of a request; a resend gets the first response. Figures: without the registry TestKeyedTasks fails.

--- a/internal/ingress/parse_test.go
+++ b/internal/ingress/parse_test.go
@@ -92,6 +92,36 @@
 	is.Equal(s.send(http.MethodGet, path, nil, "Authorization", bearer("feeds")).name(), "no-lease")
 }
 
+// A resend of a keyed submission must get the first task, also when the first
+// response was lost, and must never make a second one.
+func TestKeyedTasks(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	submit := func(body string) reply {
+		return s.send(http.MethodPost, "/v1/tasks", []byte(body), "Authorization", bearer("feeds"), "Idempotency-Key", "k")
+	}
+	const task = `{"queue":"tasks","deadline":"1s"}`
+	s.tasks.answer = &wire.SubmitResponse{
+		Refusal:         "no scheduler",
+		RetryAfterNanos: 1,
+	}
+	is.Equal(submit(task).name(), "task-refused")
+	s.tasks.answer = nil
+	first := submit(task)
+	is.Equal(first.status, http.StatusAccepted)
+	again := submit(task)
+	is.Equal(again.status, http.StatusAccepted)
+	is.Equal(again.header.Get("Idempotent-Replayed"), "true")
+	is.Equal(string(again.body), string(first.body))
+	is.Equal(len(s.tasks.submitted), 2) // the refused one and the first
+	is.Equal(submit(`{"queue":"tasks","deadline":"2s"}`).name(), "key-reused")
+	s.registry.reply = &wire.BeginResponse{
+		Outcome: wire.BeginOutcome_BEGIN_OUTCOME_UNKNOWN,
+	}
+	is.Equal(submit(task).problem.Run, ingress.Unknown)
+	is.Equal(len(s.tasks.submitted), 2)
+}
+
 // A header or body beyond its bound must be refused with problem details, and
 // a path must reach the upstream as it was sent.
 func TestBounds(t *testing.T) {
--- a/internal/ingress/tasks.go
+++ b/internal/ingress/tasks.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"strings"
@@ -31,6 +30,9 @@
 	DataCentre string `json:"data-centre,omitempty"`
 	// Copies is the number of entry hosts that hold a task just accepted.
 	Copies int32 `json:"copies,omitempty"`
+
+	// replayed marks an answer that came from the registry.
+	replayed bool
 }
 
 func (g *Ingress) serveTask(w http.ResponseWriter, r *http.Request) {
@@ -44,12 +46,11 @@
 		refusal.seenKey(r.Header).write(w)
 		return
 	}
-	body, err := json.Marshal(answer)
-	if err != nil {
-		// A taskAnswer holds only strings and numbers.
-		panic(err)
-	}
+	body := answer.encode()
 	h := w.Header()
+	if answer.replayed {
+		h[replayedHeader] = []string{"true"}
+	}
 	h["Content-Type"] = []string{"application/json"}
 	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	if status == http.StatusAccepted {
@@ -119,6 +120,13 @@
 	task.Id = uuid.NewString()
 	task.Team = team.GetName()
 	task.IdempotencyKey = key
+	if key != "" {
+		return g.submitOnce(ctx, body, task)
+	}
+	return g.submitTask(ctx, task)
+}
+
+func (g *Ingress) submitTask(ctx context.Context, task *wire.Task) (int, *taskAnswer, *Problem) {
 	return submitted(task, g.cfg.Tasks.Submit(ctx, &wire.SubmitRequest{
 		Task: task,
 	}))
