internal/messenger: a span for each call that belongs to a trace

Cause: traces had spans for the request and for the forwarding, and none for the hops between entry hosts. Change: client and server of a call make spans when the caller has a trace; calls in the background make none. Options structs in place of parameters. Figures: TestTraceCrossesHosts finds three spans of one trace on two sides.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -128,7 +128,10 @@
 	if certificates != nil {
 		cfg = certificates.Client
 	}
-	d.client = messenger.NewClient(cfg)
+	d.client = messenger.NewClient(messenger.ClientOptions{
+		TLS:    cfg,
+		Tracer: d.tracer,
+	})
 	d.calls = &calls{
 		client: d.client,
 	}
@@ -262,7 +265,11 @@
 	if certificates != nil {
 		cfg = certificates.Server()
 	}
-	d.peers = messenger.NewServer(listener, cfg)
+	d.peers = messenger.NewServer(messenger.ServerOptions{
+		Listener: listener,
+		TLS:      cfg,
+		Tracer:   d.tracer,
+	})
 	for name, service := range map[string]any{
 		"Replication": &replicationService{
 			voter: d.voter,
--- a/internal/messenger/client.go
+++ b/internal/messenger/client.go
@@ -2,28 +2,30 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync"
 
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
 )
 
 // Client calls peers by address and keeps one connection to each. It may be
 // used from any number of goroutines; make one with NewClient.
 type Client struct {
-	tls func() *tls.Config
+	opts   ClientOptions
+	tracer trace.Tracer
 
 	mu sync.Mutex
 	// Invariant: holds one peer for each address that was called since the start.
 	peers map[string]*peer
 }
 
-// NewClient returns a client. The function returns the configuration of each
-// new connection; nil means plain TCP.
-func NewClient(cfg func() *tls.Config) *Client {
+// NewClient returns a client without connections.
+func NewClient(opts ClientOptions) *Client {
 	return &Client{
-		tls:   cfg,
-		peers: make(map[string]*peer),
+		opts:   opts,
+		tracer: tracerOf(opts.Tracer),
+		peers:  make(map[string]*peer),
 	}
 }
 
@@ -31,7 +33,16 @@
 // context must have a deadline. ErrUnreachable and ErrBusy mean that nothing
 // was sent; after any other error the peer may have acted.
 func (c *Client) Call(ctx context.Context, address, method string, request, response proto.Message) error {
-	return c.peer(address).call(ctx, method, request, response)
+	if !trace.SpanContextFromContext(ctx).IsValid() {
+		return c.peer(address).call(ctx, method, request, response)
+	}
+	ctx, span := c.tracer.Start(ctx, method, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	err := c.peer(address).call(ctx, method, request, response)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return err
 }
 
 func (c *Client) peer(address string) *peer {
@@ -39,7 +50,7 @@
 	defer c.mu.Unlock()
 	p, ok := c.peers[address]
 	if !ok {
-		p = newPeer(address, c.tls)
+		p = newPeer(address, c.opts.TLS)
 		c.peers[address] = p
 	}
 	return p
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 	"go.uber.org/goleak"
 
 	"github.com/heathermux/heathermux/internal/messenger"
@@ -21,7 +24,8 @@
 
 // registry answers Begin with the key as the reason, or waits for the end of the call.
 type registry struct {
-	ended chan struct{}
+	ended  chan struct{}
+	tracer trace.TracerProvider
 }
 
 func (registry) Begin(r *messenger.Request[wire.BeginRequest], answer *wire.BeginResponse) error {
@@ -51,7 +55,10 @@
 func serve(t *testing.T, service registry) string {
 	t.Helper()
 	l := listen(t)
-	s := messenger.NewServer(l, nil)
+	s := messenger.NewServer(messenger.ServerOptions{
+		Listener: l,
+		Tracer:   service.tracer,
+	})
 	if err := s.Register("Registry", service); err != nil {
 		t.Fatal(err)
 	}
@@ -69,7 +76,7 @@
 
 func newClient(t *testing.T) *messenger.Client {
 	t.Helper()
-	c := messenger.NewClient(nil)
+	c := messenger.NewClient(messenger.ClientOptions{})
 	t.Cleanup(c.Close)
 	return c
 }
@@ -121,6 +128,33 @@
 	<-service.ended
 }
 
+// A call must be a span of its caller's trace on both sides, and calls in the
+// background must make none.
+func TestTraceCrossesHosts(t *testing.T) {
+	is := is.New(t)
+	spans := tracetest.NewSpanRecorder()
+	provider := sdktrace.NewTracerProvider(sdktrace.WithSpanProcessor(spans))
+	address := serve(t, registry{
+		tracer: provider,
+	})
+	c := messenger.NewClient(messenger.ClientOptions{
+		Tracer: provider,
+	})
+	t.Cleanup(c.Close)
+	ctx := withTimeout(t, 10*time.Second)
+	is.NoErr(c.Call(ctx, address, "Registry.Begin", &wire.BeginRequest{}, &wire.BeginResponse{}))
+	is.Equal(len(spans.Started()), 0)
+	ctx, root := provider.Tracer("test").Start(ctx, "request")
+	is.NoErr(c.Call(ctx, address, "Registry.Begin", &wire.BeginRequest{}, &wire.BeginResponse{}))
+	root.End()
+	started := spans.Started()
+	is.Equal(len(started), 3)
+	for _, span := range started {
+		is.Equal(span.SpanContext().TraceID(), root.SpanContext().TraceID())
+	}
+	is.Equal(started[2].Parent().SpanID(), started[1].SpanContext().SpanID())
+}
+
 // A handler's error must reach the caller and leave the connection usable.
 func TestHandlerError(t *testing.T) {
 	is := is.New(t)
--- a/internal/messenger/server.go
+++ b/internal/messenger/server.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // maxConnections bounds the connections that a server has open. Each entry
@@ -18,6 +19,7 @@
 type Server struct {
 	rpc      *rpc.Server
 	listener net.Listener
+	tracer   trace.Tracer
 	ctx      context.Context
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
@@ -28,15 +30,16 @@
 }
 
 // NewServer returns a server that will accept connections from the listener.
-// A nil configuration means plain TCP.
-func NewServer(listener net.Listener, cfg *tls.Config) *Server {
-	if cfg != nil {
-		listener = tls.NewListener(listener, cfg)
+func NewServer(opts ServerOptions) *Server {
+	listener := opts.Listener
+	if opts.TLS != nil {
+		listener = tls.NewListener(listener, opts.TLS)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
 		rpc:      rpc.NewServer(),
 		listener: listener,
+		tracer:   tracerOf(opts.Tracer),
 		ctx:      ctx,
 		cancel:   cancel,
 		codecs:   make(map[*serverCodec]struct{}),
@@ -64,7 +67,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	codec := newServerCodec(s.ctx, conn)
+	codec := newServerCodec(s.ctx, conn, s.tracer)
 	if !s.add(codec) {
 		_ = codec.Close()
 		return
--- a/internal/messenger/servercodec.go
+++ b/internal/messenger/servercodec.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.opentelemetry.io/otel/trace"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heathermux/heathermux/internal/wire"
@@ -24,23 +25,26 @@
 	writer *frameWriter
 	ctx    context.Context
 	cancel context.CancelFunc
+	tracer trace.Tracer
 	slots  chan struct{}
 	header wire.CallHeader
 
 	mu sync.Mutex
-	// Invariant: holds one entry for each call that has not been answered.
-	cancels map[uint64]context.CancelFunc
+	// Invariant: holds one entry for each call that has not been answered. It
+	// ends the context and the span of the call.
+	ends map[uint64]func()
 }
 
-func newServerCodec(ctx context.Context, conn net.Conn) *serverCodec {
+func newServerCodec(ctx context.Context, conn net.Conn, tracer trace.Tracer) *serverCodec {
 	ctx, cancel := context.WithCancel(ctx)
 	return &serverCodec{
-		reader:  bufio.NewReaderSize(conn, bufferBytes),
-		writer:  newFrameWriter(conn),
-		ctx:     ctx,
-		cancel:  cancel,
-		slots:   make(chan struct{}, servedCalls),
-		cancels: make(map[uint64]context.CancelFunc),
+		reader: bufio.NewReaderSize(conn, bufferBytes),
+		writer: newFrameWriter(conn),
+		ctx:    ctx,
+		cancel: cancel,
+		tracer: tracer,
+		slots:  make(chan struct{}, servedCalls),
+		ends:   make(map[uint64]func()),
 	}
 }
 
@@ -73,9 +77,18 @@
 
 func (c *serverCodec) callContext() context.Context {
 	ctx := withTraceparent(c.ctx, c.header.GetTraceparent())
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.header.GetTimeoutNanos()))
+	ctx, end := context.WithTimeout(ctx, time.Duration(c.header.GetTimeoutNanos()))
+	if trace.SpanContextFromContext(ctx).IsValid() {
+		var span trace.Span
+		cancel := end
+		ctx, span = c.tracer.Start(ctx, c.header.GetMethod(), trace.WithSpanKind(trace.SpanKindServer))
+		end = func() {
+			span.End()
+			cancel()
+		}
+	}
 	c.mu.Lock()
-	c.cancels[c.header.GetSequence()] = cancel
+	c.ends[c.header.GetSequence()] = end
 	c.mu.Unlock()
 	return ctx
 }
@@ -108,11 +121,11 @@
 
 func (c *serverCodec) release(sequence uint64) {
 	c.mu.Lock()
-	cancel := c.cancels[sequence]
-	delete(c.cancels, sequence)
+	end := c.ends[sequence]
+	delete(c.ends, sequence)
 	c.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if end != nil {
+		end()
 	}
 	<-c.slots
 }
