--- a/internal/certifier/certifier_test.go
+++ b/internal/certifier/certifier_test.go
@@ -162,11 +162,37 @@
 		serverFor, clientFor time.Duration
 		ok                   bool
 	}{
-		"same authority": {server: common, client: common, serverFor: time.Hour, clientFor: time.Hour, ok: true},
-		"unknown client": {server: common, client: other, serverFor: time.Hour, clientFor: time.Hour},
-		"unknown server": {server: other, client: common, serverFor: time.Hour, clientFor: time.Hour},
-		"expired client": {server: common, client: common, serverFor: time.Hour, clientFor: -time.Hour},
-		"expired server": {server: common, client: common, serverFor: -time.Hour, clientFor: time.Hour},
+		"same authority": {
+			server:    common,
+			client:    common,
+			serverFor: time.Hour,
+			clientFor: time.Hour,
+			ok:        true,
+		},
+		"unknown client": {
+			server:    common,
+			client:    other,
+			serverFor: time.Hour,
+			clientFor: time.Hour,
+		},
+		"unknown server": {
+			server:    other,
+			client:    common,
+			serverFor: time.Hour,
+			clientFor: time.Hour,
+		},
+		"expired client": {
+			server:    common,
+			client:    common,
+			serverFor: time.Hour,
+			clientFor: -time.Hour,
+		},
+		"expired server": {
+			server:    common,
+			client:    common,
+			serverFor: -time.Hour,
+			clientFor: time.Hour,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/controller/snapshot.go
+++ b/internal/controller/snapshot.go
@@ -103,7 +103,9 @@
 
 // Encode returns the snapshot of the state in its file and wire form.
 func (s State) Encode() ([]byte, error) {
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s.Snapshot())
+	data, err := proto.MarshalOptions{
+		Deterministic: true,
+	}.Marshal(s.Snapshot())
 	return data, errors.Wrap(err, "controller: encode snapshot")
 }
 
--- a/internal/dispatcher/service_test.go
+++ b/internal/dispatcher/service_test.go
@@ -128,7 +128,12 @@
 			w.apply(&wire.Command{
 				Change: &wire.Command_AddHosts{
 					AddHosts: &wire.AddHosts{
-						Hosts: []*wire.Host{{Name: "x1", DataCentre: "dc-b", Pool: "pool", Capacity: cores(4000)}},
+						Hosts: []*wire.Host{{
+							Name:       "x1",
+							DataCentre: "dc-b",
+							Pool:       "pool",
+							Capacity:   cores(4000),
+						}},
 					},
 				},
 			})
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -87,8 +87,12 @@
 		single  bool
 		refused bool
 	}{
-		"two copies asked for":    {refused: true},
-		"one copy is good enough": {single: true},
+		"two copies asked for": {
+			refused: true,
+		},
+		"one copy is good enough": {
+			single: true,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -126,8 +130,13 @@
 		cut          []string
 		acknowledged bool
 	}{
-		"most can be told":   {cut: []string{"a2"}, acknowledged: true},
-		"most can't be told": {cut: []string{"a2", "b2", "b3"}},
+		"most can be told": {
+			cut:          []string{"a2"},
+			acknowledged: true,
+		},
+		"most can't be told": {
+			cut: []string{"a2", "b2", "b3"},
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/dispatcher/world_test.go
+++ b/internal/dispatcher/world_test.go
@@ -144,9 +144,21 @@
 
 func bootstrap() *wire.Snapshot {
 	snap := &wire.Snapshot{
-		DataCentres: []*wire.DataCentre{{Name: "dc-a"}, {Name: "dc-b"}},
-		Pools:       []*wire.Pool{{Name: "pool", AvailabilityBudget: 1, MaxHosts: 9}},
-		Queues:      []*wire.Queue{{Name: "jobs", Pool: "pool", Kind: wire.QueueKind_QUEUE_KIND_TASKS}},
+		DataCentres: []*wire.DataCentre{{
+			Name: "dc-a",
+		}, {
+			Name: "dc-b",
+		}},
+		Pools: []*wire.Pool{{
+			Name:               "pool",
+			AvailabilityBudget: 1,
+			MaxHosts:           9,
+		}},
+		Queues: []*wire.Queue{{
+			Name: "jobs",
+			Pool: "pool",
+			Kind: wire.QueueKind_QUEUE_KIND_TASKS,
+		}},
 		Contracts: []*wire.Contract{{
 			Customer: "customer",
 			Teams: []*wire.Team{{
--- a/internal/estimator/estimator_test.go
+++ b/internal/estimator/estimator_test.go
@@ -18,10 +18,28 @@
 		peak     int64
 		from, to int64
 	}{
-		"nothing known":      {from: 8000, to: 8000},
-		"too little known":   {samples: estimator.MinSamples - 1, peak: 1000, from: 8000, to: 8000},
-		"declared too large": {samples: 40, peak: 1000, from: 1000, to: 1100},
-		"declared too small": {samples: 40, peak: 30000, from: 30000, to: 33000},
+		"nothing known": {
+			from: 8000,
+			to:   8000,
+		},
+		"too little known": {
+			samples: estimator.MinSamples - 1,
+			peak:    1000,
+			from:    8000,
+			to:      8000,
+		},
+		"declared too large": {
+			samples: 40,
+			peak:    1000,
+			from:    1000,
+			to:      1100,
+		},
+		"declared too small": {
+			samples: 40,
+			peak:    30000,
+			from:    30000,
+			to:      33000,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -34,8 +34,11 @@
 		clock: timer.NewFake(time.Unix(0, 0)),
 	}
 	b.r = runner.New(runner.Options{
-		Worker:      "w",
-		Capacity:    &wire.Resources{MilliCores: 8, MemoryBytes: 8},
+		Worker: "w",
+		Capacity: &wire.Resources{
+			MilliCores:  8,
+			MemoryBytes: 8,
+		},
 		Incarnation: "1",
 		Clock:       b.clock,
 		Executor:    b,
@@ -90,7 +93,9 @@
 		o.Start = append(o.Start, &wire.Task{
 			Id:         id,
 			Idempotent: idempotent,
-			Size:       &wire.Resources{MemoryBytes: memory},
+			Size: &wire.Resources{
+				MemoryBytes: memory,
+			},
 		})
 	}
 }
@@ -106,16 +111,39 @@
 		epoch   uint64
 		starts  int
 	}{
-		"in time":               {prepare: func(*bench) {}, epoch: 2, starts: 1},
-		"stale epoch":           {prepare: func(b *bench) { _ = b.order(3, func(*wire.WorkerOrders) {}) }, epoch: 2},
-		"late response":         {prepare: func(b *bench) { b.transit = runner.PollTimeout }, epoch: 2},
-		"lost response":         {prepare: func(b *bench) { b.err = errors.New("lost") }, epoch: 2},
-		"frozen past the lease": {prepare: func(b *bench) { b.transit = time.Minute }, epoch: 2},
-		"ordered twice":         {prepare: func(b *bench) { _ = b.order(2, start("t", 1, true)) }, epoch: 2, starts: 1},
+		"in time": {
+			prepare: func(*bench) {},
+			epoch:   2,
+			starts:  1,
+		},
+		"stale epoch": {
+			prepare: func(b *bench) { _ = b.order(3, func(*wire.WorkerOrders) {}) },
+			epoch:   2,
+		},
+		"late response": {
+			prepare: func(b *bench) { b.transit = runner.PollTimeout },
+			epoch:   2,
+		},
+		"lost response": {
+			prepare: func(b *bench) { b.err = errors.New("lost") },
+			epoch:   2,
+		},
+		"frozen past the lease": {
+			prepare: func(b *bench) { b.transit = time.Minute },
+			epoch:   2,
+		},
+		"ordered twice": {
+			prepare: func(b *bench) { _ = b.order(2, start("t", 1, true)) },
+			epoch:   2,
+			starts:  1,
+		},
 		"ended and acknowledged": {
 			prepare: func(b *bench) {
 				_ = b.order(2, start("t", 1, true))
-				b.ended = []*wire.EndedTask{{Task: "t", State: wire.TaskState_TASK_STATE_SUCCEEDED}}
+				b.ended = []*wire.EndedTask{{
+					Task:  "t",
+					State: wire.TaskState_TASK_STATE_SUCCEEDED,
+				}}
 				_ = b.order(2, acknowledge("t"))
 			},
 			epoch:  2,
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -55,10 +55,20 @@
 
 func snapshot(workers int, teams []team) *wire.Snapshot {
 	snap := &wire.Snapshot{
-		Revision:    1,
-		DataCentres: []*wire.DataCentre{{Name: "dc", State: wire.ServiceState_SERVICE_STATE_IN}},
-		Pools:       []*wire.Pool{{Name: "pool", State: wire.ServiceState_SERVICE_STATE_IN}},
-		Queues:      []*wire.Queue{{Name: "jobs", Kind: wire.QueueKind_QUEUE_KIND_TASKS, Pool: "pool"}},
+		Revision: 1,
+		DataCentres: []*wire.DataCentre{{
+			Name:  "dc",
+			State: wire.ServiceState_SERVICE_STATE_IN,
+		}},
+		Pools: []*wire.Pool{{
+			Name:  "pool",
+			State: wire.ServiceState_SERVICE_STATE_IN,
+		}},
+		Queues: []*wire.Queue{{
+			Name: "jobs",
+			Kind: wire.QueueKind_QUEUE_KIND_TASKS,
+			Pool: "pool",
+		}},
 	}
 	contract := &wire.Contract{
 		Customer: "customer",
--- a/internal/scheduler/property_test.go
+++ b/internal/scheduler/property_test.go
@@ -17,8 +17,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		is := is.New(t)
 		teams := []team{
-			{name: "a", share: 1, limit: rapid.Int64Range(0, 200).Draw(t, "limit a") * 1000},
-			{name: "b", share: 3, limit: rapid.Int64Range(0, 200).Draw(t, "limit b") * 1000},
+			{
+				name:  "a",
+				share: 1,
+				limit: rapid.Int64Range(0, 200).Draw(t, "limit a") * 1000,
+			},
+			{
+				name:  "b",
+				share: 3,
+				limit: rapid.Int64Range(0, 200).Draw(t, "limit b") * 1000,
+			},
 		}
 		f := newFleet(rapid.IntRange(1, 4).Draw(t, "workers"), teams)
 		endIn := rapid.IntRange(2, 6).Draw(t, "ends")
@@ -63,9 +71,21 @@
 		is := is.New(t)
 		const workers = 4
 		teams := []team{
-			{name: "a", share: rapid.Int64Range(1, 5).Draw(t, "share a"), limit: 1 << 40},
-			{name: "b", share: rapid.Int64Range(1, 5).Draw(t, "share b"), limit: 1 << 40},
-			{name: "c", share: rapid.Int64Range(1, 5).Draw(t, "share c"), limit: 1 << 40},
+			{
+				name:  "a",
+				share: rapid.Int64Range(1, 5).Draw(t, "share a"),
+				limit: 1 << 40,
+			},
+			{
+				name:  "b",
+				share: rapid.Int64Range(1, 5).Draw(t, "share b"),
+				limit: 1 << 40,
+			},
+			{
+				name:  "c",
+				share: rapid.Int64Range(1, 5).Draw(t, "share c"),
+				limit: 1 << 40,
+			},
 		}
 		f := newFleet(workers, teams)
 		var weights int64
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -32,15 +32,35 @@
 		size   *wire.Resources
 		reason string
 	}{
-		"larger than every host": {team: "a", size: size(65_000, 1), reason: `no host of pool "pool" in dc is large enough`},
-		"above the team's limit": {team: "small", size: size(2000, 1), reason: `the size is above the limit of team "small"`},
-		"without a size":         {team: "a", size: size(0, 0), reason: "the size is missing"},
-		"unknown team":           {team: "x", size: size(1, 1), reason: `team "x" is not known`},
+		"larger than every host": {
+			team:   "a",
+			size:   size(65_000, 1),
+			reason: `no host of pool "pool" in dc is large enough`,
+		},
+		"above the team's limit": {
+			team:   "small",
+			size:   size(2000, 1),
+			reason: `the size is above the limit of team "small"`,
+		},
+		"without a size": {
+			team:   "a",
+			size:   size(0, 0),
+			reason: "the size is missing",
+		},
+		"unknown team": {
+			team:   "x",
+			size:   size(1, 1),
+			reason: `team "x" is not known`,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFleet(1, append([]team{{name: "small", share: 1, limit: 1000}}, oneTeam...))
+			f := newFleet(1, append([]team{{
+				name:  "small",
+				share: 1,
+				limit: 1000,
+			}}, oneTeam...))
 			is.Equal(f.submit(&wire.Task{
 				Id:   "1",
 				Team: test.team,
@@ -222,7 +242,15 @@
 // late, which would give its team more than its share.
 func TestUsageLagIsCorrected(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(1, []team{{name: "a", share: 1, limit: 1 << 40}, {name: "b", share: 1, limit: 1 << 40}})
+	f := newFleet(1, []team{{
+		name:  "a",
+		share: 1,
+		limit: 1 << 40,
+	}, {
+		name:  "b",
+		share: 1,
+		limit: 1 << 40,
+	}})
 	f.submitMany(32, "a", size(1000, 1))
 	f.round()
 	for _, r := range f.running[workerName(0)] {
--- a/internal/scheduler/session_test.go
+++ b/internal/scheduler/session_test.go
@@ -17,7 +17,15 @@
 // one whole session with two teams, two workers, an urgent task, a failing
 // task, a cancellation, a lost worker and a data centre that leaves and returns.
 func TestSession(t *testing.T) {
-	f := newFleet(2, []team{{name: "a", share: 1, limit: 96_000}, {name: "b", share: 3, limit: 1 << 40}})
+	f := newFleet(2, []team{{
+		name:  "a",
+		share: 1,
+		limit: 96_000,
+	}, {
+		name:  "b",
+		share: 3,
+		limit: 1 << 40,
+	}})
 	f.outcome = func(_, task string) wire.TaskState {
 		if task == "a-1" {
 			return wire.TaskState_TASK_STATE_FAILED
@@ -62,7 +70,15 @@
 	}
 	note("worker w-0001 is lost")
 	for i, state := range []wire.ServiceState{wire.ServiceState_SERVICE_STATE_OUT, wire.ServiceState_SERVICE_STATE_IN} {
-		snap := snapshot(2, []team{{name: "a", share: 1, limit: 96_000}, {name: "b", share: 3, limit: 1 << 40}})
+		snap := snapshot(2, []team{{
+			name:  "a",
+			share: 1,
+			limit: 96_000,
+		}, {
+			name:  "b",
+			share: 3,
+			limit: 1 << 40,
+		}})
 		snap.Revision = uint64(2 + i)
 		snap.DataCentres[0].State = state
 		f.step(scheduler.Facts{
--- a/pkg/allotter/allotter_test.go
+++ b/pkg/allotter/allotter_test.go
@@ -124,15 +124,29 @@
 		},
 		"demand of one holder moves most of the limit": {
 			holders: []allotter.Holder{
-				(&cell{amount: 500, target: 500}).holder("a", true),
-				(&cell{amount: 500, target: 500, wanted: 900}).holder("b", true),
+				(&cell{
+					amount: 500,
+					target: 500,
+				}).holder("a", true),
+				(&cell{
+					amount: 500,
+					target: 500,
+					wanted: 900,
+				}).holder("b", true),
 			},
 			want: []int64{125, 875},
 		},
 		"a holder that was not heard keeps its amount": {
 			holders: []allotter.Holder{
-				(&cell{amount: 500, target: 500}).holder("a", false),
-				(&cell{amount: 500, target: 500, wanted: 900}).holder("b", true),
+				(&cell{
+					amount: 500,
+					target: 500,
+				}).holder("a", false),
+				(&cell{
+					amount: 500,
+					target: 500,
+					wanted: 900,
+				}).holder("b", true),
 			},
 			want: []int64{500, 500},
 		},
@@ -143,21 +157,41 @@
 					Amount: cores(500),
 					Lost:   true,
 				},
-				(&cell{amount: 500, target: 500, wanted: 900}).holder("b", true),
+				(&cell{
+					amount: 500,
+					target: 500,
+					wanted: 900,
+				}).holder("b", true),
 			},
 			want: []int64{0, 1000},
 		},
 		"a lowered limit shrinks what is above it": {
 			holders: []allotter.Holder{
-				(&cell{amount: 3000, target: 3000, running: 2000, wanted: 2000}).holder("a", true),
-				(&cell{amount: 500, target: 500}).holder("b", true),
+				(&cell{
+					amount:  3000,
+					target:  3000,
+					running: 2000,
+					wanted:  2000,
+				}).holder("a", true),
+				(&cell{
+					amount: 500,
+					target: 500,
+				}).holder("b", true),
 			},
 			want: []int64{875, 125},
 		},
 		"small differences change nothing": {
 			holders: []allotter.Holder{
-				(&cell{amount: 480, target: 480, wanted: 100}).holder("a", true),
-				(&cell{amount: 520, target: 520, wanted: 101}).holder("b", true),
+				(&cell{
+					amount: 480,
+					target: 480,
+					wanted: 100,
+				}).holder("a", true),
+				(&cell{
+					amount: 520,
+					target: 520,
+					wanted: 101,
+				}).holder("b", true),
 			},
 			want: []int64{480, 520},
 		},
--- a/pkg/deduplicator/table_test.go
+++ b/pkg/deduplicator/table_test.go
@@ -152,13 +152,25 @@
 	first := []*deduplicator.SlotMap{view(1, hostA, hostB)}
 	moved := []*deduplicator.SlotMap{view(2, hostA), view(1, hostB)}
 	tests := map[string]func(*is.I){
-		"first view":              check(view(1, hostA), []*deduplicator.SlotMap{view(0)}, nil, deduplicator.Take, 0),
-		"complete holder":         check(view(2, hostA), first, answers{hostB: complete(1)}, deduplicator.Take, 1),
-		"holder in view is slow":  check(view(2, hostA), first, nil, deduplicator.Wait, 0),
-		"both holders restarted":  check(view(2, restarted), first, answers{restarted: complete(0)}, deduplicator.Lost, 0),
-		"epoch without a grant":   check(view(3, hostA), moved, answers{hostA: complete(0), hostB: complete(1)}, deduplicator.Take, 1),
-		"epoch between not known": check(view(4, hostA), moved, answers{hostA: complete(0), hostB: complete(1)}, deduplicator.Lost, 0),
-		"only an older one is up": check(view(3, hostB), moved, answers{hostB: complete(1)}, deduplicator.Lost, 0),
+		"first view": check(view(1, hostA), []*deduplicator.SlotMap{view(0)}, nil, deduplicator.Take, 0),
+		"complete holder": check(view(2, hostA), first, answers{
+			hostB: complete(1),
+		}, deduplicator.Take, 1),
+		"holder in view is slow": check(view(2, hostA), first, nil, deduplicator.Wait, 0),
+		"both holders restarted": check(view(2, restarted), first, answers{
+			restarted: complete(0),
+		}, deduplicator.Lost, 0),
+		"epoch without a grant": check(view(3, hostA), moved, answers{
+			hostA: complete(0),
+			hostB: complete(1),
+		}, deduplicator.Take, 1),
+		"epoch between not known": check(view(4, hostA), moved, answers{
+			hostA: complete(0),
+			hostB: complete(1),
+		}, deduplicator.Lost, 0),
+		"only an older one is up": check(view(3, hostB), moved, answers{
+			hostB: complete(1),
+		}, deduplicator.Lost, 0),
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/replicator/leader.go
+++ b/pkg/replicator/leader.go
@@ -136,7 +136,9 @@
 // entry at the returned index is applied.
 func (c *Core) Propose(_ time.Time, data []byte) (Position, error) {
 	if c.role != leader {
-		return Position{}, ErrNotLeader{Leader: c.lead}
+		return Position{}, ErrNotLeader{
+			Leader: c.lead,
+		}
 	}
 	return c.append(&Entry{
 		Kind: replication.EntryKind_ENTRY_KIND_DATA,
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -89,7 +89,9 @@
 // it is in the log; the next one may start when it is committed.
 func (c *Core) ProposeMembership(_ time.Time, change Change) (Position, error) {
 	if c.role != leader {
-		return Position{}, ErrNotLeader{Leader: c.lead}
+		return Position{}, ErrNotLeader{
+			Leader: c.lead,
+		}
 	}
 	// A leader that has committed nothing in its term may not know of a
 	// membership that a former leader committed, so that two majorities might
