internal/runner, internal/dispatcher: describe running tasks to a new scheduler only

Change: orders name the scheduler's session. A worker whose last poll was answered in that session sends tasks by name and use; after a lost answer, and to another session, it describes them again. A scheduler refuses a poll by name of tasks that it does not hold.

--- a/internal/announcer/convert.go
+++ b/internal/announcer/convert.go
@@ -35,6 +35,7 @@
 		Epoch:       p.Epoch,
 		Leaving:     p.Leaving,
 		Sequence:    p.Sequence,
+		DescribedTo: p.DescribedTo,
 	}
 	for _, r := range p.Running {
 		running := &wire.RunningTask{
@@ -73,6 +74,7 @@
 		Epoch:       w.GetEpoch(),
 		Leaving:     w.GetLeaving(),
 		Sequence:    w.GetSequence(),
+		DescribedTo: w.GetDescribedTo(),
 	}
 	for _, r := range w.GetRunning() {
 		running := Running{
@@ -141,6 +143,7 @@
 		Acknowledged: w.GetAcknowledged(),
 		Pool:         w.GetPool(),
 		PoolEpoch:    w.GetPoolEpoch(),
+		Session:      w.GetSession(),
 	}
 	for _, t := range w.GetStart() {
 		o.Start = append(o.Start, taskOf(t))
@@ -159,6 +162,7 @@
 		Acknowledged: o.Acknowledged,
 		Pool:         o.Pool,
 		PoolEpoch:    o.PoolEpoch,
+		Session:      o.Session,
 	}
 	for _, t := range o.Start {
 		w.Start = append(w.Start, t.wire())
--- a/internal/announcer/worker.go
+++ b/internal/announcer/worker.go
@@ -56,6 +56,9 @@
 	Ended []Ended `json:"ended,omitempty"`
 	// Sequence rises with each poll of one incarnation.
 	Sequence uint64 `json:"sequence"`
+	// DescribedTo is the session of the orders that answered the previous poll.
+	// Running tasks are then sent without detail.
+	DescribedTo string `json:"described-to,omitempty"`
 	// Leaving asks for no more starts.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -106,6 +109,8 @@
 	// Pool is the pool of the host, and PoolEpoch the epoch of that assignment.
 	Pool      string `json:"pool,omitempty"`
 	PoolEpoch uint64 `json:"pool-epoch,omitempty"`
+	// Session names what the scheduler knows of the worker's tasks.
+	Session string `json:"session,omitempty"`
 }
 
 // Check returns what is wrong with the poll, or nil.
--- a/internal/dispatcher/lead.go
+++ b/internal/dispatcher/lead.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/heathermux/heathermux/internal/controller"
@@ -28,6 +29,8 @@
 type lead struct {
 	dataCentre string
 	sched      *scheduler.Scheduler
+	// session names what sched knows; another process or epoch knows other tasks.
+	session string
 	// revision is that of the control state that sched was given.
 	revision uint64
 	// since is when this host saw itself assigned.
@@ -91,6 +94,7 @@
 		liveAt:      now,
 		startsAfter: now.Add(follower.ForceBound),
 		answers:     make(map[string]*wire.FetchTasksResponse),
+		session:     d.opts.Self.GetIncarnation() + "/" + strconv.FormatUint(dc.GetSchedulerEpoch(), 10),
 		sched: scheduler.New(scheduler.Options{
 			DataCentre: dc.GetName(),
 			Epoch:      dc.GetSchedulerEpoch(),
--- a/internal/dispatcher/serve.go
+++ b/internal/dispatcher/serve.go
@@ -240,6 +240,9 @@
 	if _, _, _, reason := d.current(); view.Live(now) && reason != "" {
 		return pollError(reason)
 	}
+	if !l.describes(req) {
+		return pollError("the poll has to describe its tasks")
+	}
 	actions := l.sched.Step(now, scheduler.Poll{
 		Poll:   req,
 		Starts: d.mayStart(now, view),
@@ -247,12 +250,23 @@
 	d.act(actions)
 	for _, action := range actions {
 		if ordered, ok := action.(scheduler.Ordered); ok {
+			ordered.Orders.Session = l.session
 			return ordered.Orders
 		}
 	}
 	return pollError("the poll was not answered")
 }
 
+// describes reports whether this scheduler can know all tasks that the poll
+// names without detail: it answered the worker's previous poll, and it has not
+// forgotten any of them.
+func (l *lead) describes(req *wire.WorkerPoll) bool {
+	if req.GetDescribedTo() == "" {
+		return true
+	}
+	return req.GetDescribedTo() == l.session && l.sched.Knows(req)
+}
+
 func pollError(reason string) *wire.WorkerOrders {
 	return &wire.WorkerOrders{
 		Error: "dispatcher: " + reason,
--- a/internal/dispatcher/service_test.go
+++ b/internal/dispatcher/service_test.go
@@ -165,3 +165,40 @@
 		})
 	}
 }
+
+// Guards against tasks that run uncounted because a scheduler was told of them
+// by name only.
+func TestPollWithoutDetailsNeedsKnownTasks(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.advance(5 * time.Second)
+	poll := func(sequence uint64, describedTo, task string, detail *wire.Task) *wire.WorkerOrders {
+		return w.hosts["a1"].d.ServePoll(t.Context(), &wire.WorkerPoll{
+			Worker:      "w3",
+			Incarnation: "other",
+			DataCentre:  "dc-a",
+			Capacity:    cores(64_000),
+			Epoch:       1,
+			Sequence:    sequence,
+			DescribedTo: describedTo,
+			Running: []*wire.RunningTask{
+				{
+					Task:   task,
+					Epoch:  1,
+					Detail: detail,
+				},
+			},
+		})
+	}
+	known := poll(1, "", "dc-a.1", &wire.Task{
+		Id:    "dc-a.1",
+		Team:  "team",
+		Queue: "jobs",
+		Size:  cores(1000),
+	})
+	is.Equal(known.GetError(), "")
+	is.True(known.GetSession() != "")
+	is.Equal(poll(2, known.GetSession(), "dc-a.1", nil).GetError(), "")
+	is.True(poll(3, "another", "dc-a.1", nil).GetError() != "")
+	is.True(poll(3, known.GetSession(), "dc-a.2", nil).GetError() != "")
+}
--- a/internal/measurer/poll.go
+++ b/internal/measurer/poll.go
@@ -63,6 +63,7 @@
 		LeaseNanos: int64(scheduler.WorkerLease),
 		Pool:       poolName(0),
 		PoolEpoch:  1,
+		Session:    incarnation("scheduler") + "/1",
 	}
 }
 
--- a/internal/measurer/workers.go
+++ b/internal/measurer/workers.go
@@ -21,6 +21,9 @@
 	sequence uint64
 	// tasks is the number of tasks on each worker.
 	tasks int
+	// session is that of the scheduler once it knows all tasks, as in the polls
+	// of a worker that goes on.
+	session string
 }
 
 // newSite returns a scheduler whose workers run the given number of tasks each.
@@ -41,6 +44,7 @@
 	for i := range s.hosts {
 		t.poll(i)
 	}
+	t.session = incarnation("scheduler") + "/1"
 	return t
 }
 
@@ -64,6 +68,7 @@
 		PoolEpoch:   1,
 		Epoch:       1,
 		Sequence:    t.sequence,
+		DescribedTo: t.session,
 	}
 	for i := range t.tasks {
 		task := t.task(host, i)
@@ -72,8 +77,10 @@
 			Epoch:    1,
 			Used:     part(task.GetSize(), 80, 100),
 			RunNanos: int64(time.Minute),
-			Detail:   task,
 		})
+		if t.session == "" {
+			p.Running[i].Detail = task
+		}
 	}
 	return p
 }
--- a/internal/runner/poll.go
+++ b/internal/runner/poll.go
@@ -20,13 +20,27 @@
 	call, cancel := context.WithTimeout(ctx, PollTimeout)
 	defer cancel()
 	orders, err := r.opts.Poller.Poll(call, poll)
-	if err != nil {
-		return errors.Wrap(err, "runner: poll")
-	}
-	if orders.GetError() != "" {
-		return errors.New("runner: poll refused: " + orders.GetError())
+	switch {
+	case err != nil:
+		err = errors.Wrap(err, "runner: poll")
+	case orders.GetError() != "":
+		err = errors.New("runner: poll refused: " + orders.GetError())
+	default:
+		err = r.obey(r.opts.Clock.Now(), sentAt, orders)
+	}
+	r.noteSession(orders, err)
+	return err
+}
+
+// noteSession remembers the scheduler that knows the running tasks. After a
+// poll without an answer the next one describes them all again.
+func (r *Runner) noteSession(orders *wire.WorkerOrders, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.session = ""
+	if err == nil {
+		r.session = orders.GetSession()
 	}
-	return r.obey(r.opts.Clock.Now(), sentAt, orders)
 }
 
 // report builds the next poll.
@@ -45,6 +59,7 @@
 		Epoch:       r.guard.Highest(),
 		Incarnation: r.opts.Incarnation,
 		Sequence:    r.sequence,
+		DescribedTo: r.session,
 	}
 	for _, id := range slices.Sorted(maps.Keys(r.running)) {
 		poll.Running = append(poll.Running, r.describe(now, id))
@@ -58,9 +73,11 @@
 func (r *Runner) describe(now time.Time, id string) *wire.RunningTask {
 	run := r.running[id]
 	d := &wire.RunningTask{
-		Task:   id,
-		Epoch:  run.epoch,
-		Detail: run.task,
+		Task:  id,
+		Epoch: run.epoch,
+	}
+	if r.session == "" {
+		d.Detail = run.task
 	}
 	if !run.startedAt.IsZero() {
 		d.Used = r.opts.Executor.Used(id)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -71,10 +71,13 @@
 	// length after the sending of a poll that was answered.
 	leaseUntil time.Time
 	sequence   uint64
-	poolEpoch  uint64
-	pool       string
-	leaving    bool
-	running    map[string]*run
+	// session is that of the scheduler that answered the last poll; empty after
+	// a poll without an answer. That scheduler knows all running tasks.
+	session   string
+	poolEpoch uint64
+	pool      string
+	leaving   bool
+	running   map[string]*run
 	// Invariant: holds each ended task until it is acknowledged.
 	ended map[string]ending
 	seen  seenTasks
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -229,3 +229,49 @@
 	cancel()
 	newBench().r.Run(ctx)
 }
+
+// A scheduler that does not know the running tasks must be told of them whole:
+// after a poll without an answer, and when another session answers.
+func TestTasksAreDescribedToANewScheduler(t *testing.T) {
+	is := is.New(t)
+	b := newBench()
+	described := func() bool {
+		last := b.polls[len(b.polls)-1]
+		is.Equal(last.GetRunning()[0].GetDetail() != nil, last.GetDescribedTo() == "")
+		return last.GetRunning()[0].GetDetail() != nil
+	}
+	answer := func(session string) {
+		b.orders = &wire.WorkerOrders{
+			Epoch:      1,
+			LeaseNanos: int64(time.Minute),
+			Session:    session,
+		}
+	}
+	answer("a/1")
+	b.orders.Start = []*wire.Task{
+		{
+			Id: "t",
+			Size: &wire.Resources{
+				MilliCores: 1,
+			},
+		},
+	}
+	is.NoErr(b.r.Poll(context.Background()))
+	answer("a/1")
+	is.NoErr(b.r.Poll(context.Background()))
+	is.True(!described())
+	b.err = errors.New("lost")
+	is.True(b.r.Poll(context.Background()) != nil)
+	b.err = nil
+	is.NoErr(b.r.Poll(context.Background()))
+	is.True(described())
+	is.NoErr(b.r.Poll(context.Background()))
+	is.True(!described())
+	b.orders = &wire.WorkerOrders{
+		Error: "dispatcher: the poll has to describe its tasks",
+	}
+	is.True(b.r.Poll(context.Background()) != nil)
+	answer("b/2")
+	is.NoErr(b.r.Poll(context.Background()))
+	is.True(described())
+}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -259,3 +259,13 @@
 	order.Size = t.grant.Wire()
 	return order
 }
+
+// Knows reports whether all tasks that a poll names without detail are held.
+func (s *Scheduler) Knows(p *wire.WorkerPoll) bool {
+	for _, r := range p.GetRunning() {
+		if _, ok := s.tasks[r.GetTask()]; !ok && r.GetDetail() == nil {
+			return false
+		}
+	}
+	return true
+}
