internal/scheduler: keep the hosts whose workers have to poll

Cause: for 17 s after a change of scheduler each pass sorted all hosts of the fleet to see whether every worker had polled; 43% of a profile of that time. Change: the hosts of the data centre with task pools are listed when the control state changes.

--- a/internal/scheduler/benchmark_test.go
+++ b/internal/scheduler/benchmark_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/scheduler"
 	"github.com/heathermux/heathermux/internal/wire"
 )
@@ -211,3 +212,22 @@
 		runtime.KeepAlive(f)
 	}
 }
+
+// BenchmarkAllHeard is what each pass of a new scheduler asks until its workers
+// have polled, with the hosts of the target's whole fleet in the state.
+func BenchmarkAllHeard(b *testing.B) {
+	snap := snapshot(6600, oneTeam)
+	for i, h := range snap.GetHosts() {
+		if i%11 != 0 {
+			h.DataCentre = "other"
+		}
+	}
+	s := scheduler.New(scheduler.Options{
+		DataCentre: "dc",
+		Epoch:      1,
+		State:      controller.FromSnapshot(snap),
+	})
+	for b.Loop() {
+		s.AllHeard()
+	}
+}
--- a/internal/scheduler/facts.go
+++ b/internal/scheduler/facts.go
@@ -11,6 +11,8 @@
 type facts struct {
 	state      controller.State
 	dataCentre *wire.DataCentre
+	// taskHosts are the hosts here whose pool has a queue of tasks.
+	taskHosts []*wire.Host
 	// Invariant: the distinct capacities of the data centre's hosts, by pool.
 	sizes map[string][]controller.Amount
 }
@@ -19,10 +21,15 @@
 	f.state = state
 	f.dataCentre, _ = state.DataCentre(dataCentre)
 	f.sizes = make(map[string][]controller.Amount)
+	f.taskHosts = nil
+	pools := taskPools(state)
 	for _, h := range state.Hosts() {
 		if h.GetDataCentre() != dataCentre {
 			continue
 		}
+		if pools[h.GetPool()] {
+			f.taskHosts = append(f.taskHosts, h)
+		}
 		size := controller.AmountOf(h.GetCapacity())
 		if !slices.Contains(f.sizes[h.GetPool()], size) {
 			f.sizes[h.GetPool()] = append(f.sizes[h.GetPool()], size)
@@ -30,6 +37,17 @@
 	}
 }
 
+// taskPools returns the pools that have a queue of tasks.
+func taskPools(state controller.State) map[string]bool {
+	pools := make(map[string]bool)
+	for _, q := range state.Queues() {
+		if q.GetKind() == wire.QueueKind_QUEUE_KIND_TASKS {
+			pools[q.GetPool()] = true
+		}
+	}
+	return pools
+}
+
 // inService reports whether the operators let tasks start in the data centre.
 func (f *facts) inService() bool {
 	return f.dataCentre.GetState() == wire.ServiceState_SERVICE_STATE_IN
--- a/internal/scheduler/report.go
+++ b/internal/scheduler/report.go
@@ -70,16 +70,7 @@
 
 // AllHeard reports whether every host that may run tasks has polled.
 func (s *Scheduler) AllHeard() bool {
-	pools := make(map[string]bool)
-	for _, q := range s.facts.state.Queues() {
-		if q.GetKind() == wire.QueueKind_QUEUE_KIND_TASKS {
-			pools[q.GetPool()] = true
-		}
-	}
-	for _, h := range s.facts.state.Hosts() {
-		if h.GetDataCentre() != s.opts.DataCentre || !pools[h.GetPool()] {
-			continue
-		}
+	for _, h := range s.facts.taskHosts {
 		if w := s.workers[h.GetName()]; w == nil || w.incarnation == "" {
 			return false
 		}
