--- a/internal/dashboard/dashboard_test.go
+++ b/internal/dashboard/dashboard_test.go
@@ -93,7 +93,7 @@
 	is := is.New(t)
 	script := call("GET", "/status/page.js").Body.String()
 	is.Equal(regexp.MustCompile(`fetch\([^,]*`).FindAllString(script, -1), []string{"fetch(statusPath"})
-	is.True(strings.Contains(script, `const statusPath = "/v1/status";`))
+	is.True(strings.Contains(script, `const statusPath = "/v1/status?teams=true";`))
 	var uses []string
 	for _, line := range strings.Split(regexp.MustCompile(`//.*|"[^"]*"`).ReplaceAllString(script, `""`), "\n") {
 		if regexp.MustCompile(`\b(key|entered)\b`).MatchString(regexp.MustCompile("`[^`]*`").ReplaceAllString(line, "")) {
--- a/internal/dashboard/files/page.js
+++ b/internal/dashboard/files/page.js
@@ -1,6 +1,6 @@
 "use strict";
 
-const statusPath = "/v1/status";
+const statusPath = "/v1/status?teams=true";
 
 // Time between the starts of two calls, in milliseconds.
 const pollInterval = 2000;
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -88,15 +88,16 @@
 	UnavailableHosts []UnavailableHost `json:"unavailable-hosts"`
 	// Maintenance holds the roll-outs that are not done, the oldest first.
 	Maintenance []Maintenance `json:"maintenance"`
-	// TeamLimits are by the names of the teams.
-	TeamLimits []TeamLimit `json:"team-limits"`
+	// TeamLimits are by the names of the teams. They are given for the query
+	// teams=true only, because they grow with teams times data centres.
+	TeamLimits []TeamLimit `json:"team-limits,omitempty"`
 }
 
 func (a *api) status(r *http.Request, _ string) (any, *Problem) {
 	view := a.Control.View()
 	left := view.LeaseUntil.Sub(a.Clock.Now())
 	local := a.Status.Status(r.Context())
-	return Status{
+	status := Status{
 		Local:            local,
 		Revision:         view.State.Revision(),
 		LeaseLeft:        left.String(),
@@ -106,6 +107,9 @@
 		Pools:            poolsOf(view.State),
 		UnavailableHosts: unavailableHostsOf(view.State),
 		Maintenance:      runningMaintenanceOf(view.State),
-		TeamLimits:       teamLimitsOf(view.State),
-	}, nil
+	}
+	if r.URL.Query().Get("teams") == "true" {
+		status.TeamLimits = teamLimitsOf(view.State)
+	}
+	return status, nil
 }
--- a/internal/operator/status_test.go
+++ b/internal/operator/status_test.go
@@ -26,7 +26,7 @@
 func (s *server) status(t *testing.T) operator.Status {
 	t.Helper()
 	var status operator.Status
-	s.call(t, operatorKey, "GET", "/v1/status", "", &status)
+	s.call(t, operatorKey, "GET", "/v1/status?teams=true", "", &status)
 	return status
 }
 
@@ -122,6 +122,9 @@
 			},
 		},
 	})
+	var short operator.Status
+	s.call(t, operatorKey, "GET", "/v1/status", "", &short)
+	is.Equal(len(short.TeamLimits), 0)
 	limits := s.status(t).TeamLimits
 	is.Equal(len(limits), 6)
 	is.Equal(len(limits[0].Allotments), 0)
