cmd/heathermux, internal/messenger, internal/announcer: tests without free ports that others may take

Cause: one process test failed once under load because a host was never reached. The likely cause is a port that was found free, released, and taken by another test before the process listened on it; the run left no log that shows it, so this is not proved. Change: each cluster has loopback addresses of its own, and tests that need an address where nothing listens use a fixed one.

--- a/cmd/heathermux/cluster_test.go
+++ b/cmd/heathermux/cluster_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -98,24 +98,28 @@
 	return c
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
+// clusters numbers the clusters of this process.
+var clusters atomic.Int64
+
+// addresses returns the HTTP and the peer address of a host. Each cluster has
+// loopback addresses of its own, because a free port of 127.0.0.1 may be taken
+// by another test before a process listens on it.
+func addresses(cluster int64, host int) (httpAddress, peerAddress string) {
+	const first, span = 64, 128
+	ip := fmt.Sprintf("127.%d.%d.%d", first+os.Getpid()%span, cluster, host+1)
+	return ip + ":8080", ip + ":7080"
 }
 
 func (c *cluster) writeFiles() {
+	cluster := clusters.Add(1)
 	var peers []map[string]string
 	var names []string
 	for i := range hostCount {
 		name := fmt.Sprintf("e-%d", i+1)
+		_, peerAddress := addresses(cluster, i)
 		peers = append(peers, map[string]string{
 			"name":         name,
-			"peer-address": freeAddress(c.t),
+			"peer-address": peerAddress,
 			"data-centre":  fmt.Sprintf("dc-%d", i%voterCount+1),
 		})
 		if i < voterCount {
@@ -124,13 +128,13 @@
 	}
 	deployment := filepath.Join(c.folder, "deployment.jsonc")
 	c.write(deployment, c.deployment())
-	for _, p := range peers {
+	for i, p := range peers {
 		h := &process{
 			name:     p["name"],
 			settings: filepath.Join(c.folder, p["name"]+".jsonc"),
 			data:     filepath.Join(c.folder, "data", p["name"]),
 		}
-		address := freeAddress(c.t)
+		address, _ := addresses(cluster, i)
 		h.url = "http://" + address
 		settings := map[string]any{
 			"name":         h.name,
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -151,12 +151,10 @@
 	fill(poll.ProtoReflect(), &number)
 	// An error is sent as a problem and not with the orders.
 	r.orders.Error = ""
-	down := httptest.NewServer(http.NotFoundHandler())
-	down.Close()
 	up := httptest.NewServer(announcer.NewHandler(r, r))
 	defer up.Close()
-	// The first entry host is down, so the client has to use the second one.
-	c := announcer.NewClient(down.URL, up.URL)
+	// Nothing listens at the first address, so the client has to use the second one.
+	c := announcer.NewClient("http://127.254.254.254:1", up.URL)
 	defer c.Close()
 	orders, err := c.Poll(context.Background(), poll)
 	is.NoErr(err)
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -196,9 +196,8 @@
 // Nothing may be reported as possibly done when no connection could be made.
 func TestUnreachablePeer(t *testing.T) {
 	is := is.New(t)
-	l := listen(t)
-	address := l.Addr().String()
-	is.NoErr(l.Close())
+	// No test listens on this loopback address.
+	const address = "127.254.254.254:1"
 	err := newClient(t).Call(withTimeout(t, time.Second), address, "Registry.Begin", &wire.BeginRequest{}, &wire.BeginResponse{})
 	is.True(errors.Is(err, messenger.ErrUnreachable))
 }
