internal/daemon, internal/supervisor: one filter of the schedulers' reports

Cause: the status repeated the supervisor's rule for which report counts. Change: the supervisor's function is shared.

--- a/internal/daemon/status.go
+++ b/internal/daemon/status.go
@@ -51,30 +51,19 @@
 			LeaseLeft:   f.LeaseEnd.Sub(now),
 		})
 	}
+	present := supervisor.PresentReports(state, followers)
 	var reports []*wire.SchedulerReport
 	for _, c := range state.DataCentres() {
-		f, ok := reportOf(c, followers)
-		if !ok || now.Sub(f.LastContact) > supervisor.LossLimit {
+		r, ok := present[c.GetName()]
+		if !ok || now.Sub(r.At) > supervisor.LossLimit {
 			local.SilentSchedulers = append(local.SilentSchedulers, c.GetName())
 		}
-		reports = append(reports, f.Report)
+		reports = append(reports, r.Use)
 	}
 	local.Teams = teamsOf(state, reports)
 	return local
 }
 
-// reportOf returns the status of the present scheduler of a data centre with
-// its report. A former scheduler no longer knows what is started.
-func reportOf(c *wire.DataCentre, followers []voter.FollowerStatus) (voter.FollowerStatus, bool) {
-	for _, f := range followers {
-		if f.Report != nil && f.Report.GetDataCentre() == c.GetName() &&
-			f.Member.GetName() == c.GetScheduler() && f.Report.GetEpoch() == c.GetSchedulerEpoch() {
-			return f, true
-		}
-	}
-	return voter.FollowerStatus{}, false
-}
-
 // teamsOf adds up what each team runs and waits for in all data centres.
 func teamsOf(state controller.State, reports []*wire.SchedulerReport) []operator.TeamStatus {
 	running := make(map[string]controller.Amount)
--- a/internal/supervisor/allotments.go
+++ b/internal/supervisor/allotments.go
@@ -77,7 +77,7 @@
 		return nil
 	}
 	a.last = now
-	reports := reportsOf(s, followers)
+	reports := PresentReports(s, followers)
 	for _, d := range s.DataCentres() {
 		name := d.GetName()
 		if r, ok := reports[name]; ok {
--- a/internal/supervisor/capacity.go
+++ b/internal/supervisor/capacity.go
@@ -39,6 +39,6 @@
 	return c.planner.Plan(planner.Input{
 		Now:     now,
 		State:   s,
-		Reports: reportsOf(s, followers),
+		Reports: PresentReports(s, followers),
 	})
 }
--- a/internal/supervisor/reports.go
+++ b/internal/supervisor/reports.go
@@ -6,10 +6,10 @@
 	"github.com/heathermux/heathermux/internal/voter"
 )
 
-// reportsOf returns the newest report of each data centre's present scheduler.
+// PresentReports returns the newest report of each data centre's present scheduler.
 // Reports of former schedulers are left out, because they no longer know what
 // is started.
-func reportsOf(s controller.State, followers []voter.FollowerStatus) map[string]planner.Report {
+func PresentReports(s controller.State, followers []voter.FollowerStatus) map[string]planner.Report {
 	reports := make(map[string]planner.Report)
 	for _, f := range followers {
 		d, ok := s.DataCentre(f.Report.GetDataCentre())
