--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -151,7 +151,7 @@
 	TeamLimits       []struct {
 		Allotments []struct{} `json:"allotments"`
 	} `json:"team-limits"`
-	Zones      []struct {
+	Zones []struct {
 		Scheduler string `json:"scheduler"`
 	} `json:"zones"`
 }
