--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -146,6 +146,8 @@
 		deployment: s.deployment,
 		tally:      newTally(),
 		submitted:  newSubmissions(),
+		begin:      time.Now(),
+		end:        time.Now().Add(length),
 	}
 	showProgress(load, s.opts.Progress, length)
 	ended := make(chan struct{}, 2)
--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -21,6 +21,8 @@
 	tally      *tally
 	submitted  *submissions
 	starts     []emulator.Start
+	// begin and end are those of the load.
+	begin, end time.Time
 	zone       zoneChange
 	key        keyChange
 	zoneErr    error
@@ -67,6 +69,20 @@
 	return started, slowest
 }
 
+// startRate returns the task starts a second in all data centres between two times.
+func (r *report) startRate(from, to time.Time) float64 {
+	n := 0
+	for _, s := range r.starts {
+		if s.At.After(from) && s.At.Before(to) {
+			n++
+		}
+	}
+	if seconds := to.Sub(from).Seconds(); seconds > 0 {
+		return float64(n) / seconds
+	}
+	return 0
+}
+
 // check returns an error that names every check that failed.
 func (r *report) check() error {
 	failed := make([]string, 0)
@@ -114,6 +130,8 @@
 	row("urgent tasks accepted, started", fmt.Sprintf("%d, %d", len(r.submitted.urgent), started))
 	row("slowest urgent start", seconds(slowest))
 	row("starts in "+r.zone.name+" while out (must be 0)", r.startsOut())
+	row("task starts a second before, while out, after", fmt.Sprintf("%.0f, %.0f, %.0f",
+		r.startRate(r.begin, r.zone.outAsked), r.startRate(r.zone.outAsked, r.zone.inAsked), r.startRate(r.zone.inAsked, r.end)))
 	row("zone out in force after", seconds(r.zone.outForce.Sub(r.zone.outAsked)))
 	row("zone in in force after", seconds(r.zone.inForce.Sub(r.zone.inAsked)))
 	row("key withdrawal in force after", seconds(r.key.force.Sub(r.key.asked)))
