--- a/internal/voter/replica/repair.go
+++ b/internal/voter/replica/repair.go
@@ -36,7 +36,7 @@
 		if err != nil {
 			return
 		}
-		r.opts.Logger.Info("voter: membership change started", "kind", int(change.Kind), "id", string(change.ID))
+		r.opts.Logger.Info("voter: membership change started", "kind", change.Kind.String(), "id", string(change.ID))
 		return
 	}
 }
--- a/pkg/replicator/types.go
+++ b/pkg/replicator/types.go
@@ -76,6 +76,20 @@
 	Remove
 )
 
+// String returns the name of the change in kebab case.
+func (k ChangeKind) String() string {
+	switch k {
+	case AddLearner:
+		return "add-learner"
+	case Promote:
+		return "promote"
+	case Remove:
+		return "remove"
+	default:
+		return "unknown"
+	}
+}
+
 // Change is one membership change.
 type Change struct {
 	Kind ChangeKind
