internal/ingress: use the registry's own rules for keys, fingerprints and refusals

Cause: the ingress had a second form of the registry key and of the fingerprint, and its own table of what a refused key says about the operation. The registry's fault matrix checked recorder.Standing, which nothing else used. Change: the ingress calls deduplicator.JoinKey, deduplicator.Fingerprint and recorder.Standing, so that the matrix checks what callers get.

--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/heathermux/heathermux/internal/follower"
 	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/deduplicator"
 )
 
 // call is one accepted request on its way.
@@ -134,13 +135,10 @@
 	return to
 }
 
-// separator divides the parts of hashes and registry keys; none contains it.
-const separator = "\x00"
-
 // registryKey joins the team and the key.
 func (c *call) registryKey() string {
 	if c.team == nil {
-		return "queue/" + c.queue.GetName() + separator + c.key
+		return "queue/" + deduplicator.JoinKey(c.queue.GetName(), c.key)
 	}
-	return "team/" + c.team.GetName() + separator + c.key
+	return "team/" + deduplicator.JoinKey(c.team.GetName(), c.key)
 }
--- a/internal/ingress/keyed.go
+++ b/internal/ingress/keyed.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"net/http"
 	"time"
 
 	"github.com/heathermux/heathermux/internal/forwarder"
+	"github.com/heathermux/heathermux/internal/recorder"
 	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/deduplicator"
 )
 
 // finishTimeout bounds the storing of an outcome after the deadline of a
@@ -57,48 +58,45 @@
 	}
 }
 
-// replay answers a call that the registry did not grant. This attempt was not
-// run in any case.
+// replay answers a call that the registry did not grant.
 func replay(b *wire.BeginResponse) (*forwarder.Answer, *Problem) {
-	retry := time.Duration(max(b.GetRetryAfterNanos(), int64(time.Second)))
-	outcome := b.GetOutcome()
-	if outcome == wire.BeginOutcome_BEGIN_OUTCOME_FINISHED && !forwarder.ValidStatus(int(b.GetAnswer().GetStatus())) {
-		outcome = wire.BeginOutcome_BEGIN_OUTCOME_FORGOTTEN
-	}
-	switch outcome {
-	case wire.BeginOutcome_BEGIN_OUTCOME_FINISHED:
+	if b.GetOutcome() == wire.BeginOutcome_BEGIN_OUTCOME_FINISHED && forwarder.ValidStatus(int(b.GetAnswer().GetStatus())) {
 		return replayedAnswer(b.GetAnswer()), nil
+	}
+	run, thisAttempt := recorder.Standing(b)
+	return nil, notGranted(b).ran(Ran(run), Ran(thisAttempt))
+}
+
+// notGranted returns the refusal for the outcome of a Begin.
+func notGranted(b *wire.BeginResponse) *Problem {
+	retry := time.Duration(max(b.GetRetryAfterNanos(), int64(time.Second)))
+	switch b.GetOutcome() {
 	case wire.BeginOutcome_BEGIN_OUTCOME_IN_PROGRESS:
-		return nil, problem(http.StatusConflict, "in-progress", "Request is in progress",
-			"an earlier attempt with this idempotency key has not ended").ran(Unknown, NotRun).after(retry)
-	case wire.BeginOutcome_BEGIN_OUTCOME_FORGOTTEN:
-		return nil, problem(http.StatusConflict, "answer-not-held", "Answer is no longer held",
-			"the request was run by an earlier attempt; its answer is no longer held").ran(WasRun, NotRun).after(retry)
+		return problem(http.StatusConflict, "in-progress", "Request is in progress",
+			"an earlier attempt with this idempotency key has not ended").after(retry)
+	case wire.BeginOutcome_BEGIN_OUTCOME_FINISHED, wire.BeginOutcome_BEGIN_OUTCOME_FORGOTTEN:
+		return problem(http.StatusConflict, "answer-not-held", "Answer is no longer held",
+			"the request was run by an earlier attempt; its answer is no longer held").after(retry)
 	case wire.BeginOutcome_BEGIN_OUTCOME_UNKNOWN:
-		return nil, problem(http.StatusConflict, "outcome-unknown", "Outcome is not known",
-			"an earlier attempt with this idempotency key may have run").ran(Unknown, NotRun).after(retry)
+		return problem(http.StatusConflict, "outcome-unknown", "Outcome is not known",
+			"an earlier attempt with this idempotency key may have run").after(retry)
 	case wire.BeginOutcome_BEGIN_OUTCOME_MISMATCH:
-		return nil, problem(http.StatusUnprocessableEntity, "key-reused", "Idempotency key is in use",
-			"this idempotency key belongs to a request with another method, path or body").ran(Unknown, NotRun)
+		return problem(http.StatusUnprocessableEntity, "key-reused", "Idempotency key is in use",
+			"this idempotency key belongs to a request with another method, path or body")
 	default:
 		detail := "the registry of idempotency keys can't hold the request now"
 		if reason := b.GetReason(); reason != "" {
 			detail += ": " + reason
 		}
-		return nil, problem(http.StatusServiceUnavailable, "registry-refused", "Registry is not available",
-			detail).ran(Unknown, NotRun).after(retry)
+		return problem(http.StatusServiceUnavailable, "registry-refused", "Registry is not available",
+			detail).after(retry)
 	}
 }
 
-// fingerprint is the hash of queue, method, path, query and body.
+// fingerprint is the hash of queue, method, path, query and body. A queue's
+// name has no slash, so that it is told from the path.
 func (c *call) fingerprint() []byte {
-	h := sha256.New()
-	for _, part := range []string{c.queue.GetName(), c.method, c.url.RequestURI()} {
-		h.Write([]byte(part))
-		h.Write([]byte(separator))
-	}
-	h.Write(c.body)
-	return h.Sum(nil)
+	return deduplicator.Fingerprint(c.method, c.queue.GetName()+c.url.RequestURI(), c.body)
 }
 
 func storedAnswer(a *forwarder.Answer) *wire.StoredAnswer {
