--- /dev/null
+++ b/cmd/heathermux-platform/main.go
@@ -0,0 +1,58 @@
+// Command heathermux-platform runs heathermux on the platform of its users.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/heathermux/heathermux/internal/linewriter"
+	"github.com/heathermux/heathermux/platform"
+)
+
+type arguments struct {
+	Positional struct {
+		Role string `positional-arg-name:"ROLE" description:"front: takes jobs of submitters; core: keeps the state and runs the jobs" choice:"front" choice:"core"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func main() {
+	var args arguments
+	if _, err := flags.Parse(&args); err != nil {
+		// The parser has printed the reason.
+		os.Exit(2)
+	}
+	if err := run(args.Positional.Role); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(role string) error {
+	settings, err := platform.ReadSettings()
+	if err != nil {
+		return err
+	}
+	lines := linewriter.New(os.Stdout)
+	defer lines.Close()
+	logger := slog.New(slog.NewJSONHandler(lines, nil))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	switch role {
+	case "front":
+		err = platform.RunFront(ctx, settings, logger)
+	case "core":
+		err = platform.RunCore(ctx, settings, logger)
+	default:
+		err = fmt.Errorf("heathermux-platform: unknown role %q", role)
+	}
+	if err != nil {
+		logger.Error("process ends", "error", err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/conductor/act.go
@@ -0,0 +1,104 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+const (
+	// orderTimeout bounds one order to a worker. An answer takes a few
+	// milliseconds; a lost one is asked for again.
+	orderTimeout = 500 * time.Millisecond
+	// lookTimeout is added to the time that a worker may wait.
+	lookTimeout = 600 * time.Millisecond
+)
+
+// carryOut begins all actions; their outcomes are reported when they come.
+func (c *Conductor) carryOut(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, actions []jobscheduler.Action) {
+	for _, action := range actions {
+		c.pool.Go(func() { c.act(ctx, sched, fence, action) })
+	}
+}
+
+func (c *Conductor) act(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, action jobscheduler.Action) {
+	switch a := action.(type) {
+	case jobscheduler.Start:
+		c.start(ctx, sched, fence, a)
+	case jobscheduler.Stop:
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		confirmed, clock := c.opts.Workers.Stop(ctx, fence, a)
+		c.with(sched, func() { sched.StopAnswered(a, confirmed, clock) })
+	case jobscheduler.Look:
+		c.look(ctx, sched, fence, a)
+	case jobscheduler.Pace:
+		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+		defer cancel()
+		if err := c.opts.Workers.Pace(ctx, fence, a); err != nil {
+			c.opts.Logger.Info("conductor: pace was not set", "worker", a.Target.ID, "error", err)
+		}
+	case jobscheduler.Record:
+		c.record(ctx, sched, a)
+	case jobscheduler.NoteWorker:
+		c.write(ctx, &jobwire.Command{
+			Change: &jobwire.Command_Worker{
+				Worker: a.Worker,
+			},
+		})
+	case jobscheduler.Forget:
+		c.write(ctx, &jobwire.Command{
+			Change: &jobwire.Command_ForgetWorker{
+				ForgetWorker: &jobwire.ForgetWorker{
+					Id:   a.ID,
+					Born: a.Born,
+				},
+			},
+		})
+	}
+}
+
+// start sends an order only while this host surely leads: an order that waited
+// is withdrawn like one that was refused.
+func (c *Conductor) start(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, a jobscheduler.Start) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	answer, clock := c.opts.Workers.Start(ctx, fence, a)
+	c.with(sched, func() { sched.StartAnswered(a, answer, clock) })
+}
+
+func (c *Conductor) look(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, a jobscheduler.Look) {
+	ctx, cancel := context.WithTimeout(ctx, a.Wait+lookTimeout)
+	defer cancel()
+	sent := c.opts.Clock.Now()
+	answer := c.opts.Workers.Look(ctx, fence, a)
+	answer.SentAt = sent
+	c.with(sched, func() { sched.LookAnswered(a, answer) })
+}
+
+func (c *Conductor) record(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Record) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	_, err := c.submit(ctx, &jobwire.Command{
+		Change: &jobwire.Command_Ends{
+			Ends: &jobwire.Ends{
+				Ends: a.Ends,
+			},
+		},
+	})
+	if err != nil {
+		c.opts.Logger.Info("conductor: ends were not recorded", "worker", a.Target.ID, "ends", len(a.Ends), "error", err)
+	}
+	c.with(sched, func() { sched.Recorded(a, err == nil) })
+}
+
+// write submits a command whose result is not waited for by anyone.
+func (c *Conductor) write(ctx context.Context, cmd *jobwire.Command) {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	if _, err := c.submit(ctx, cmd); err != nil {
+		c.opts.Logger.Info("conductor: change of a worker was not recorded", "error", err)
+	}
+}
--- /dev/null
+++ b/internal/conductor/conductor.go
@@ -0,0 +1,224 @@
+// Package conductor runs jobs on the leader: it carries out the actions of the
+// scheduler, records what workers report, and answers the calls of submitters,
+// workers and operators.
+package conductor
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+	"github.com/heathermux/heathermux/internal/voter"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+const (
+	// authorityLimit is the age of the last confirmation up to which this host
+	// acts as the leader. It is below the least election timeout, so that no
+	// other host leads by then.
+	authorityLimit = 400 * time.Millisecond
+	// passInterval is the least time between two passes, so that events of a
+	// burst share one.
+	passInterval = 4 * time.Millisecond
+	// callsInFlight bounds the calls to workers.
+	callsInFlight = 2048
+	// recordTimeout bounds the writing of ends to the log.
+	recordTimeout = 5 * time.Second
+)
+
+// Log is the replicated log that the keeper belongs to.
+type Log interface {
+	Submit(ctx context.Context, data []byte) (any, error)
+	Authority() voter.Authority
+	Leader() (name string, self bool)
+}
+
+// Workers carries orders to workers. Its methods may be called from any number
+// of goroutines; the fence is the term of the ordering leader.
+type Workers interface {
+	Start(ctx context.Context, fence uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64)
+	Stop(ctx context.Context, fence uint64, a jobscheduler.Stop) (confirmed bool, clock int64)
+	Look(ctx context.Context, fence uint64, a jobscheduler.Look) jobscheduler.LookAnswer
+	Pace(ctx context.Context, fence uint64, a jobscheduler.Pace) error
+}
+
+// Options set up a Conductor.
+type Options struct {
+	Log     Log
+	Keeper  *jobkeeper.Keeper
+	Workers Workers
+	// Clock is the one of the log; it must count suspended time.
+	Clock    timer.Clock
+	Logger   *slog.Logger
+	Settings jobscheduler.Settings
+}
+
+// Conductor is safe for concurrent use; make one with New.
+type Conductor struct {
+	opts  Options
+	pool  pond.Pool
+	wakes chan struct{}
+
+	// sched is nil while this host does not lead. It is used with the lock of
+	// the keeper held.
+	sched *jobscheduler.Scheduler
+	term  uint64
+
+	// mu guards sequences.
+	mu sync.Mutex
+	// sequences holds the newest heartbeat of each life of a worker.
+	sequences map[life]uint64
+}
+
+type life struct {
+	id   string
+	born int64
+}
+
+// New returns a conductor that does nothing until Run.
+func New(opts Options) *Conductor {
+	return &Conductor{
+		opts:      opts,
+		pool:      pond.NewPool(callsInFlight),
+		wakes:     make(chan struct{}, 1),
+		sequences: make(map[life]uint64),
+	}
+}
+
+// Run conducts until ctx ends.
+func (c *Conductor) Run(ctx context.Context) {
+	t := c.opts.Clock.NewTimer(0)
+	defer func() { t.Stop() }()
+	for {
+		select {
+		case <-ctx.Done():
+			c.pool.Stop()
+			return
+		case <-c.wakes:
+			pause := c.opts.Clock.NewTimer(passInterval)
+			<-pause.C()
+		case <-t.C():
+		}
+		t.Stop()
+		t = c.opts.Clock.NewTimer(c.pass(ctx))
+	}
+}
+
+// wake makes the next pass happen soon.
+func (c *Conductor) wake() {
+	select {
+	case c.wakes <- struct{}{}:
+	default:
+	}
+}
+
+// authority returns the proof that this host leads now.
+func (c *Conductor) authority(now time.Time) (voter.Authority, bool) {
+	a := c.opts.Log.Authority()
+	return a, a.Confirmed && now.Sub(a.Contact) < authorityLimit
+}
+
+// pass runs the scheduler once and returns the time until the next pass.
+func (c *Conductor) pass(ctx context.Context) time.Duration {
+	now := c.opts.Clock.Now()
+	authority, ok := c.authority(now)
+	c.follow(now, authority, ok)
+	if !ok {
+		return authorityLimit / 8
+	}
+	var actions []jobscheduler.Action
+	var sched *jobscheduler.Scheduler
+	next := now
+	c.opts.Keeper.View(func(*jobkeeper.State) {
+		if sched = c.sched; sched == nil {
+			return
+		}
+		sched.SetTime(c.opts.Clock.Now(), time.Now())
+		actions = sched.Pass(authority.Contact)
+		next = sched.Next()
+	})
+	c.carryOut(ctx, sched, authority.Term, actions)
+	return max(passInterval, next.Sub(c.opts.Clock.Now()))
+}
+
+// follow begins and ends the scheduler with the term that this host leads.
+func (c *Conductor) follow(now time.Time, authority voter.Authority, ok bool) {
+	if c.term != 0 && authority.Term != c.term {
+		c.opts.Logger.Info("conductor: lead has ended", "term", c.term)
+		c.term = 0
+		c.opts.Keeper.Observe(nil, func(*jobkeeper.State) { c.sched = nil })
+	}
+	if c.term != 0 || !ok {
+		return
+	}
+	c.term = authority.Term
+	observer := &observer{
+		wake: c.wake,
+	}
+	c.opts.Keeper.Observe(observer, func(s *jobkeeper.State) {
+		c.sched = jobscheduler.New(now, time.Now(), authority.Term, s, c.opts.Settings, c.opts.Logger)
+		observer.Scheduler = c.sched
+	})
+	c.opts.Logger.Info("conductor: leads", "term", c.term)
+}
+
+// observer passes changes of the state on to the scheduler and wakes the
+// conductor.
+type observer struct {
+	*jobscheduler.Scheduler
+	wake func()
+}
+
+// JobAdded implements jobkeeper.Observer.
+func (o *observer) JobAdded(j *jobkeeper.Job) {
+	o.Scheduler.JobAdded(j)
+	o.wake()
+}
+
+// JobEnded implements jobkeeper.Observer.
+func (o *observer) JobEnded(j *jobkeeper.Job) {
+	o.Scheduler.JobEnded(j)
+	o.wake()
+}
+
+// RunEnded implements jobkeeper.Observer.
+func (o *observer) RunEnded(j *jobkeeper.Job, end *jobwire.End) {
+	o.Scheduler.RunEnded(j, end)
+	o.wake()
+}
+
+// WorkerChanged implements jobkeeper.Observer.
+func (o *observer) WorkerChanged(w *jobwire.Worker) {
+	o.Scheduler.WorkerChanged(w)
+	o.wake()
+}
+
+// with reports an outcome to the scheduler that asked for the action.
+func (c *Conductor) with(sched *jobscheduler.Scheduler, f func()) {
+	c.opts.Keeper.View(func(*jobkeeper.State) {
+		if c.sched != sched {
+			return
+		}
+		sched.SetTime(c.opts.Clock.Now(), time.Now())
+		f()
+	})
+	c.wake()
+}
+
+// submit writes a command to the log and returns its result.
+func (c *Conductor) submit(ctx context.Context, cmd *jobwire.Command) (any, error) {
+	cmd.ProposedAtUnixNanos = time.Now().UnixNano()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, errors.Wrap(err, "conductor: encode command")
+	}
+	return c.opts.Log.Submit(ctx, data)
+}
--- /dev/null
+++ b/internal/conductor/control.go
@@ -0,0 +1,227 @@
+package conductor
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobwire"
+	"github.com/heathermux/heathermux/internal/voter"
+)
+
+// Control answers a call of an operator or a worker.
+func (c *Conductor) Control(ctx context.Context, req *jobwire.ControlRequest) *jobwire.ControlResponse {
+	if _, ok := c.authority(c.opts.Clock.Now()); !ok {
+		return &jobwire.ControlResponse{
+			Outcome: jobwire.Outcome_OUTCOME_NOT_LEADER,
+			Leader:  c.leader(),
+		}
+	}
+	switch call := req.GetCall().(type) {
+	case *jobwire.ControlRequest_Configure:
+		return c.configure(ctx, call.Configure)
+	case *jobwire.ControlRequest_Read:
+		return c.readConfiguration()
+	case *jobwire.ControlRequest_Evacuate:
+		return c.change(ctx, &jobwire.Command{
+			Change: &jobwire.Command_Evacuate{
+				Evacuate: call.Evacuate,
+			},
+		})
+	case *jobwire.ControlRequest_Wave:
+		return c.change(ctx, &jobwire.Command{
+			Change: &jobwire.Command_Wave{
+				Wave: call.Wave,
+			},
+		})
+	case *jobwire.ControlRequest_ReadWave:
+		return c.readWave(call.ReadWave.GetId())
+	case *jobwire.ControlRequest_Report:
+		return c.report(ctx, call.Report)
+	case *jobwire.ControlRequest_Leave:
+		return c.leave(call.Leave)
+	}
+	return &jobwire.ControlResponse{
+		Outcome: jobwire.Outcome_OUTCOME_INVALID,
+		Reason:  "unknown call",
+	}
+}
+
+func done() *jobwire.ControlResponse {
+	return &jobwire.ControlResponse{
+		Outcome: jobwire.Outcome_OUTCOME_OK,
+	}
+}
+
+// change writes a command and answers when it is in the log.
+func (c *Conductor) change(ctx context.Context, cmd *jobwire.Command) *jobwire.ControlResponse {
+	if _, err := c.submit(ctx, cmd); err != nil {
+		return failedControl(err)
+	}
+	return done()
+}
+
+func failedControl(err error) *jobwire.ControlResponse {
+	var notLeader voter.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return &jobwire.ControlResponse{
+			Outcome: jobwire.Outcome_OUTCOME_NOT_LEADER,
+			Leader:  notLeader.Leader,
+		}
+	}
+	return &jobwire.ControlResponse{
+		Outcome: jobwire.Outcome_OUTCOME_UNKNOWN,
+		Reason:  err.Error(),
+	}
+}
+
+// configure acknowledges a version that is not newer than the one in force
+// without a change.
+func (c *Conductor) configure(ctx context.Context, cfg *jobwire.Configuration) *jobwire.ControlResponse {
+	if err := jobkeeper.Check(cfg); err != nil {
+		c.opts.Logger.Info("conductor: configuration is not valid", "version", cfg.GetVersion(), "error", err)
+		return &jobwire.ControlResponse{
+			Outcome: jobwire.Outcome_OUTCOME_INVALID,
+			Reason:  err.Error(),
+		}
+	}
+	var version uint64
+	c.opts.Keeper.View(func(s *jobkeeper.State) { version = s.Configuration.GetVersion() })
+	if cfg.GetVersion() <= version {
+		c.opts.Logger.Info("conductor: configuration is not newer", "version", cfg.GetVersion(), "in-force", version)
+		return done()
+	}
+	resp := c.change(ctx, &jobwire.Command{
+		Change: &jobwire.Command_Configure{
+			Configure: cfg,
+		},
+	})
+	c.opts.Logger.Info("conductor: configuration", "version", cfg.GetVersion(), "former", version,
+		"queues", len(cfg.GetQueues()), "outcome", resp.GetOutcome().String())
+	return resp
+}
+
+func (c *Conductor) readConfiguration() *jobwire.ControlResponse {
+	resp := done()
+	c.opts.Keeper.View(func(s *jobkeeper.State) { resp.Document = s.Configuration.GetDocument() })
+	if resp.GetDocument() == nil {
+		resp.Outcome = jobwire.Outcome_OUTCOME_UNAVAILABLE
+		resp.Reason = "there is no configuration yet"
+	}
+	return resp
+}
+
+func (c *Conductor) readWave(id string) *jobwire.ControlResponse {
+	resp := done()
+	c.opts.Keeper.View(func(s *jobkeeper.State) {
+		w, ok := s.Waves[id]
+		if !ok {
+			resp.Outcome = jobwire.Outcome_OUTCOME_NO_JOB
+			return
+		}
+		resp.WaveCompleted = len(w.GetBegun()) >= len(w.GetHosts())
+	})
+	return resp
+}
+
+// report notes a heartbeat. It is acknowledged once a change that it tells of
+// is in the log, so that a worker which drains gets no new task.
+func (c *Conductor) report(ctx context.Context, r *jobwire.WorkerReport) *jobwire.ControlResponse {
+	if !c.newest(r) {
+		return done()
+	}
+	var commands []*jobwire.Command
+	c.opts.Keeper.View(func(s *jobkeeper.State) { commands = c.compare(s, r) })
+	for _, cmd := range commands {
+		if resp := c.change(ctx, cmd); resp.GetOutcome() != jobwire.Outcome_OUTCOME_OK {
+			return resp
+		}
+	}
+	c.opts.Keeper.View(func(*jobkeeper.State) {
+		if c.sched != nil {
+			c.sched.SetTime(c.opts.Clock.Now(), time.Now())
+			c.sched.WorkerHeard(r.GetWorker().GetId(), r.GetWorker().GetBorn(), r.GetClockMillis())
+		}
+	})
+	return done()
+}
+
+// newest reports whether a heartbeat is newer than those of its life before.
+func (c *Conductor) newest(r *jobwire.WorkerReport) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	key := life{
+		id:   r.GetWorker().GetId(),
+		born: r.GetWorker().GetBorn(),
+	}
+	if last, ok := c.sequences[key]; ok && r.GetSequence() <= last {
+		return false
+	}
+	c.sequences[key] = r.GetSequence()
+	return true
+}
+
+// compare returns the changes that a heartbeat makes to the known workers. A
+// heartbeat that was delayed makes none: a later life has its id or address.
+func (c *Conductor) compare(s *jobkeeper.State, r *jobwire.WorkerReport) []*jobwire.Command {
+	w := r.GetWorker()
+	known, ok := s.Workers[w.GetId()]
+	if ok && known.GetBorn() > w.GetBorn() {
+		return nil
+	}
+	var commands []*jobwire.Command
+	for _, other := range s.Workers {
+		if other.GetId() == w.GetId() || other.GetAddress() != w.GetAddress() {
+			continue
+		}
+		if other.GetBorn() > w.GetBorn() {
+			return nil
+		}
+		commands = append(commands, forget(other))
+	}
+	if ok && known.GetBorn() == w.GetBorn() {
+		w.Lapsed = known.GetLapsed()
+		// A worker never returns from draining.
+		w.Draining = w.GetDraining() || known.GetDraining()
+		if proto.Equal(known, w) {
+			return commands
+		}
+	}
+	c.opts.Logger.Info("conductor: worker", "worker", w.GetId(), "born", w.GetBorn(), "pool", w.GetPool(),
+		"address", w.GetAddress(), "data-centre", w.GetDataCentre(), "draining", w.GetDraining(), "known", ok)
+	return append(commands, &jobwire.Command{
+		Change: &jobwire.Command_Worker{
+			Worker: w,
+		},
+	})
+}
+
+func forget(w *jobwire.Worker) *jobwire.Command {
+	return &jobwire.Command{
+		Change: &jobwire.Command_ForgetWorker{
+			ForgetWorker: &jobwire.ForgetWorker{
+				Id:   w.GetId(),
+				Born: w.GetBorn(),
+			},
+		},
+	}
+}
+
+func (c *Conductor) leave(l *jobwire.WorkerLeave) *jobwire.ControlResponse {
+	c.opts.Keeper.View(func(s *jobkeeper.State) {
+		born := l.GetBorn()
+		if w, ok := s.Workers[l.GetId()]; ok && born == 0 {
+			born = w.GetBorn()
+		}
+		if c.sched != nil {
+			c.sched.SetTime(c.opts.Clock.Now(), time.Now())
+			c.sched.WorkerLeaves(l.GetId(), born)
+		}
+	})
+	c.opts.Logger.Info("conductor: worker leaves", "worker", l.GetId())
+	c.wake()
+	return done()
+}
--- /dev/null
+++ b/internal/conductor/jobs.go
@@ -0,0 +1,190 @@
+package conductor
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobwire"
+	"github.com/heathermux/heathermux/internal/voter"
+)
+
+// comeBack is when a caller should try again that met no leader: an election
+// takes about a second.
+const comeBack = time.Second
+
+// idLength is the length of a job's id.
+const idLength = 16
+
+// Job answers a call of a submitter.
+func (c *Conductor) Job(ctx context.Context, req *jobwire.JobRequest) *jobwire.JobResponse {
+	if _, ok := c.authority(c.opts.Clock.Now()); !ok {
+		return &jobwire.JobResponse{
+			Outcome: jobwire.Outcome_OUTCOME_NOT_LEADER,
+			Leader:  c.leader(),
+		}
+	}
+	var resp *jobwire.JobResponse
+	var cmd *jobwire.Command
+	c.opts.Keeper.View(func(s *jobkeeper.State) { resp, cmd = c.admit(s, req) })
+	if cmd == nil {
+		return resp
+	}
+	result, err := c.submit(ctx, cmd)
+	if err != nil {
+		return c.failed(err)
+	}
+	if r, ok := result.(jobkeeper.Cancelled); ok && !r.Known {
+		resp.Outcome = jobwire.Outcome_OUTCOME_NO_JOB
+	}
+	return resp
+}
+
+func (c *Conductor) leader() string {
+	name, self := c.opts.Log.Leader()
+	if self {
+		// This host leads but can't prove it at the moment.
+		return ""
+	}
+	return name
+}
+
+// failed returns what a caller may conclude from an error of the log.
+func (c *Conductor) failed(err error) *jobwire.JobResponse {
+	var notLeader voter.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return &jobwire.JobResponse{
+			Outcome: jobwire.Outcome_OUTCOME_NOT_LEADER,
+			Leader:  notLeader.Leader,
+		}
+	}
+	return &jobwire.JobResponse{
+		Outcome: jobwire.Outcome_OUTCOME_UNKNOWN,
+		Reason:  err.Error(),
+	}
+}
+
+// admit checks a call against the configuration in force. It returns the
+// answer, and the command that has to be in the log before it is given.
+func (c *Conductor) admit(s *jobkeeper.State, req *jobwire.JobRequest) (*jobwire.JobResponse, *jobwire.Command) {
+	if s.Configuration == nil || c.sched == nil {
+		return refuse(jobwire.Outcome_OUTCOME_UNAVAILABLE, "there is no configuration yet"), nil
+	}
+	q := findQueue(s.Configuration, req.GetAddress())
+	if q == nil {
+		return refuse(jobwire.Outcome_OUTCOME_NO_QUEUE, "no queue has this host and path"), nil
+	}
+	account, ok := findAccount(s.Configuration, req.GetAddress().GetKey())
+	if !ok && !q.GetPublic() {
+		return refuse(jobwire.Outcome_OUTCOME_UNAUTHORIZED, "the key is not granted"), nil
+	}
+	id := strings.TrimPrefix(req.GetAddress().GetPath(), q.GetPrefix())
+	if id == "" && req.GetGet() != nil {
+		return &jobwire.JobResponse{
+			Outcome: jobwire.Outcome_OUTCOME_OK,
+			IsQueue: true,
+			Pending: int64(c.sched.Pending(q.GetName())),
+		}, nil
+	}
+	if len(id) != idLength {
+		return refuse(jobwire.Outcome_OUTCOME_INVALID, "a job's id has 16 characters"), nil
+	}
+	switch call := req.GetCall().(type) {
+	case *jobwire.JobRequest_Submit:
+		return c.admitJob(s, q, account, id, call.Submit)
+	case *jobwire.JobRequest_Cancel:
+		return c.admitCancel(s, id)
+	}
+	return c.describe(s, id), nil
+}
+
+func refuse(outcome jobwire.Outcome, reason string) *jobwire.JobResponse {
+	return &jobwire.JobResponse{
+		Outcome:         outcome,
+		Reason:          reason,
+		RetryAfterNanos: int64(comeBack),
+	}
+}
+
+func (c *Conductor) admitJob(s *jobkeeper.State, q *jobwire.Queue, account, id string, job *jobwire.Job) (*jobwire.JobResponse, *jobwire.Command) {
+	accepted := &jobwire.JobResponse{
+		Outcome: jobwire.Outcome_OUTCOME_OK,
+	}
+	if _, ok := s.Jobs[id]; ok {
+		return accepted, nil
+	}
+	if err := jobkeeper.CheckJob(job); err != nil {
+		return refuse(jobwire.Outcome_OUTCOME_INVALID, err.Error()), nil
+	}
+	job.Id, job.Queue, job.Account = id, q.GetName(), account
+	job.AcceptedAtUnixNanos = time.Now().UnixNano()
+	return accepted, &jobwire.Command{
+		Change: &jobwire.Command_Submit{
+			Submit: job,
+		},
+	}
+}
+
+func (c *Conductor) admitCancel(s *jobkeeper.State, id string) (*jobwire.JobResponse, *jobwire.Command) {
+	resp := &jobwire.JobResponse{
+		Outcome: jobwire.Outcome_OUTCOME_OK,
+	}
+	if j, ok := s.Jobs[id]; ok && !j.Open() {
+		return resp, nil
+	}
+	return resp, &jobwire.Command{
+		Change: &jobwire.Command_Cancel{
+			Cancel: &jobwire.CancelJob{
+				Id: id,
+			},
+		},
+	}
+}
+
+func (c *Conductor) describe(s *jobkeeper.State, id string) *jobwire.JobResponse {
+	j, ok := s.Jobs[id]
+	if !ok {
+		return refuse(jobwire.Outcome_OUTCOME_NO_JOB, "no such job")
+	}
+	state := j.Ended
+	if j.Open() {
+		state = jobwire.JobState_JOB_STATE_QUEUED
+		if j.Started() || c.sched.Running(id) {
+			state = jobwire.JobState_JOB_STATE_RUNNING
+		}
+	}
+	return &jobwire.JobResponse{
+		Outcome: jobwire.Outcome_OUTCOME_OK,
+		State:   state,
+	}
+}
+
+// findQueue returns the queue whose host matches and whose prefix is the
+// longest that the path begins with.
+func findQueue(c *jobwire.Configuration, a *jobwire.Address) *jobwire.Queue {
+	var best *jobwire.Queue
+	for _, q := range c.GetQueues() {
+		if q.GetHost() == a.GetHost() && strings.HasPrefix(a.GetPath(), q.GetPrefix()) &&
+			(best == nil || len(q.GetPrefix()) > len(best.GetPrefix())) {
+			best = q
+		}
+	}
+	return best
+}
+
+func findAccount(c *jobwire.Configuration, key string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
+	for _, a := range c.GetAccounts() {
+		for _, k := range a.GetKeys() {
+			if k == key {
+				return a.GetName(), true
+			}
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/jobkeeper/check.go
@@ -0,0 +1,81 @@
+package jobkeeper
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// Check returns why a configuration is not valid, nil when it is.
+func Check(c *jobwire.Configuration) error {
+	pools := make(map[string]bool)
+	for _, p := range c.GetPools() {
+		if p.GetName() == "" || pools[p.GetName()] {
+			return errors.Errorf("configuration: pool %q has no name or stands twice", p.GetName())
+		}
+		pools[p.GetName()] = true
+	}
+	if err := checkQueues(c.GetQueues(), pools); err != nil {
+		return err
+	}
+	return checkAccounts(c.GetAccounts())
+}
+
+func checkQueues(queues []*jobwire.Queue, pools map[string]bool) error {
+	type place struct{ host, prefix string }
+	names, places := make(map[string]bool), make(map[place]bool)
+	for _, q := range queues {
+		at := place{
+			host:   q.GetHost(),
+			prefix: q.GetPrefix(),
+		}
+		switch {
+		case q.GetName() == "" || names[q.GetName()]:
+			return errors.Errorf("configuration: queue %q has no name or stands twice", q.GetName())
+		case !pools[q.GetPool()]:
+			return errors.Errorf("configuration: queue %q names the unknown pool %q", q.GetName(), q.GetPool())
+		case places[at]:
+			return errors.Errorf("configuration: queue %q has the host and prefix of another", q.GetName())
+		case q.GetTimeoutNanos() <= 0:
+			return errors.Errorf("configuration: queue %q has no timeout", q.GetName())
+		case q.GetHost() == "" || q.GetPrefix() == "":
+			return errors.Errorf("configuration: queue %q has no host or prefix", q.GetName())
+		}
+		names[q.GetName()], places[at] = true, true
+	}
+	return nil
+}
+
+func checkAccounts(accounts []*jobwire.Account) error {
+	owners := make(map[string]string)
+	for _, a := range accounts {
+		for _, key := range a.GetKeys() {
+			if owner, ok := owners[key]; ok && owner != a.GetName() {
+				return errors.Errorf("configuration: accounts %q and %q share a key", owner, a.GetName())
+			}
+			owners[key] = a.GetName()
+		}
+	}
+	return nil
+}
+
+// CheckJob returns why a job can't be taken, nil when it can.
+func CheckJob(j *jobwire.Job) error {
+	if len(j.GetSteps()) == 0 {
+		return errors.New("job: there are no steps")
+	}
+	for i, s := range j.GetSteps() {
+		if s.GetTasks() <= 0 {
+			return errors.Errorf("job: step %d has no tasks", i)
+		}
+		for _, before := range s.GetAfter() {
+			if before < 0 || int(before) >= i {
+				return errors.Errorf("job: step %d depends on step %d, which is not an earlier one", i, before)
+			}
+		}
+	}
+	if j.GetRepeatCount() < 0 || (j.GetRepeatCount() > 1 && j.GetIntervalNanos() <= 0) {
+		return errors.New("job: the repetition has no interval")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/jobkeeper/snapshot.go
@@ -0,0 +1,155 @@
+package jobkeeper
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// Encode implements the machine of a voter.
+func (k *Keeper) Encode() ([]byte, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	s := &k.state
+	m := &jobwire.FleetState{
+		Configuration: s.Configuration,
+		Evacuated:     slices.Sorted(maps.Keys(s.Evacuated)),
+	}
+	for _, id := range s.ended {
+		m.Jobs = append(m.Jobs, s.Jobs[id].encode())
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Jobs)) {
+		if s.Jobs[id].Open() {
+			m.Jobs = append(m.Jobs, s.Jobs[id].encode())
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Workers)) {
+		m.Workers = append(m.Workers, s.Workers[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.Waves)) {
+		m.Waves = append(m.Waves, s.Waves[id])
+	}
+	data, err := proto.Marshal(m)
+	return data, errors.Wrap(err, "jobkeeper: encode")
+}
+
+// Restore implements the machine of a voter.
+func (k *Keeper) Restore(data []byte) error {
+	m := &jobwire.FleetState{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return errors.Wrap(err, "jobkeeper: decode")
+	}
+	s := newState()
+	s.Configuration = m.GetConfiguration()
+	for _, dataCentre := range m.GetEvacuated() {
+		s.Evacuated[dataCentre] = true
+	}
+	for _, r := range m.GetJobs() {
+		j := decodeJob(r)
+		s.Jobs[j.Spec.GetId()] = j
+		if !j.Open() {
+			s.ended = append(s.ended, j.Spec.GetId())
+		}
+	}
+	for _, w := range m.GetWorkers() {
+		s.Workers[w.GetId()] = w
+	}
+	for _, w := range m.GetWaves() {
+		s.Waves[w.GetId()] = w
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.state = s
+	return nil
+}
+
+func (j *Job) encode() *jobwire.JobRecord {
+	r := &jobwire.JobRecord{
+		Job:              j.Spec,
+		Ended:            j.Ended,
+		EndedAtUnixNanos: j.EndedAt.UnixNano(),
+		FirstOpen:        j.firstOpen,
+		Occurrences:      nil,
+	}
+	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
+		r.Occurrences = append(r.Occurrences, j.occurrences[n].encode(n))
+	}
+	// An occurrence that is done ahead of an earlier one has no steps.
+	for _, n := range slices.Sorted(maps.Keys(j.done)) {
+		r.Occurrences = append(r.Occurrences, &jobwire.OccurrenceRecord{
+			Number: n,
+		})
+	}
+	return r
+}
+
+func (o *occurrence) encode(n int32) *jobwire.OccurrenceRecord {
+	r := &jobwire.OccurrenceRecord{
+		Number: n,
+	}
+	for _, s := range o.steps {
+		record := &jobwire.StepRecord{}
+		for i, p := range s.tasks {
+			if p == (Progress{}) {
+				continue
+			}
+			record.Tasks = append(record.Tasks, &jobwire.TaskRecord{
+				Index:      int32(i),
+				Done:       p.Done,
+				Failures:   p.Failures,
+				Run:        p.Run,
+				Checkpoint: p.Checkpoint,
+			})
+		}
+		r.Steps = append(r.Steps, record)
+	}
+	return r
+}
+
+func decodeJob(r *jobwire.JobRecord) *Job {
+	j := newJob(r.GetJob())
+	j.Ended, j.firstOpen = r.GetEnded(), r.GetFirstOpen()
+	if !j.Open() {
+		j.EndedAt = time.Unix(0, r.GetEndedAtUnixNanos())
+		j.occurrences, j.done = nil, nil
+		return j
+	}
+	for _, o := range r.GetOccurrences() {
+		if len(o.GetSteps()) == 0 {
+			j.done[o.GetNumber()] = true
+			continue
+		}
+		j.occurrences[o.GetNumber()] = decodeOccurrence(j.Spec, o)
+	}
+	return j
+}
+
+func decodeOccurrence(spec *jobwire.Job, r *jobwire.OccurrenceRecord) *occurrence {
+	o := &occurrence{
+		steps: make([]step, len(spec.GetSteps())),
+	}
+	for i, record := range r.GetSteps() {
+		if len(record.GetTasks()) == 0 {
+			continue
+		}
+		s := &o.steps[i]
+		s.tasks = make([]Progress, spec.GetSteps()[i].GetTasks())
+		for _, t := range record.GetTasks() {
+			s.tasks[t.GetIndex()] = Progress{
+				Done:       t.GetDone(),
+				Failures:   t.GetFailures(),
+				Run:        t.GetRun(),
+				Checkpoint: t.GetCheckpoint(),
+			}
+			if t.GetDone() {
+				s.done++
+			}
+		}
+	}
+	return o
+}
--- /dev/null
+++ b/internal/jobscheduler/look.go
@@ -0,0 +1,300 @@
+package jobscheduler
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// far is a time for what waits for an event.
+const far = 365 * 24 * time.Hour
+
+// LookAnswer is what a worker has told.
+type LookAnswer struct {
+	// Failed is true when there was no answer.
+	Failed bool
+	// Refused is true when nothing listens at the worker's address.
+	Refused bool
+	// Gone is true when another life of a worker answered.
+	Gone bool
+	// Fenced is true when a later leader gives orders there.
+	Fenced bool
+	// Clock is the worker's clock in milliseconds.
+	Clock int64
+	// SentAt is when the question was sent.
+	SentAt  time.Time
+	Running []RunningTask
+	Ended   []EndedTask
+}
+
+// RunningTask is a run that is at work on a worker.
+type RunningTask struct {
+	Task       *jobwire.Task
+	Run        uint64
+	Checkpoint string
+	// Percent is the share at which it works.
+	Percent int
+	// Figure is the tail of a task that serves, in milliseconds, else the
+	// processors in use in thousandths.
+	Figure int64
+}
+
+// EndedTask is an end that is not taken note of yet.
+type EndedTask struct {
+	// Number rises by one with each end of one life of a worker.
+	Number uint64
+	End    *jobwire.End
+}
+
+// LookAnswered takes the outcome of a Look.
+func (s *Scheduler) LookAnswered(a Look, answer LookAnswer) {
+	w, ok := s.workers[a.Target.ID]
+	if !ok || w.info.GetBorn() != a.Target.Born {
+		return
+	}
+	w.looking = false
+	switch {
+	case answer.Gone:
+		s.leave(w)
+		return
+	case answer.Refused && w.leaving:
+		s.leave(w)
+		return
+	case answer.Failed:
+		s.lookFailed(w)
+		return
+	}
+	w.setClock(answer.Clock, s.now)
+	w.answered, w.failing = s.now, false
+	s.noteEnds(w, answer.Ended)
+	s.reconcile(w, answer)
+	if !w.adopted {
+		w.adopted = true
+		s.markPool(w.info.GetPool())
+	}
+	if w.info.GetLapsed() {
+		s.noteLapsed(w, false)
+	}
+	s.planLook(w)
+}
+
+func (s *Scheduler) lookFailed(w *worker) {
+	if !w.failing && w.adopted {
+		s.logger.Info("scheduler: worker does not answer", "worker", w.info.GetId(),
+			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now))
+	}
+	w.failing = true
+	w.lookAt = s.now.Add(failedLookPause)
+	if w.info.GetLapsed() {
+		// A heartbeat brings the next look forward.
+		w.lookAt = s.now.Add(far)
+	}
+}
+
+// planLook sets the time of the next look. Ends are taken note of before it,
+// since the worker lists them again until then.
+func (s *Scheduler) planLook(w *worker) {
+	if len(w.runs) > 0 {
+		w.lookAt = s.now.Add(lookPause)
+		return
+	}
+	w.lookAt = s.now.Add(far)
+}
+
+// noteEnds frees the runs that have ended and asks for their ends to be recorded.
+func (s *Scheduler) noteEnds(w *worker, ended []EndedTask) {
+	record := Record{
+		Target: w.target(),
+		UpTo:   w.seen,
+	}
+	for _, e := range ended {
+		if e.Number <= w.seen {
+			continue
+		}
+		record.UpTo = max(record.UpTo, e.Number)
+		record.Ends = append(record.Ends, e.End)
+		s.noteEnd(w, e.End)
+	}
+	if len(record.Ends) == 0 {
+		return
+	}
+	w.recording = true
+	s.emit(record)
+}
+
+func (s *Scheduler) noteEnd(w *worker, end *jobwire.End) {
+	r := w.runs[runKey{
+		taskKey: keyOf(end.GetTask()),
+		number:  end.GetRun(),
+	}]
+	switch end.GetEnding() {
+	case jobwire.Ending_ENDING_DONE:
+		s.Metrics.Done++
+		s.noteSuccess(w)
+	case jobwire.Ending_ENDING_FAILED:
+		s.Metrics.Failed++
+		if r != nil && r.step != nil {
+			r.step.avoid[r.key.index] = w.info.GetId()
+		}
+		s.noteFailure(w)
+	case jobwire.Ending_ENDING_LAPSED:
+		s.Metrics.Lapses++
+	}
+	if r == nil {
+		return
+	}
+	s.dropRun(r)
+	// The task waits again once the end is recorded.
+}
+
+// Recorded takes the outcome of a Record.
+func (s *Scheduler) Recorded(a Record, ok bool) {
+	w, found := s.workers[a.Target.ID]
+	if !found || w.info.GetBorn() != a.Target.Born {
+		return
+	}
+	w.recording = false
+	if !ok {
+		w.lookAt = s.now.Add(failedLookPause)
+		return
+	}
+	w.seen = max(w.seen, a.UpTo)
+	// One more look takes note of the ends on the worker.
+	w.lookAt = s.now
+}
+
+// reconcile compares what the worker runs with what it was told to run.
+func (s *Scheduler) reconcile(w *worker, answer LookAnswer) {
+	listed := make(map[runKey]bool, len(answer.Running))
+	for _, t := range answer.Running {
+		key := runKey{
+			taskKey: keyOf(t.Task),
+			number:  t.Run,
+		}
+		listed[key] = true
+		r, ok := w.runs[key]
+		if !ok {
+			r = s.meet(w, key)
+		}
+		s.noteRunning(r, t)
+	}
+	for key, r := range w.runs {
+		if !listed[key] && !r.confirmed.IsZero() && r.confirmed.Before(answer.SentAt) {
+			s.loseRun(r, "the worker does not list it")
+		}
+	}
+}
+
+func (s *Scheduler) noteRunning(r *run, t RunningTask) {
+	if t.Checkpoint != "" {
+		r.checkpoint = t.Checkpoint
+	}
+	r.figure = t.Figure
+	if r.state == starting {
+		r.state, r.confirmed = running, s.now
+	}
+	if r.state == stopping && s.now.Sub(r.stopSent) > stopPause {
+		s.stop(r)
+	}
+}
+
+// meet takes over a run that a former leader or a late order has started, or
+// stops it when its task needs no run.
+func (s *Scheduler) meet(w *worker, key runKey) *run {
+	st := s.find(key.StepKey)
+	wanted := st != nil && s.live[key.taskKey] == 0 && !s.opened &&
+		!st.occurrence.job.record.Task(key.task()).Done
+	if st != nil {
+		st.numbers[key.index] = max(st.numbers[key.index], key.number)
+	}
+	r := s.addRun(w, st, key, running)
+	r.confirmed = s.now
+	if !wanted {
+		s.logger.Info("scheduler: worker runs what it should not; it is stopped",
+			"task", nameOf(key.taskKey), "run", key.number, "worker", w.info.GetId())
+		s.stop(r)
+	}
+	return r
+}
+
+// noteLapsed changes the mark that no run of this worker can be unknown.
+func (s *Scheduler) noteLapsed(w *worker, lapsed bool) {
+	entry := &jobwire.Worker{
+		Id:         w.info.GetId(),
+		Born:       w.info.GetBorn(),
+		Pool:       w.info.GetPool(),
+		Address:    w.info.GetAddress(),
+		DataCentre: w.info.GetDataCentre(),
+		Capacity:   w.info.GetCapacity(),
+		Labels:     w.info.GetLabels(),
+		Draining:   w.info.GetDraining(),
+		Lapsed:     lapsed,
+		Rack:       w.info.GetRack(),
+	}
+	s.emit(NoteWorker{
+		Worker: entry,
+	})
+}
+
+// tickWorkers sends the looks that are due, takes runs back from workers whose
+// leases have ended, and opens the term.
+func (s *Scheduler) tickWorkers(contact time.Time) {
+	known := true
+	for _, w := range s.workers {
+		s.tickWorker(w, contact)
+		known = known && (w.adopted || w.info.GetLapsed())
+	}
+	if s.opened {
+		return
+	}
+	// A former leader's orders end a lease after its last confirmation, which
+	// was before this term began.
+	if bound := time.Duration(float64(s.settings.Lease)*clockSlack) + 2*leaseMargin; known || s.now.Sub(s.since) > bound {
+		s.open()
+	}
+}
+
+// open lets tasks start; workers that were not heard from run nothing any more.
+func (s *Scheduler) open() {
+	s.opened = true
+	for _, w := range s.workers {
+		if !w.adopted && !w.info.GetLapsed() {
+			s.noteLapsed(w, true)
+		}
+	}
+	s.markAll()
+	s.logger.Info("scheduler: tasks may start", "term", s.term, "workers", len(s.workers), "jobs", len(s.jobs),
+		"waited", s.now.Sub(s.since))
+}
+
+func (s *Scheduler) tickWorker(w *worker, contact time.Time) {
+	if w.failing && len(w.runs) > 0 && s.now.After(w.leaseEnd) {
+		s.loseAll(w, "the lease has ended")
+		s.noteLapsed(w, true)
+	}
+	if w.looking || w.recording || s.now.Before(w.lookAt) {
+		return
+	}
+	look := Look{
+		Target: w.target(),
+		Seen:   w.seen,
+	}
+	if len(w.runs) > 0 && w.adopted {
+		look.Wait = lookWait
+		if w.failing {
+			look.Wait = 0
+		}
+		look.Deadline = w.deadline(contact, s.settings.Lease)
+		if look.Deadline > 0 {
+			w.grant(look.Deadline)
+		}
+	}
+	w.looking = true
+	s.emit(look)
+}
+
+// nameOf returns the name of a task for logs.
+func nameOf(k taskKey) string {
+	return k.Job + "." + strconv.Itoa(int(k.Occurrence)) + "." + strconv.Itoa(int(k.Step)) + "." + strconv.Itoa(int(k.index))
+}
--- /dev/null
+++ b/internal/jobscheduler/scheduler.go
@@ -0,0 +1,149 @@
+// Package jobscheduler decides, on the leader, which task starts on which
+// worker and when. It takes the replicated state, what workers answer and the
+// time, and returns actions; it does no input or output and starts no
+// goroutine. All methods are called with the lock of the job keeper held.
+package jobscheduler
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// Settings are the bounds that the decisions keep to.
+type Settings struct {
+	// Lease is how long a worker may run tasks without hearing from the leader.
+	Lease time.Duration
+	// GangTimeout is how long the members of a gang wait for each other.
+	GangTimeout time.Duration
+	// NoticeTime is the time before and after planned work in which a lasting
+	// task counts as away.
+	NoticeTime time.Duration
+	// RemoteSlowdown is how many times as long a task takes away from its data.
+	RemoteSlowdown float64
+}
+
+// Scheduler is the scheduler of one term of a leader. It is not safe for
+// concurrent use; make one with New.
+type Scheduler struct {
+	settings Settings
+	logger   *slog.Logger
+	state    *jobkeeper.State
+	term     uint64
+	since    time.Time
+	// opened is true once no run of a former leader can be unknown, so that
+	// tasks may start.
+	opened bool
+
+	jobs    map[string]*job
+	workers map[string]*worker
+	pools   map[string]*pool
+	queues  map[string]*jobwire.Queue
+	used    map[string]amount
+	// Invariant: counts the runs of a task that are not known to have ended.
+	live map[taskKey]int
+
+	// now and wall are the times of the present call.
+	now  time.Time
+	wall time.Time
+
+	actions []Action
+	// Metrics counts what has happened since New.
+	Metrics Metrics
+}
+
+// Metrics counts events of one term.
+type Metrics struct {
+	Starts, Done, Failed, Lost, Stops, NoRoom, Lapses int64
+}
+
+// pool holds the jobs and workers of one pool.
+type pool struct {
+	name string
+	jobs map[string]*job
+	// dirty is true when a pass may find something to start.
+	dirty bool
+}
+
+// New returns the scheduler of a term that begins now. It reads the state and
+// asks all workers what they run.
+func New(now, wall time.Time, term uint64, state *jobkeeper.State, settings Settings, logger *slog.Logger) *Scheduler {
+	s := &Scheduler{
+		settings: settings,
+		logger:   logger,
+		state:    state,
+		term:     term,
+		since:    now,
+		now:      now,
+		wall:     wall,
+		jobs:     make(map[string]*job),
+		workers:  make(map[string]*worker),
+		pools:    make(map[string]*pool),
+		queues:   make(map[string]*jobwire.Queue),
+		used:     make(map[string]amount),
+		live:     make(map[taskKey]int),
+	}
+	s.FleetChanged()
+	for _, w := range state.Workers {
+		s.WorkerChanged(w)
+	}
+	for _, j := range state.Jobs {
+		if j.Open() {
+			s.JobAdded(j)
+		}
+	}
+	return s
+}
+
+// SetTime sets the time of the calls that follow: now is steady, wall is the
+// time of day.
+func (s *Scheduler) SetTime(now, wall time.Time) { s.now, s.wall = now, wall }
+
+// Opened reports whether tasks may start.
+func (s *Scheduler) Opened() bool { return s.opened }
+
+func (s *Scheduler) pool(name string) *pool {
+	p, ok := s.pools[name]
+	if !ok {
+		p = &pool{
+			name: name,
+			jobs: make(map[string]*job),
+		}
+		s.pools[name] = p
+	}
+	return p
+}
+
+// FleetChanged implements jobkeeper.Observer. Jobs follow their queue to the
+// pool that the newest configuration names.
+func (s *Scheduler) FleetChanged() {
+	clear(s.queues)
+	for _, q := range s.state.Configuration.GetQueues() {
+		s.queues[q.GetName()] = q
+	}
+	for _, j := range s.jobs {
+		if q := s.queues[j.record.Spec.GetQueue()]; q != nil && q.GetPool() != j.pool.name {
+			delete(j.pool.jobs, j.id)
+			j.pool = s.pool(q.GetPool())
+			j.pool.jobs[j.id] = j
+		}
+	}
+	s.markAll()
+}
+
+func (s *Scheduler) markAll() {
+	for _, p := range s.pools {
+		p.dirty = true
+	}
+}
+
+// take returns the actions since the last call.
+func (s *Scheduler) take() []Action {
+	actions := s.actions
+	s.actions = nil
+	return actions
+}
+
+func (s *Scheduler) emit(a Action) { s.actions = append(s.actions, a) }
--- a/internal/voter/options.go
+++ b/internal/voter/options.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/voter/replica"
 	"github.com/heathermux/heathermux/internal/wire"
 	"github.com/heathermux/heathermux/pkg/persister"
 	"github.com/heathermux/heathermux/pkg/timer"
@@ -43,4 +44,11 @@
 	RequestAllotter RequestAllotter
 	// SnapshotEvery is the number of entries between snapshots; 0 means 1,000.
 	SnapshotEvery uint64
+	// Machine shares the log with the control state; nil means none.
+	Machine replica.Machine
+	// Voters is the number of voters that an open group keeps; 0 means that
+	// only Peers belong to the group.
+	Voters int
+	// Joins is true when this voter never forms a group and only joins one.
+	Joins bool
 }
--- a/internal/voter/replica/formation.go
+++ b/internal/voter/replica/formation.go
@@ -69,7 +69,7 @@
 }
 
 func (r *Replica) mayJoin(name string) bool {
-	return slices.Contains(r.opts.Peers, name)
+	return r.opts.Voters > 0 || slices.Contains(r.opts.Peers, name)
 }
 
 func (r *Replica) sendAnswer(to, id string) {
@@ -111,7 +111,7 @@
 // only with all answers, since a group that lost one disk has a voter that
 // knows of it.
 func (r *Replica) form(now time.Time) {
-	if r.formation.exists || len(r.opts.Peers) == 0 || r.opts.Name != slices.Min(r.opts.Peers) {
+	if r.opts.Joins || r.formation.exists || len(r.opts.Peers) == 0 || r.opts.Name != slices.Min(r.opts.Peers) {
 		return
 	}
 	initial := &replication.Membership{}
--- a/internal/voter/replica/propose.go
+++ b/internal/voter/replica/propose.go
@@ -61,6 +61,10 @@
 
 // apply runs a committed entry through the state machine.
 func (r *Replica) apply(now time.Time, e *replication.Entry) {
+	if data, ok := marked(e.GetData()); ok {
+		r.applyMachine(e, data)
+		return
+	}
 	var result *wire.Result
 	if e.GetKind() == replication.EntryKind_ENTRY_KIND_DATA {
 		result = r.applyCommand(now, e.GetData())
@@ -173,6 +177,7 @@
 // the others with an unknown outcome.
 func (r *Replica) stopLeading(now time.Time) {
 	r.leading = leading{}
+	r.abandonSubmissions()
 	for index, p := range r.pending {
 		delete(r.pending, index)
 		p.done(nil, ErrOutcomeUnknown)
--- a/internal/voter/replica/repair.go
+++ b/internal/voter/replica/repair.go
@@ -14,6 +14,9 @@
 	liveWithin = replicator.DefaultElectionTimeout
 	// silentLearner is the time after which a learner that does not answer is removed.
 	silentLearner = 10 * time.Second
+	// silentVoter is the time after which a voter of an open group that does
+	// not answer gives its place to a live learner: longer than a restart.
+	silentVoter = 2500 * time.Millisecond
 )
 
 func (r *Replica) tickLeading(now time.Time) {
@@ -48,12 +51,12 @@
 	}
 	for i, m := range members {
 		switch {
-		case m.GetLearner() && r.caughtUp(now, m.GetId()) && r.safe(now, with(members, m.GetId())):
+		case m.GetLearner() && r.wanted(now, members, m.GetId()) && r.caughtUp(now, m.GetId()) && r.safe(now, with(members, m.GetId())):
 			changes = append(changes, replicator.Change{
 				Kind: replicator.Promote,
 				ID:   replicator.ID(m.GetId()),
 			})
-		case m.GetLearner() && r.silent(now, m.GetId()), !m.GetLearner() && r.replaced(now, members, i):
+		case m.GetLearner() && r.silent(now, m.GetId()), r.surplus(now, members, m), !m.GetLearner() && r.replaced(now, members, i):
 			changes = append(changes, replicator.Change{
 				Kind: replicator.Remove,
 				ID:   replicator.ID(m.GetId()),
@@ -140,3 +143,38 @@
 	}
 	return voters
 }
+
+// wanted reports whether a learner should vote: in a closed group each does; in
+// an open one it takes the place of a missing voter, of a silent one, or of the
+// former identity of its host.
+func (r *Replica) wanted(now time.Time, members []*replication.Member, id string) bool {
+	if r.opts.Voters == 0 {
+		return true
+	}
+	live := 0
+	for _, voter := range without(members, id) {
+		if nameOf(voter) != nameOf(id) && r.present(now, voter) {
+			live++
+		}
+	}
+	return live < r.opts.Voters
+}
+
+// surplus reports whether a silent voter of an open group has been replaced.
+func (r *Replica) surplus(now time.Time, members []*replication.Member, m *replication.Member) bool {
+	if r.opts.Voters == 0 || m.GetLearner() || r.present(now, m.GetId()) {
+		return false
+	}
+	rest := without(members, m.GetId())
+	return len(rest) >= r.opts.Voters && r.safe(now, rest)
+}
+
+// present reports whether a voter has been heard from recently enough to keep
+// its place in an open group.
+func (r *Replica) present(now time.Time, id string) bool {
+	if id == r.identity.GetId() {
+		return true
+	}
+	p := r.core.Progress(replicator.ID(id))
+	return now.Sub(p.Heard) <= silentVoter || now.Sub(p.Since) <= silentVoter
+}
--- a/internal/voter/replica/replica.go
+++ b/internal/voter/replica/replica.go
@@ -43,6 +43,14 @@
 	Grant func(now time.Time, follower *wire.Member, demands []*wire.TeamDemand, state controller.State) []*wire.RequestAllotment
 	// SnapshotEvery is the number of entries between snapshots; 0 means 1,000.
 	SnapshotEvery uint64
+	// Machine shares the log with the control state; nil means none.
+	Machine Machine
+	// Voters is the number of voters that an open group keeps: replicas that
+	// are not among Peers may join it, and a silent voter is replaced by a live
+	// learner. 0 means that the group is closed.
+	Voters int
+	// Joins is true when this replica never forms a group and only joins one.
+	Joins bool
 }
 
 // Replica is one replica of the control state. It is not safe for concurrent
@@ -66,6 +74,7 @@
 	leading   leading
 	pending   map[uint64]*proposal
 	waiting   []*proposal
+	submitted map[uint64]*submission
 }
 
 // leading is what only a leader keeps.
@@ -85,8 +94,9 @@
 		opts.SnapshotEvery = snapshotEvery
 	}
 	r := &Replica{
-		opts:    opts,
-		pending: make(map[uint64]*proposal),
+		opts:      opts,
+		pending:   make(map[uint64]*proposal),
+		submitted: make(map[uint64]*submission),
 	}
 	return r, r.open(now)
 }
@@ -104,7 +114,7 @@
 
 // run makes the core from what the files hold.
 func (r *Replica) run(now time.Time, recovered replicator.Recovered) error {
-	state, err := controller.Decode(recovered.Snapshot.GetData())
+	state, err := r.decodeState(recovered.Snapshot.GetData())
 	if err != nil {
 		return err
 	}
@@ -230,7 +240,7 @@
 
 func (r *Replica) persist(now time.Time, ready replicator.Ready) error {
 	if ready.Snapshot != nil {
-		state, err := controller.Decode(ready.Snapshot.GetData())
+		state, err := r.decodeState(ready.Snapshot.GetData())
 		if err != nil {
 			return err
 		}
@@ -259,7 +269,7 @@
 	if r.core.Status().Applied < r.snapshotAt+r.opts.SnapshotEvery {
 		return
 	}
-	data, err := r.state.Encode()
+	data, err := r.encodeState()
 	if err != nil {
 		r.fail(now, err)
 		return
--- a/internal/voter/run.go
+++ b/internal/voter/run.go
@@ -44,7 +44,13 @@
 
 func (v *Voter) show() {
 	name, self := v.replica.Leader()
+	term, contact, confirmed := v.replica.Authority(v.opts.Clock.Now())
 	v.shown.Store(&shown{
+		authority: Authority{
+			Term:      term,
+			Contact:   contact,
+			Confirmed: confirmed,
+		},
 		state:     v.replica.State(),
 		leader:    name,
 		leading:   self,
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -39,6 +39,7 @@
 	leading   bool
 	voters    []string
 	followers []FollowerStatus
+	authority Authority
 }
 
 // Open reads the files of the voter and starts it.
