--- a/internal/conductor/act.go
+++ b/internal/conductor/act.go
@@ -14,6 +14,8 @@
 	orderTimeout = 500 * time.Millisecond
 	// lookTimeout is added to the time that a worker may wait.
 	lookTimeout = 600 * time.Millisecond
+	// providerTimeout bounds one call to the provider, which may be slow.
+	providerTimeout = 3 * time.Second
 )
 
 // carryOut begins all actions; their outcomes are reported when they come.
@@ -42,6 +44,23 @@
 		}
 	case jobscheduler.Record:
 		c.record(ctx, sched, a)
+	case jobscheduler.ListHosts:
+		c.listHosts(ctx, sched)
+	case jobscheduler.Maintain:
+		ctx, cancel := context.WithTimeout(ctx, providerTimeout)
+		defer cancel()
+		answer := c.opts.Provider.Maintain(ctx, fence, a)
+		c.opts.Logger.Info("conductor: maintenance was ordered", "host", a.Host, "wave", a.Wave, "answer", int(answer))
+		c.with(sched, func() { sched.Maintained(a, answer) })
+	case jobscheduler.NoteWave:
+		c.write(ctx, &jobwire.Command{
+			Change: &jobwire.Command_WaveProgress{
+				WaveProgress: &jobwire.WaveProgress{
+					Id:    a.Wave,
+					Begun: []string{a.Host},
+				},
+			},
+		})
 	case jobscheduler.NoteWorker:
 		c.write(ctx, &jobwire.Command{
 			Change: &jobwire.Command_Worker{
@@ -78,6 +97,18 @@
 	c.with(sched, func() { sched.LookAnswered(a, answer) })
 }
 
+func (c *Conductor) listHosts(ctx context.Context, sched *jobscheduler.Scheduler) {
+	ctx, cancel := context.WithTimeout(ctx, providerTimeout)
+	defer cancel()
+	asked := c.opts.Clock.Now()
+	hosts, err := c.opts.Provider.Hosts(ctx)
+	if err != nil {
+		c.opts.Logger.Info("conductor: hosts were not listed", "error", err)
+		hosts = nil
+	}
+	c.with(sched, func() { sched.HostsListed(asked, hosts) })
+}
+
 func (c *Conductor) record(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Record) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -50,11 +50,20 @@
 	Pace(ctx context.Context, fence uint64, a jobscheduler.Pace) error
 }
 
+// Provider moves and maintains the hosts of workers. Its methods may be called
+// from any number of goroutines.
+type Provider interface {
+	Hosts(ctx context.Context) ([]jobscheduler.Host, error)
+	Maintain(ctx context.Context, fence uint64, a jobscheduler.Maintain) jobscheduler.HostAnswer
+}
+
 // Options set up a Conductor.
 type Options struct {
 	Log     Log
 	Keeper  *jobkeeper.Keeper
 	Workers Workers
+	// Provider is the one of the workers' hosts.
+	Provider Provider
 	// Clock is the one of the log; it must count suspended time.
 	Clock    timer.Clock
 	Logger   *slog.Logger
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -22,6 +22,7 @@
 	s.tickWorkers(contact)
 	s.tickRuns()
 	if s.opened {
+		s.tickHosts()
 		for _, p := range s.pools {
 			if p.dirty {
 				p.dirty = false
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -21,6 +21,9 @@
 	// NoticeTime is the time before and after planned work in which a lasting
 	// task counts as away.
 	NoticeTime time.Duration
+	// HolderLease is how long a leader waits before it orders work on hosts, so
+	// that its orders do not mix with those of the former one.
+	HolderLease time.Duration
 	// RemoteSlowdown is how many times as long a task takes away from its data.
 	RemoteSlowdown float64
 }
@@ -43,7 +46,8 @@
 	queues  map[string]*jobwire.Queue
 	used    map[string]amount
 	// Invariant: counts the runs of a task that are not known to have ended.
-	live map[taskKey]int
+	live  map[taskKey]int
+	hosts hosts
 
 	// now and wall are the times of the present call.
 	now  time.Time
@@ -84,6 +88,9 @@
 		queues:   make(map[string]*jobwire.Queue),
 		used:     make(map[string]amount),
 		live:     make(map[taskKey]int),
+		hosts: hosts{
+			upkeeps: make(map[string]*upkeep),
+		},
 	}
 	s.FleetChanged()
 	for _, w := range state.Workers {
--- /dev/null
+++ b/internal/jobscheduler/upkeep.go
@@ -0,0 +1,189 @@
+package jobscheduler
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// pressure says how much of a wave's time has passed.
+func (s *Scheduler) pressure(w *jobwire.Wave) float64 {
+	if w.GetDurationNanos() <= 0 {
+		return 1
+	}
+	return float64(s.wall.UnixNano()-w.GetStartedUnixNanos()) / float64(w.GetDurationNanos())
+}
+
+// advanceWave begins to prepare hosts of a wave, those with the least work first.
+func (s *Scheduler) advanceWave(w *jobwire.Wave) {
+	slots := int(max(1, w.GetCeiling()))
+	begun := make(map[string]bool)
+	for _, name := range w.GetBegun() {
+		begun[name] = true
+		if h, ok := s.hosts.known[name]; ok && h.State != HostUp && s.hosts.upkeeps[name] == nil {
+			slots--
+		}
+	}
+	for _, u := range s.hosts.upkeeps {
+		if u.wave == w.GetId() {
+			slots--
+		}
+	}
+	var candidates []Host
+	for _, name := range w.GetHosts() {
+		h, ok := s.hosts.known[name]
+		if begun[name] || s.hosts.upkeeps[name] != nil {
+			continue
+		}
+		if !ok {
+			// The provider no longer has this host.
+			s.emit(NoteWave{
+				Wave: w.GetId(),
+				Host: name,
+			})
+			continue
+		}
+		if h.State == HostUp && s.mayPrepare(w, h) {
+			candidates = append(candidates, h)
+		}
+	}
+	slices.SortFunc(candidates, func(a, b Host) int {
+		return cmp.Or(cmp.Compare(s.runsOn(a), s.runsOn(b)), cmp.Compare(a.Name, b.Name))
+	})
+	for _, h := range candidates {
+		if slots <= 0 {
+			return
+		}
+		if s.mayPrepare(w, h) {
+			s.prepare(w, h)
+			slots--
+		}
+	}
+}
+
+// runsOn returns how much runs on a host.
+func (s *Scheduler) runsOn(h Host) int {
+	if w, ok := s.workers[h.Worker]; ok {
+		return len(w.runs)
+	}
+	return 0
+}
+
+// mayPrepare reports whether a host can be spared: one of its pool at a time,
+// and none of a pool in which tasks wait, unless the wave's time runs out.
+func (s *Scheduler) mayPrepare(w *jobwire.Wave, h Host) bool {
+	if s.runsOn(h) == 0 {
+		return true
+	}
+	for _, u := range s.hosts.upkeeps {
+		if !u.done && u.worker != nil && u.worker.info.GetPool() == h.Pool {
+			return false
+		}
+	}
+	return s.pressure(w) > eagerShare || !s.busy(h.Pool)
+}
+
+// busy reports whether short tasks of a pool wait for a worker.
+func (s *Scheduler) busy(name string) bool {
+	p, ok := s.pools[name]
+	if !ok {
+		return false
+	}
+	for _, j := range p.jobs {
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				if st.ready && len(st.pending) > 0 && !st.spec.GetLasting() {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) prepare(w *jobwire.Wave, h Host) {
+	u := &upkeep{
+		host:  h.Name,
+		wave:  w.GetId(),
+		since: s.now,
+	}
+	if on, ok := s.workers[h.Worker]; ok {
+		u.worker = on
+		on.held = true
+	}
+	s.hosts.upkeeps[h.Name] = u
+}
+
+// advanceUpkeep orders the maintenance of a host once nothing forbids it.
+func (s *Scheduler) advanceUpkeep(u *upkeep) {
+	if u.done || u.ordered || s.now.Before(u.retryAt) {
+		return
+	}
+	w, ok := s.state.Waves[u.wave]
+	if !ok {
+		s.release(u)
+		return
+	}
+	if u.worker != nil && s.workers[u.worker.info.GetId()] == u.worker && !s.mayCut(u, s.pressure(w)) {
+		return
+	}
+	u.ordered = true
+	s.emit(Maintain{
+		Host: u.host,
+		Wave: u.wave,
+	})
+}
+
+// mayCut reports whether all that runs on a host may be ended by planned work.
+func (s *Scheduler) mayCut(u *upkeep, pressure float64) bool {
+	forced := pressure > forceShare && s.now.Sub(u.since) > prepareLimit/3 || s.now.Sub(u.since) > prepareLimit
+	taken := make(map[*step]int)
+	for _, r := range u.worker.runs {
+		if r.step == nil || r.state == stopping {
+			continue
+		}
+		if !r.step.spec.GetLasting() {
+			if !forced {
+				return false
+			}
+			continue
+		}
+		taken[r.step]++
+	}
+	for st, n := range taken {
+		if miss := int(st.spec.GetMayMiss()); miss > 0 && s.away(st, u.worker)+n > miss {
+			return false
+		}
+	}
+	return true
+}
+
+// away returns how many tasks of a step are not surely at work, but for those
+// on one worker.
+func (s *Scheduler) away(st *step, but *worker) int {
+	n := 0
+	for i := range st.spec.GetTasks() {
+		r, ok := st.runs[i]
+		if ok && r.worker == but {
+			continue
+		}
+		if !ok || !s.atWork(r) {
+			n++
+		}
+	}
+	return n
+}
+
+// atWork reports whether a lasting task serves at its full share.
+func (s *Scheduler) atWork(r *run) bool {
+	if r.state != running || r.percent < 100 || r.worker.failing || s.now.Sub(r.confirmed) < settled {
+		return false
+	}
+	for _, u := range s.hosts.upkeeps {
+		if u.worker == r.worker && u.ordered {
+			return false
+		}
+	}
+	return true
+}
