internal/jobscheduler: lasting tasks count as at work by their listed progress

Cause: a task restarted 1.26 s before counted as at work after 1.2 s, but its start-up takes up to 1.4 s; the worker lists a progress of 100 when it is over. Ruled out: a second order for the same host (the log shows one).

--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -68,7 +68,7 @@
 	// before its maintenance.
 	prepareLimit = 3 * time.Second
 	// settled is how long a task has to have run to count as at work.
-	settled = 1200 * time.Millisecond
+	settled = 1500 * time.Millisecond
 	// eagerShare is the part of a wave's time after which busy pools are no
 	// longer spared, and forceShare that after which short tasks are cut.
 	eagerShare = 0.4
@@ -154,6 +154,7 @@
 // tickHosts goes on with the maintenance waves.
 func (s *Scheduler) tickHosts() {
 	open := s.openWaves()
+	s.noteDue(open)
 	if len(open) == 0 || s.now.Sub(s.since) < s.settings.HolderLease {
 		return
 	}
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -33,7 +33,8 @@
 	Task       *jobwire.Task
 	Run        uint64
 	Checkpoint string
-	// Percent is the share at which it works.
+	// Percent is the share of its work that is done; of a lasting task the
+	// share at which it works.
 	Percent int
 	// Figure is the tail of a task that serves, in milliseconds, else the
 	// processors in use in thousandths.
@@ -190,7 +191,7 @@
 	if t.Checkpoint != "" {
 		r.checkpoint = t.Checkpoint
 	}
-	r.figure = t.Figure
+	r.figure, r.progress = t.Figure, t.Percent
 	if r.state == starting {
 		r.state, r.confirmed = running, s.now
 	}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -200,6 +200,8 @@
 		number:  number,
 	}
 	s.addRun(w, st, key, starting)
+	s.logger.Info("scheduler: task starts", "task", nameOf(key.taskKey), "run", number, "worker", w.info.GetId(),
+		"slack", st.occurrence.objective.Sub(s.wall)-st.occurrence.job.tail[st.number], "used", w.used.milliCores)
 	s.Metrics.Starts++
 	s.emit(Start{
 		Target:     w.target(),
@@ -270,6 +272,7 @@
 	costRemote = 4.0
 	costAvoid  = 8.0
 	costTrial  = 1.0
+	costDue    = 2.0
 )
 
 func (s *Scheduler) cost(st *step, index int32, w *worker) float64 {
@@ -286,6 +289,9 @@
 	if st.avoid[index] == w.info.GetId() {
 		cost += costAvoid
 	}
+	if st.spec.GetLasting() && s.dueForUpkeep(w) {
+		cost += costDue
+	}
 	return cost + costTrial*float64(w.streak)
 }
 
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -42,8 +42,12 @@
 	checkpoint string
 	// figure is what the worker says of the last half second: the tail in
 	// milliseconds of a task that serves, else the processors in use.
-	figure  int64
+	figure int64
+	// percent is the share at which it was told to work.
 	percent int
+	// progress is the share of its work that is done; 100 once a lasting task
+	// is at work.
+	progress int
 	// over is since when a serving task misses its target.
 	over time.Time
 	// idle is since when a task has used no processor.
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -48,6 +48,8 @@
 	// Invariant: counts the runs of a task that are not known to have ended.
 	live  map[taskKey]int
 	hosts hosts
+	// due holds the workers whose hosts have their maintenance before them.
+	due map[string]bool
 
 	// now and wall are the times of the present call.
 	now  time.Time
--- a/internal/jobscheduler/upkeep.go
+++ b/internal/jobscheduler/upkeep.go
@@ -70,17 +70,35 @@
 	return 0
 }
 
-// mayPrepare reports whether a host can be spared: one of its pool at a time,
+// hostsPerPreparation is how many hosts a pool has for each one that is
+// prepared for its maintenance at the same time.
+const hostsPerPreparation = 4
+
+func (s *Scheduler) poolSize(name string) int {
+	n := 0
+	for _, w := range s.workers {
+		if w.info.GetPool() == name {
+			n++
+		}
+	}
+	return n
+}
+
+// mayPrepare reports whether a host can be spared: a few of its pool at a time,
 // and none of a pool in which tasks wait, unless the wave's time runs out.
 func (s *Scheduler) mayPrepare(w *jobwire.Wave, h Host) bool {
 	if s.runsOn(h) == 0 {
 		return true
 	}
+	preparing := 0
 	for _, u := range s.hosts.upkeeps {
 		if !u.done && u.worker != nil && u.worker.info.GetPool() == h.Pool {
-			return false
+			preparing++
 		}
 	}
+	if preparing > 0 && preparing >= s.poolSize(h.Pool)/hostsPerPreparation {
+		return false
+	}
 	return s.pressure(w) > eagerShare || !s.busy(h.Pool)
 }
 
@@ -177,7 +195,7 @@
 
 // atWork reports whether a lasting task serves at its full share.
 func (s *Scheduler) atWork(r *run) bool {
-	if r.state != running || r.percent < 100 || r.worker.failing || s.now.Sub(r.confirmed) < settled {
+	if r.state != running || r.percent < 100 || r.progress < 100 || r.worker.failing || s.now.Sub(r.confirmed) < settled {
 		return false
 	}
 	for _, u := range s.hosts.upkeeps {
@@ -187,3 +205,23 @@
 	}
 	return true
 }
+
+// dueForUpkeep reports whether a worker's host has its maintenance before it in
+// an open wave, so that what starts there now is cut.
+func (s *Scheduler) dueForUpkeep(w *worker) bool { return s.due[w.info.GetId()] }
+
+// noteDue finds the workers whose hosts have their maintenance before them.
+func (s *Scheduler) noteDue(open []*jobwire.Wave) {
+	s.due = make(map[string]bool)
+	for _, wave := range open {
+		begun := make(map[string]bool, len(wave.GetBegun()))
+		for _, name := range wave.GetBegun() {
+			begun[name] = true
+		}
+		for _, name := range wave.GetHosts() {
+			if h, ok := s.hosts.known[name]; ok && !begun[name] && h.Worker != "" {
+				s.due[h.Worker] = true
+			}
+		}
+	}
+}
