internal/jobscheduler: a task whose end is listed but not recorded does not wait

Cause: a new leader's first looks listed ends that no leader had recorded; the tasks still waited, and started again before the record was applied. Ruled out: run numbers (they rose) and the lease (the run had ended). Test: TestEndFoundByNewLeaderIsNotRunAgain failed first.

--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -142,11 +142,13 @@
 	case jobwire.Ending_ENDING_LAPSED:
 		s.Metrics.Lapses++
 	}
-	if r == nil {
-		return
+	if r != nil {
+		s.dropRun(r)
+	}
+	// Whether the task waits again is known once the end is recorded.
+	if st := s.find(keyOf(end.GetTask()).StepKey); st != nil {
+		st.unqueue(end.GetTask().GetIndex())
 	}
-	s.dropRun(r)
-	// The task waits again once the end is recorded.
 }
 
 // Recorded takes the outcome of a Record.
