internal/jobscheduler: silent workers get no further lease; lasting tasks leave draining workers

Ruled out: room for the task and the cap per worker. Tests: TestTasksOfSilentWorkerAreTakenBack and TestLastingTasksLeaveDrainingWorker failed first.

--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -283,11 +283,10 @@
 		Target: w.target(),
 		Seen:   w.seen,
 	}
-	if len(w.runs) > 0 && w.adopted {
+	// A look that is not answered may be carried out all the same, so a silent
+	// worker gets no further lease: its runs are taken back when the last ends.
+	if len(w.runs) > 0 && w.adopted && !w.failing {
 		look.Wait = lookWait
-		if w.failing {
-			look.Wait = 0
-		}
 		look.Deadline = w.deadline(contact, s.settings.Lease)
 		if look.Deadline > 0 {
 			w.grant(look.Deadline)
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -33,10 +33,14 @@
 	return s.take()
 }
 
-// tickRuns sends orders to stop again that were not confirmed.
+// tickRuns sends orders to stop again that were not confirmed, and moves
+// lasting tasks off workers that drain.
 func (s *Scheduler) tickRuns() {
 	for _, w := range s.workers {
 		for _, r := range w.runs {
+			if w.info.GetDraining() && r.state == running && r.step != nil && r.step.spec.GetLasting() {
+				s.stop(r)
+			}
 			if r.state == stopping && r.confirmed.IsZero() && s.now.Sub(r.stopSent) > stopPause {
 				s.stop(r)
 			}
