--- a/internal/conductor/act.go
+++ b/internal/conductor/act.go
@@ -14,8 +14,11 @@
 	orderTimeout = 500 * time.Millisecond
 	// lookTimeout is added to the time that a worker may wait.
 	lookTimeout = 600 * time.Millisecond
-	// providerTimeout bounds one call to the provider, which may be slow.
-	providerTimeout = 3 * time.Second
+	// listTimeout bounds one listing of the provider, which may be slow.
+	listTimeout = 3 * time.Second
+	// providerTimeout bounds one order to the provider. With authorityLimit it
+	// is below the time that a new leader waits before its first order.
+	providerTimeout = 1500 * time.Millisecond
 )
 
 // carryOut begins all actions; their outcomes are reported when they come.
@@ -104,7 +107,7 @@
 }
 
 func (c *Conductor) listHosts(ctx context.Context, sched *jobscheduler.Scheduler) {
-	ctx, cancel := context.WithTimeout(ctx, providerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	asked := c.opts.Clock.Now()
 	hosts, err := c.opts.Provider.Hosts(ctx)
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/balancer"
+	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
 const (
@@ -135,38 +136,67 @@
 		Floor: leastHosts,
 	}
 	whole := s.hostSize(p.name)
-	need := math.Max(p.demand.Rate(s.now), p.demand.Forecast(s.now, moveAhead, period)) / fillShare
+	lasting, busy := s.poolLoad(p, whole)
 	for _, j := range p.jobs {
-		need += s.jobNeed(j, whole, &view)
+		busy += s.waitingNeed(j, whole, &view)
 	}
-	view.Need = int(math.Ceil(need))
+	short := max(p.demand.Rate(s.now), p.demand.Forecast(s.now, moveAhead, period), busy)
+	view.Need = int(math.Ceil(lasting + short/fillShare))
 	s.countHosts(p, &view)
 	return view
 }
 
-// jobNeed returns how many hosts the waiting and the lasting tasks of a job
-// need, and raises the floor for tasks that have to be spread.
-func (s *Scheduler) jobNeed(j *job, whole amount, view *balancer.Pool) float64 {
+// poolLoad returns how many hosts the lasting and the short tasks fill that run
+// in a pool.
+func (s *Scheduler) poolLoad(p *pool, whole amount) (lasting, short float64) {
+	for _, w := range s.workers {
+		if w.info.GetPool() != p.name {
+			continue
+		}
+		for _, r := range w.runs {
+			share := hostShare(r.room, whole)
+			if r.step != nil && r.step.spec.GetLasting() {
+				lasting += share
+			} else {
+				short += share
+			}
+		}
+	}
+	return lasting, short
+}
+
+// waitingNeed returns how many hosts the waiting tasks of a job need, and
+// raises the floor for lasting tasks that have to be spread.
+func (s *Scheduler) waitingNeed(j *job, whole amount, view *balancer.Pool) float64 {
 	need := 0.0
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
 			share := hostShare(roomOf(st), whole)
+			seconds := time.Duration(st.spec.GetEstimateNanos()).Seconds()
 			if st.spec.GetLasting() {
-				need += share * float64(st.spec.GetTasks())
-				if most := st.spec.GetMostPerWorker(); most > 0 {
-					view.Floor = max(view.Floor, int((st.spec.GetTasks()+most-1)/most)+1)
-				}
-				continue
+				seconds = backlogTime.Seconds()
+				view.Floor = max(view.Floor, spreadOf(st.spec))
 			}
 			if st.ready {
-				seconds := time.Duration(st.spec.GetEstimateNanos()).Seconds()
-				need += share * float64(len(st.pending)) * seconds / backlogTime.Seconds() / fillShare
+				need += share * float64(len(st.pending)) * seconds / backlogTime.Seconds()
 			}
 		}
 	}
 	return need
 }
 
+// spreadOf returns over how many hosts the tasks of a step have to be spread.
+func spreadOf(spec *jobwire.Step) int {
+	most := spec.GetMostPerWorker()
+	if miss := spec.GetMayMiss(); miss > 0 && (most == 0 || miss < most) {
+		most = miss
+	}
+	if most == 0 {
+		return 0
+	}
+	return int((spec.GetTasks()+most-1)/most) + 1
+}
+
 // countHosts counts the hosts of a pool and finds those that can leave it.
 func (s *Scheduler) countHosts(p *pool, view *balancer.Pool) {
 	var idle []Host
--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -110,6 +110,8 @@
 	done    bool
 	doneAt  time.Time
 	retryAt time.Time
+	// loggedAt is when the last line told why the host can't be spared.
+	loggedAt time.Time
 }
 
 // HostsListed takes the outcome of a ListHosts; nil means that it failed.
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -255,7 +255,7 @@
 }
 
 // choose returns the worker on which a task starts: near its data, not where
-// it failed last, and where most is free.
+// it failed last, and where least is free.
 func (s *Scheduler) choose(st *step, index int32, workers []*worker, extra map[*worker]int) *worker {
 	var best *worker
 	var bestCost float64
@@ -277,22 +277,22 @@
 	costAvoid  = 8.0
 	costTrial  = 1.0
 	costDue    = 2.0
+	// costSpread keeps the loss of one host within what a step may miss.
+	costSpread = 4.0
 )
 
 func (s *Scheduler) cost(st *step, index int32, w *worker) float64 {
-	cost := 0.0
-	if w.capacity.milliCores > 0 {
-		cost += float64(w.used.milliCores) / float64(w.capacity.milliCores)
-	}
-	if w.capacity.memory > 0 {
-		cost += 0.3 * float64(w.used.memory) / float64(w.capacity.memory)
-	}
+	// Full hosts come first, so that the others become idle and can move.
+	cost := -hostShare(w.used, w.capacity)
 	if rack := st.spec.GetDataRack(); rack != "" && rack != w.info.GetRack() {
 		cost += costRemote
 	}
 	if st.avoid[index] == w.info.GetId() {
 		cost += costAvoid
 	}
+	if miss := int(st.spec.GetMayMiss()); miss > 0 && st.perWorker[w.info.GetId()] >= miss {
+		cost += costSpread
+	}
 	if st.spec.GetLasting() && s.dueForUpkeep(w) {
 		cost += costDue
 	}
--- a/internal/jobscheduler/upkeep.go
+++ b/internal/jobscheduler/upkeep.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"time"
 
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
@@ -155,6 +157,22 @@
 
 // mayCut reports whether all that runs on a host may be ended by planned work.
 func (s *Scheduler) mayCut(u *upkeep, pressure float64) bool {
+	if reason := s.cutObstacle(u, pressure); reason != "" {
+		if s.now.Sub(u.loggedAt) > obstacleLogInterval {
+			u.loggedAt = s.now
+			s.logger.Info("scheduler: host can't be spared yet", "host", u.host, "worker", u.worker.info.GetId(), "cause", reason)
+		}
+		return false
+	}
+	return true
+}
+
+// obstacleLogInterval is the least time between two lines on one host.
+const obstacleLogInterval = time.Second
+
+// cutObstacle returns what forbids to end all that runs on a host; empty when
+// nothing does.
+func (s *Scheduler) cutObstacle(u *upkeep, pressure float64) string {
 	forced := pressure > forceShare && s.now.Sub(u.since) > prepareLimit/3 || s.now.Sub(u.since) > prepareLimit
 	taken := make(map[*step]int)
 	for _, r := range u.worker.runs {
@@ -163,18 +181,21 @@
 		}
 		if !r.step.spec.GetLasting() {
 			if !forced {
-				return false
+				return "short tasks run"
 			}
 			continue
 		}
 		taken[r.step]++
 	}
 	for st, n := range taken {
-		if miss := int(st.spec.GetMayMiss()); miss > 0 && s.away(st, u.worker)+n > miss {
-			return false
+		if miss, away := int(st.spec.GetMayMiss()), s.away(st, u.worker); miss > 0 && away+n > miss {
+			if away < miss {
+				s.thin(u.worker, st)
+			}
+			return fmt.Sprintf("step %d of job %s may miss %d, %d are away and %d run here", st.number, st.occurrence.job.id, miss, away, n)
 		}
 	}
-	return true
+	return ""
 }
 
 // away returns how many tasks of a step are not surely at work, but for those
@@ -225,3 +246,14 @@
 		}
 	}
 }
+
+// thin moves one task of a step off a worker that holds more of them than may
+// be away at once.
+func (s *Scheduler) thin(w *worker, st *step) {
+	for _, r := range st.runs {
+		if r.worker == w && r.state == running {
+			s.stop(r)
+			return
+		}
+	}
+}
