--- a/internal/jobscheduler/upkeep.go
+++ b/internal/jobscheduler/upkeep.go
@@ -176,7 +176,7 @@
 	forced := pressure > forceShare && s.now.Sub(u.since) > prepareLimit/3 || s.now.Sub(u.since) > prepareLimit
 	taken := make(map[*step]int)
 	for _, r := range u.worker.runs {
-		if r.step == nil || r.state == stopping {
+		if r.step == nil {
 			continue
 		}
 		if !r.step.spec.GetLasting() {
