--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -76,6 +76,9 @@
 	// prepareLimit is how long the short tasks of a host may take to end
 	// before its maintenance.
 	prepareLimit = 3 * time.Second
+	// goneAfter is how long a host may be missing from the listings before it
+	// counts as gone for good.
+	goneAfter = 8 * time.Second
 	// settled is how long a task has to have run to count as at work.
 	settled = 1500 * time.Millisecond
 	// eagerShare is the part of a wave's time after which busy pools are no
@@ -93,6 +96,8 @@
 	askedAt time.Time
 	// upkeeps holds the hosts that are prepared for, or in, their maintenance.
 	upkeeps map[string]*upkeep
+	// missing holds hosts of waves that the listings lack, and since when.
+	missing map[string]time.Time
 	// moves holds the hosts that are being moved.
 	moves map[string]*move
 	// balancedAt is when the pools were last compared.
@@ -124,6 +129,7 @@
 	s.hosts.known = make(map[string]Host, len(listed))
 	for _, h := range listed {
 		s.hosts.known[h.Name] = h
+		delete(s.hosts.missing, h.Name)
 	}
 	s.settleMoves(asked)
 	for name, u := range s.hosts.upkeeps {
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -98,6 +98,7 @@
 		hosts: hosts{
 			upkeeps: make(map[string]*upkeep),
 			moves:   make(map[string]*move),
+			missing: make(map[string]time.Time),
 		},
 	}
 	s.FleetChanged()
--- a/internal/jobscheduler/upkeep.go
+++ b/internal/jobscheduler/upkeep.go
@@ -39,7 +39,10 @@
 			continue
 		}
 		if !ok {
-			// The provider no longer has this host.
+			if !s.goneForGood(name) {
+				continue
+			}
+			s.logger.Info("scheduler: host of a wave is gone for good", "host", name, "wave", w.GetId())
 			s.emit(NoteWave{
 				Wave: w.GetId(),
 				Host: name,
@@ -64,6 +67,17 @@
 	}
 }
 
+// goneForGood reports whether a host has been missing from all listings for so
+// long that it will not come back; a crashed one may be missing for a while.
+func (s *Scheduler) goneForGood(name string) bool {
+	since, ok := s.hosts.missing[name]
+	if !ok {
+		s.hosts.missing[name] = s.hosts.at
+		return false
+	}
+	return s.hosts.at.Sub(since) > goneAfter
+}
+
 // runsOn returns how much runs on a host.
 func (s *Scheduler) runsOn(h Host) int {
 	if w, ok := s.workers[h.Worker]; ok {
--- a/internal/jobscheduler/upkeep_test.go
+++ b/internal/jobscheduler/upkeep_test.go
@@ -77,3 +77,35 @@
 	}
 	w.is.True(stops > 0)
 }
+
+// A crashed host may be missing from a listing; a wave that counted it as done
+// would be shown as completed too early.
+func TestMissingHostIsNotCountedAsMaintained(t *testing.T) {
+	w := newWorld(t)
+	w.addWorker("b")
+	w.lead()
+	w.open()
+	startWave(w)
+	noted := 0
+	for range 100 {
+		w.pass(100 * time.Millisecond)
+		for range takeAll[jobscheduler.ListHosts](w) {
+			w.report(func() {
+				w.sched.HostsListed(w.now, []jobscheduler.Host{
+					{
+						Name:  "host-b",
+						Pool:  "p",
+						State: jobscheduler.HostUp,
+					},
+				})
+			})
+		}
+		w.answerLooks(nil)
+		if n := len(takeAll[jobscheduler.NoteWave](w)); n > 0 {
+			noted += n
+			break
+		}
+	}
+	w.is.True(noted > 0)
+	w.is.True(w.now.Sub(time.Unix(1_000_000, 0)) > 8*time.Second)
+}
