internal/balancer: pools keep their hosts until their first peak

Pools that have not peaked keep what they began with, give it to a pool that lacks hosts now, and get it back before the next peak is due.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -23,6 +23,9 @@
 	Need int
 	// Floor is the number of hosts that the pool keeps at least.
 	Floor int
+	// Keep is the number of hosts that the pool should hold for what it expects:
+	// they do not go back to the reserve, but to a pool that lacks hosts now.
+	Keep int
 	// Idle holds the hosts that nothing runs on, those to part with first.
 	Idle []string
 	// SpareSince is since when the pool has had more hosts than it needs; zero
@@ -53,7 +56,8 @@
 		settings: settings,
 		pools:    slices.Clone(pools),
 	}
-	p.fill()
+	p.fill(lack)
+	p.fill(lackToKeep)
 	p.release()
 	return p.moves
 }
@@ -65,7 +69,7 @@
 	moves    []Move
 }
 
-// lack returns how many hosts a pool is short of.
+// lack returns how many hosts a pool is short of for its present work.
 func lack(p Pool) int {
 	if p.Reserve {
 		return 0
@@ -73,20 +77,28 @@
 	return max(p.Need, p.Floor) - p.Hosts
 }
 
+// lackToKeep returns how many hosts a pool is short of for what it expects.
+func lackToKeep(p Pool) int {
+	if p.Reserve {
+		return 0
+	}
+	return max(p.Need, p.Floor, p.Keep) - p.Hosts
+}
+
 // fill gives hosts to pools that lack some, one at a time to the one that
-// lacks most of its need.
-func (p *planner) fill() {
+// lacks the largest part.
+func (p *planner) fill(lacks func(Pool) int) {
 	for len(p.moves) < p.settings.MostMoves {
 		to := -1
 		for i, pool := range p.pools {
-			if lack(pool) > 0 && (to < 0 || share(pool) > share(p.pools[to])) {
+			if lacks(pool) > 0 && (to < 0 || share(pool, lacks) > share(p.pools[to], lacks)) {
 				to = i
 			}
 		}
 		if to < 0 {
 			return
 		}
-		from := p.giver()
+		from := p.giver(lacks)
 		if from < 0 {
 			return
 		}
@@ -94,18 +106,20 @@
 	}
 }
 
-// share returns the part of its need that a pool lacks.
-func share(p Pool) float64 { return float64(lack(p)) / float64(max(p.Need, p.Floor, 1)) }
+// share returns the part of its hosts that a pool lacks.
+func share(p Pool, lacks func(Pool) int) float64 {
+	return float64(lacks(p)) / float64(max(p.Hosts+lacks(p), 1))
+}
 
 // giver returns the pool that gives a host: the reserve, else the one with most
-// hosts beyond its need; -1 when there is none.
-func (p *planner) giver() int {
+// hosts beyond what it should keep; -1 when there is none.
+func (p *planner) giver(lacks func(Pool) int) int {
 	best := -1
 	for i, pool := range p.pools {
-		if len(pool.Idle) == 0 || (!pool.Reserve && lack(pool) >= 0) {
+		if len(pool.Idle) == 0 || (!pool.Reserve && lacks(pool) >= 0) {
 			continue
 		}
-		if best < 0 || cmp.Or(boolOrder(pool.Reserve, p.pools[best].Reserve), cmp.Compare(lack(pool), lack(p.pools[best]))) < 0 {
+		if best < 0 || cmp.Or(boolOrder(pool.Reserve, p.pools[best].Reserve), cmp.Compare(lackToKeep(pool), lackToKeep(p.pools[best]))) < 0 {
 			best = i
 		}
 	}
@@ -133,7 +147,7 @@
 		if pool.Reserve || pool.SpareSince.IsZero() || p.now.Sub(pool.SpareSince) < p.settings.IdleTime {
 			continue
 		}
-		for lack(*pool) < 0 && len(pool.Idle) > 0 && len(p.moves) < p.settings.MostMoves {
+		for lackToKeep(*pool) < 0 && len(pool.Idle) > 0 && len(p.moves) < p.settings.MostMoves {
 			p.move(i, reserve)
 		}
 	}
--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -1,46 +1,48 @@
 package balancer
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// binTime is the length of one bin of the history.
 	binTime = 250 * time.Millisecond
 	// binsKept bounds the history.
 	binsKept = 1024
-	// recentBins are the bins over which the present rate is taken.
-	recentBins = 3
-	// onsetFactor is how far above its mean a rate has to be for a peak.
-	onsetFactor = 1.6
-	// onsetsKept is how many peaks a rhythm is taken from.
-	onsetsKept = 3
-	// cycleTolerance is the part of a period by which two intervals between
-	// peaks may differ and still count as a rhythm.
-	cycleTolerance = 0.2
+	// shortBins are the whole bins over which the onset of a peak is seen, and
+	// longBins those over which a steady rate is taken.
+	shortBins = 2
+	longBins  = 4
+	// onsetShare and endShare are the parts of the highest rate at which a peak
+	// begins and ends; the gap keeps noise from ending it.
+	onsetShare = 0.5
+	endShare   = 0.25
+	// maxDecay is the part of the highest rate that is kept with each peak, so
+	// that it follows a load that falls.
+	maxDecay = 0.8
 )
 
-// Demand is the history of the work that came for one pool. The zero value is
-// an empty one. It is not safe for concurrent use.
+// Demand is the history of the work that came for one pool, in hosts: work of
+// 1 is what keeps one host busy for a second. The zero value is an empty one.
+// It is not safe for concurrent use.
 type Demand struct {
+	// Least is the rate below which nothing counts as a peak.
+	Least float64
+
 	begun time.Time
-	// bins[i%binsKept] is the work of bin i, in core-seconds.
+	// bins[i%binsKept] is the work of bin i.
 	bins [binsKept]float64
 	last int
-	// total is the work since begun.
-	total float64
-	// peak is true while the rate is above its mean.
-	peak bool
-	// onsets are the bins in which the last peaks began, at most three.
-	onsets []int
+	// highest is the highest rate of the last peaks.
+	highest float64
+	peaks   int
+	inPeak  bool
+	// onset and end are of the newest peak; former is the onset before.
+	onset, end, former time.Time
 }
 
-// Add notes work, in core-seconds, that came at the given time.
+// Add notes work that came at the given time.
 func (d *Demand) Add(now time.Time, work float64) {
 	d.advance(now)
 	d.bins[d.last%binsKept] += work
-	d.total += work
 }
 
 // advance opens the bins up to now.
@@ -50,80 +52,71 @@
 	}
 	bin := int(now.Sub(d.begun) / binTime)
 	for d.last < bin {
+		d.notePeak()
 		d.last++
 		d.bins[d.last%binsKept] = 0
-		d.notePeak()
 	}
 }
 
-// Rate returns the work a second of the last bins, in cores.
-func (d *Demand) Rate(now time.Time) float64 {
-	d.advance(now)
-	sum, n := 0.0, 0.0
-	// The bin that is filling counts for its part.
-	for i := max(0, d.last-recentBins); i <= d.last; i++ {
+// rate returns the mean rate of the last n whole bins.
+func (d *Demand) rate(n int) float64 {
+	sum := 0.0
+	for i := max(0, d.last-n); i < d.last; i++ {
 		sum += d.bins[i%binsKept]
-		n++
 	}
-	partial := float64(now.Sub(d.begun)%binTime) / float64(binTime)
-	span := max(1, n-1+partial)
-	return sum / (span * binTime.Seconds())
+	return sum / (float64(n) * binTime.Seconds())
 }
 
-func (d *Demand) mean() float64 {
-	return d.total / (float64(d.last+1) * binTime.Seconds())
+// Rate returns the present rate. It rises quickly and falls slowly, since too
+// few hosts cost more than too many.
+func (d *Demand) Rate(now time.Time) float64 {
+	d.advance(now)
+	return max(d.rate(shortBins), d.rate(longBins))
 }
 
-// notePeak follows the rhythm of the peaks with each whole bin.
+// notePeak follows the peaks with each bin that is whole.
 func (d *Demand) notePeak() {
-	sum := 0.0
-	for i := max(0, d.last-recentBins); i < d.last; i++ {
-		sum += d.bins[i%binsKept]
-	}
-	rate := sum / (recentBins * binTime.Seconds())
+	rate := max(d.rate(shortBins), d.rate(longBins))
+	at := d.begun.Add(time.Duration(d.last) * binTime)
 	switch {
-	case !d.peak && rate > onsetFactor*d.mean():
-		d.peak = true
-		d.onsets = append(d.onsets, d.last-recentBins+1)
-		if len(d.onsets) > onsetsKept {
-			d.onsets = d.onsets[1:]
-		}
-	case d.peak && rate < d.mean()/onsetFactor:
-		d.peak = false
+	case !d.inPeak && rate >= d.Least && rate > onsetShare*d.highest:
+		d.inPeak = true
+		d.peaks++
+		d.former, d.onset = d.onset, at
+		d.highest = max(rate, maxDecay*d.highest)
+	case d.inPeak && rate < endShare*d.highest:
+		d.inPeak = false
+		d.end = at
+	case d.inPeak:
+		d.highest = max(d.highest, rate)
 	}
 }
 
-// Period returns the time between the last two peaks, 0 when no rhythm is known.
-func (d *Demand) Period() time.Duration {
-	n := len(d.onsets)
-	if n < 2 {
-		return 0
-	}
-	last := d.onsets[n-1] - d.onsets[n-2]
-	if n > 2 {
-		before := d.onsets[n-2] - d.onsets[n-3]
-		if math.Abs(float64(last-before)) > cycleTolerance*float64(max(last, before)) {
-			return 0
-		}
-	}
-	return time.Duration(last) * binTime
+// Outlook is what the history says of the next peak.
+type Outlook struct {
+	// Known is false before the first peak has ended.
+	Known bool
+	// Next is when the next peak is expected.
+	Next time.Time
+	// Rate is the highest rate to expect.
+	Rate float64
 }
 
-// Forecast returns the rate to expect at a later time, in cores: that of one
-// period before, where a rhythm is known. Period is the rhythm of the fleet.
-func (d *Demand) Forecast(now time.Time, ahead, period time.Duration) float64 {
+// Outlook returns what to expect. Peaks go from pool to pool by turns: without
+// a rhythm of its own yet, a pool is expected to peak again when the given
+// number of pools had a turn as long as its own.
+func (d *Demand) Outlook(now time.Time, pools int) Outlook {
 	d.advance(now)
-	if period <= 0 || ahead >= period {
-		return 0
+	if d.inPeak || d.peaks == 0 {
+		return Outlook{}
 	}
-	bins := int((period - ahead) / binTime)
-	at := d.last - bins
-	if at < 0 || bins >= binsKept {
-		return 0
+	period := d.end.Sub(d.onset) * time.Duration(max(pools, 1))
+	if d.peaks > 1 {
+		period = d.onset.Sub(d.former)
 	}
-	sum := 0.0
-	for i := max(0, at); i < min(at+recentBins, d.last); i++ {
-		sum += d.bins[i%binsKept]
+	return Outlook{
+		Known: true,
+		Next:  d.onset.Add(period),
+		Rate:  d.highest,
 	}
-	return sum / (recentBins * binTime.Seconds())
 }
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -21,6 +20,14 @@
 	backlogTime = 800 * time.Millisecond
 	// fillShare is the part of a host that short tasks can be packed into.
 	fillShare = 0.8
+	// peakShare is the part of its hosts that a pool's work has to ask for to
+	// count as a peak.
+	peakShare = 0.3
+	// expectShare is the part of the last peak that is prepared for.
+	expectShare = 0.8
+	// overdueLimit is how long an expected peak may be late before the pool
+	// goes back to the hosts that it began with.
+	overdueLimit = 4 * time.Second
 	// leastHosts is the least size of a pool that works.
 	leastHosts = 3
 	// idleTime is how long a pool keeps hosts that it does not need; a move
@@ -96,13 +103,12 @@
 		return
 	}
 	s.hosts.balancedAt = s.now
-	period := s.period()
 	var pools []balancer.Pool
 	for _, cfg := range s.state.Configuration.GetPools() {
 		p := s.pool(cfg.GetName())
-		view := s.viewPool(p, period)
+		view := s.viewPool(p)
 		view.Reserve = cfg.GetStandby()
-		if max(view.Need, view.Floor) >= view.Hosts {
+		if max(view.Need, view.Floor, view.Keep) >= view.Hosts {
 			p.spareSince = time.Time{}
 		} else if p.spareSince.IsZero() {
 			p.spareSince = s.now
@@ -119,18 +125,8 @@
 	}
 }
 
-// period returns the rhythm of the peaks, which all pools share.
-func (s *Scheduler) period() time.Duration {
-	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
-		if p := s.pools[name].demand.Period(); p > 0 {
-			return p
-		}
-	}
-	return 0
-}
-
 // viewPool returns what the balancer needs to know of a pool.
-func (s *Scheduler) viewPool(p *pool, period time.Duration) balancer.Pool {
+func (s *Scheduler) viewPool(p *pool) balancer.Pool {
 	view := balancer.Pool{
 		Name:  p.name,
 		Floor: leastHosts,
@@ -140,12 +136,41 @@
 	for _, j := range p.jobs {
 		busy += s.waitingNeed(j, whole, &view)
 	}
-	short := max(p.demand.Rate(s.now), p.demand.Forecast(s.now, moveAhead, period), busy)
+	short := max(p.demand.Rate(s.now), busy)
 	view.Need = int(math.Ceil(lasting + short/fillShare))
 	s.countHosts(p, &view)
+	if p.base == 0 {
+		p.base = view.Hosts
+		p.demand.Least = peakShare * float64(view.Hosts)
+	}
+	view.Keep = s.keep(p, lasting)
 	return view
 }
 
+// keep returns how many hosts a pool should hold for what it expects: those
+// that it began with before its first peak, few after a peak, and as many as
+// the last peak took when the next one is due.
+func (s *Scheduler) keep(p *pool, lasting float64) int {
+	outlook := p.demand.Outlook(s.now, s.workingPools())
+	switch {
+	case !outlook.Known, s.now.Sub(outlook.Next) > overdueLimit:
+		return p.base
+	case s.now.Before(outlook.Next.Add(-moveAhead)):
+		return 0
+	}
+	return int(math.Ceil(lasting + outlook.Rate*expectShare/fillShare))
+}
+
+func (s *Scheduler) workingPools() int {
+	n := 0
+	for _, cfg := range s.state.Configuration.GetPools() {
+		if !cfg.GetStandby() {
+			n++
+		}
+	}
+	return n
+}
+
 // poolLoad returns how many hosts the lasting and the short tasks fill that run
 // in a pool.
 func (s *Scheduler) poolLoad(p *pool, whole amount) (lasting, short float64) {
