--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -61,6 +61,7 @@
 		seconds := time.Duration(spec.GetEstimateNanos()).Seconds()
 		work += float64(spec.GetTasks()) * hostShare(amountOf(spec.GetEach()), whole) * seconds
 	}
+	j.size = work
 	if work > 0 {
 		j.pool.demand.Add(s.now, work)
 	}
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -29,6 +29,8 @@
 	// tail[i] is the estimated time from the start of step i to the job's end.
 	tail  []time.Duration
 	chain time.Duration
+	// size is the work of one occurrence, in host-seconds.
+	size float64
 }
 
 type occurrence struct {
@@ -37,7 +39,9 @@
 	due    time.Time
 	// objective is until when its end earns full credit.
 	objective time.Time
-	steps     []*step
+	// begun is true once a task has been ordered to start.
+	begun bool
+	steps []*step
 }
 
 type step struct {
@@ -45,7 +49,9 @@
 	number     int32
 	spec       *jobwire.Step
 	each       amount
-	ready      bool
+	// share is the part of a host that a task takes.
+	share float64
+	ready bool
 	// Invariant: sorted indexes of the tasks that are not done and have no run.
 	pending []int32
 	// runs holds the newest run of each task that has one.
@@ -130,6 +136,7 @@
 		number:     number,
 		spec:       spec,
 		each:       amountOf(spec.GetEach()),
+		share:      hostShare(amountOf(spec.GetEach()), s.hostSize(o.job.pool.name)),
 		runs:       make(map[int32]*run),
 		numbers:    make(map[int32]uint64),
 		avoid:      make(map[int32]string),
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -50,11 +50,8 @@
 
 // place starts waiting tasks of a pool in the order of their urgency.
 func (s *Scheduler) place(p *pool, contact time.Time) {
-	waiting := s.waiting(p)
-	if len(waiting) == 0 {
-		return
-	}
 	workers := s.candidates(p)
+	waiting := s.waiting(p, len(workers))
 	for _, st := range waiting {
 		if st.spec.GetGang() {
 			s.placeGang(st, workers, contact)
@@ -77,7 +74,7 @@
 }
 
 // waiting returns the steps of a pool that have tasks to start, most urgent first.
-func (s *Scheduler) waiting(p *pool) []*step {
+func (s *Scheduler) waiting(p *pool, workers int) []*step {
 	var list []*step
 	for _, j := range p.jobs {
 		for _, o := range j.occurrences {
@@ -88,9 +85,10 @@
 			}
 		}
 	}
+	crowded := s.crowded(list, workers)
 	ranks := make(map[*step]rank, len(list))
 	for _, st := range list {
-		ranks[st] = s.rank(st)
+		ranks[st] = s.rank(st, crowded)
 	}
 	slices.SortFunc(list, func(a, b *step) int { return ranks[a].compare(ranks[b]) })
 	return list
@@ -106,12 +104,25 @@
 	step  int32
 }
 
-// The classes of a rank: lasting tasks serve their users all the time, and what
-// is late already gives way to what can still be in time.
+// The classes of a rank, most urgent first: lasting tasks serve their users all
+// the time; a job that has begun is finished before another one begins; what is
+// late already gives way to what can still be in time; what is too late to earn
+// anything comes last.
 const (
 	classLasting = iota
+	classBegun
 	classInTime
 	classLate
+	classTooLate
+)
+
+const (
+	// lateFactor is how many times its objective a job may take to earn
+	// anything.
+	lateFactor = 3
+	// crowdedTime is the time that the waiting work would keep all hosts of a
+	// pool busy from which on the pool is crowded.
+	crowdedTime = 400 * time.Millisecond
 )
 
 func (r rank) compare(o rank) int {
@@ -119,7 +130,10 @@
 		cmp.Compare(r.slack, o.slack), cmp.Compare(r.id, o.id), cmp.Compare(r.step, o.step))
 }
 
-func (s *Scheduler) rank(st *step) rank {
+// rank places a step among those that wait. In a crowded pool not all jobs can
+// be in time; the one with the least slack first would make nearly all of them
+// late, so there the smaller jobs come first.
+func (s *Scheduler) rank(st *step, crowded bool) rank {
 	o := st.occurrence
 	r := rank{
 		class:    classInTime,
@@ -133,11 +147,31 @@
 	case st.spec.GetLasting():
 		r.class = classLasting
 	case r.slack < 0:
-		r.class, r.slack = classLate, left
+		r.class = classLate
+		r.slack += (lateFactor - 1) * o.objective.Sub(o.due)
+		if r.slack < 0 {
+			r.class, r.slack = classTooLate, left
+		}
+	case o.begun:
+		r.class = classBegun
+	case crowded:
+		r.slack = time.Duration(o.job.size * float64(time.Second))
 	}
 	return r
 }
 
+// crowded reports whether the waiting work of a pool exceeds what its hosts can
+// do soon.
+func (s *Scheduler) crowded(list []*step, workers int) bool {
+	waiting := 0.0
+	for _, st := range list {
+		if !st.spec.GetLasting() {
+			waiting += st.share * float64(len(st.pending)) * time.Duration(st.spec.GetEstimateNanos()).Seconds()
+		}
+	}
+	return waiting > crowdedTime.Seconds()*float64(workers)
+}
+
 // placeTasks starts the tasks of a step that fit.
 func (s *Scheduler) placeTasks(st *step, workers []*worker, contact time.Time) {
 	for _, index := range slices.Clone(st.pending) {
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -72,6 +72,7 @@
 		st.perWorker[w.info.GetId()]++
 		st.unqueue(key.index)
 		st.occurrence.job.started = true
+		st.occurrence.begun = true
 	}
 	w.runs[key] = r
 	w.used = w.used.plus(r.room)
