--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -18,17 +18,21 @@
 )
 
 const (
-	// attemptTimeout bounds one call to one host. A leader answers within a few
+	// attemptTimeout bounds one call to the leader, which answers within a few
 	// syncs of its disk; one that does not is frozen or cut off.
 	attemptTimeout = 700 * time.Millisecond
-	// leaderlessTimeout is how long a call looks for a leader that no host
-	// names before its caller is told to come back.
+	// leaderlessTimeout is how long a call that was not sent waits for a leader
+	// to be found before its caller is told to come back.
 	leaderlessTimeout = 120 * time.Millisecond
-	// totalTimeout bounds a call that may have been carried out.
-	totalTimeout = 2 * time.Second
-	// attemptPause is the time between two rounds of attempts.
-	attemptPause = 30 * time.Millisecond
-	// comeBack is when a caller should try again that met no leader.
+	// unknownTimeout is how long a call that may have been carried out is
+	// looked after before its caller is told that its outcome is not known.
+	unknownTimeout = 1300 * time.Millisecond
+	// probeTimeout bounds the question whether a host leads.
+	probeTimeout = 300 * time.Millisecond
+	// probePause is the time between two rounds of such questions.
+	probePause = 40 * time.Millisecond
+	// comeBack is when a caller should try again that met no leader: an
+	// election takes about a second.
 	comeBack = time.Second
 	// freshFor is how long the last answer of a leader vouches for the path to it.
 	freshFor = 1500 * time.Millisecond
@@ -58,13 +62,18 @@
 	leader string
 	// answered is when a leader last answered.
 	answered time.Time
+	// finding is true while hosts are asked for the leader.
+	finding bool
+	// changed is closed and replaced with each change of the leader.
+	changed chan struct{}
 }
 
 // New returns a gateway that knows no leader yet.
 func New(opts Options) *Gateway {
 	return &Gateway{
-		opts:  opts,
-		hosts: slices.Compact(slices.Sorted(slices.Values(opts.Hosts))),
+		opts:    opts,
+		hosts:   slices.Compact(slices.Sorted(slices.Values(opts.Hosts))),
+		changed: make(chan struct{}),
 	}
 }
 
@@ -127,34 +136,28 @@
 }](ctx context.Context, g *Gateway, method string, req proto.Message) (resp PR, sent bool) {
 	begun := g.opts.Clock.Now()
 	for {
-		for _, host := range g.order() {
-			resp, err := attempt[R, PR](ctx, g, host, method, req)
-			switch {
-			case err != nil:
-				sent = sent || !messenger.NotSent(err)
-				g.lost(host)
-			case resp.GetOutcome() == jobwire.Outcome_OUTCOME_NOT_LEADER:
-				g.learn(host, resp.GetLeader())
-			case resp.GetOutcome() == jobwire.Outcome_OUTCOME_UNKNOWN:
-				sent = true
-				g.lost(host)
-			default:
-				g.found(host)
-				return resp, true
-			}
-			if g.Leader() != "" && g.Leader() != host {
-				break
-			}
+		left := leaderlessTimeout
+		if sent {
+			left = unknownTimeout
 		}
-		spent := g.opts.Clock.Now().Sub(begun)
-		if ctx.Err() != nil || spent > totalTimeout || (!sent && g.Leader() == "" && spent > leaderlessTimeout) {
+		left -= g.opts.Clock.Now().Sub(begun)
+		host := g.await(ctx, left)
+		if host == "" {
 			return nil, sent
 		}
-		pause := g.opts.Clock.NewTimer(attemptPause)
-		select {
-		case <-pause.C():
-		case <-ctx.Done():
-			pause.Stop()
+		resp, err := attempt[R, PR](ctx, g, host, method, req)
+		switch {
+		case err != nil:
+			sent = sent || !messenger.NotSent(err)
+			g.lost(host, err.Error())
+		case resp.GetOutcome() == jobwire.Outcome_OUTCOME_NOT_LEADER:
+			g.learn(host, resp.GetLeader())
+		case resp.GetOutcome() == jobwire.Outcome_OUTCOME_UNKNOWN:
+			sent = true
+			g.lost(host, "the lead ended during the call")
+		default:
+			g.found(host)
+			return resp, true
 		}
 	}
 }
@@ -172,29 +175,88 @@
 	return resp, nil
 }
 
-// order returns the hosts to ask, the leader first.
-func (g *Gateway) order() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	order := make([]string, 0, len(g.hosts)+1)
-	if g.leader != "" {
-		order = append(order, g.leader)
+// await returns the leader, empty when none is found in time.
+func (g *Gateway) await(ctx context.Context, timeout time.Duration) string {
+	t := g.opts.Clock.NewTimer(timeout)
+	defer t.Stop()
+	for {
+		g.mu.Lock()
+		leader, changed := g.leader, g.changed
+		if leader == "" && !g.finding {
+			g.finding = true
+			go g.find()
+		}
+		g.mu.Unlock()
+		if leader != "" && timeout > 0 {
+			return leader
+		}
+		select {
+		case <-changed:
+		case <-t.C():
+			return ""
+		case <-ctx.Done():
+			return ""
+		}
 	}
-	for _, host := range g.hosts {
-		if host != g.leader {
-			order = append(order, host)
+}
+
+// find asks all hosts at once until one leads.
+func (g *Gateway) find() {
+	for g.Leader() == "" {
+		g.mu.Lock()
+		hosts := slices.Clone(g.hosts)
+		g.mu.Unlock()
+		var asked sync.WaitGroup
+		for _, host := range hosts {
+			asked.Go(func() { g.probe(host) })
 		}
+		asked.Wait()
+		pause := g.opts.Clock.NewTimer(probePause)
+		<-pause.C()
 	}
-	return order
+	g.mu.Lock()
+	g.finding = false
+	g.mu.Unlock()
+}
+
+// probe asks a host whether it leads, with a call that costs it little.
+func (g *Gateway) probe(host string) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	resp := &jobwire.ControlResponse{}
+	err := g.opts.Caller.Call(ctx, host, "Jobs.Control", &jobwire.ControlRequest{
+		Call: &jobwire.ControlRequest_ReadWave{
+			ReadWave: &jobwire.ReadWave{},
+		},
+	}, resp)
+	switch {
+	case err != nil:
+		g.lost(host, err.Error())
+	case resp.GetOutcome() == jobwire.Outcome_OUTCOME_NOT_LEADER:
+		g.learn(host, "")
+		g.Add(resp.GetLeader())
+	default:
+		g.found(host)
+	}
+}
+
+// setLeader changes the leader; g.mu is held.
+func (g *Gateway) setLeader(host string) {
+	if g.leader == host {
+		return
+	}
+	g.leader = host
+	close(g.changed)
+	g.changed = make(chan struct{})
 }
 
 // lost notes that a host did not answer.
-func (g *Gateway) lost(host string) {
+func (g *Gateway) lost(host, cause string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.leader == host {
-		g.opts.Logger.Info("gateway: leader does not answer", "host", host)
-		g.leader = ""
+		g.opts.Logger.Info("gateway: leader does not answer", "host", host, "cause", cause)
+		g.setLeader("")
 	}
 }
 
@@ -202,26 +264,30 @@
 func (g *Gateway) learn(host, leader string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.leader != host {
+		return
+	}
 	if leader == host {
 		leader = ""
 	}
-	if g.leader == host || leader != "" {
-		g.leader = leader
-	}
-	if leader != "" && !slices.Contains(g.hosts, leader) {
-		g.hosts = append(g.hosts, leader)
-	}
+	g.setLeader(leader)
+	g.add(leader)
 }
 
 func (g *Gateway) found(host string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.leader != host || g.answered.IsZero() {
+	if g.leader != host {
 		g.opts.Logger.Info("gateway: host leads", "host", host)
 	}
-	g.leader = host
+	g.setLeader(host)
 	g.answered = g.opts.Clock.Now()
-	if !slices.Contains(g.hosts, host) {
+	g.add(host)
+}
+
+// add notes a host's name; g.mu is held.
+func (g *Gateway) add(host string) {
+	if host != "" && !slices.Contains(g.hosts, host) {
 		g.hosts = append(g.hosts, host)
 	}
 }
@@ -230,17 +296,17 @@
 func (g *Gateway) Add(host string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !slices.Contains(g.hosts, host) {
-		g.hosts = append(g.hosts, host)
-	}
+	g.add(host)
 }
 
-// Watch asks for the leader while no calls pass, until ctx ends, so that Ready
+// Watch asks the leader while no calls pass, until ctx ends, so that Ready
 // tells of the path to it.
 func (g *Gateway) Watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !g.freshWithin(freshFor / 3) {
-			g.probe(ctx)
+			if leader := g.await(ctx, probeTimeout); leader != "" {
+				g.probe(leader)
+			}
 		}
 		pause := g.opts.Clock.NewTimer(freshFor / 3)
 		select {
@@ -256,14 +322,3 @@
 	defer g.mu.Unlock()
 	return g.opts.Clock.Now().Sub(g.answered) < d
 }
-
-// probe asks for the configuration's presence, which costs the leader little.
-func (g *Gateway) probe(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	g.Control(ctx, &jobwire.ControlRequest{
-		Call: &jobwire.ControlRequest_ReadWave{
-			ReadWave: &jobwire.ReadWave{},
-		},
-	})
-}
