internal/jobscheduler: a silent worker holds up only what it may run

Cause: after half of the changes of the leader nothing started for 4.3 s, since one of fifty workers had not answered. Now only old jobs of its pool wait, and its capacity counts against ceilings; all pools wait if a queue has changed its pool lately. Test: TestSilentWorkerHoldsUpOnlyWhatItMayRun.

--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -56,6 +56,9 @@
 	Jobs map[string]*Job
 	// Workers holds the newest life of each worker by its id.
 	Workers map[string]*jobwire.Worker
+	// QueuesMoved is when a queue was last given another pool, so that its tasks
+	// may still run in the former one; zero when none was.
+	QueuesMoved time.Time
 	// Waves holds all maintenance waves by their id.
 	Waves map[string]*jobwire.Wave
 
@@ -131,7 +134,7 @@
 	case *jobwire.Command_Ends:
 		return k.recordEnds(now, c.Ends.GetEnds())
 	case *jobwire.Command_Configure:
-		return k.configure(c.Configure)
+		return k.configure(now, c.Configure)
 	case *jobwire.Command_Evacuate:
 		return k.evacuate(c.Evacuate)
 	case *jobwire.Command_Wave:
@@ -228,8 +231,13 @@
 	return nil
 }
 
-func (k *Keeper) configure(c *jobwire.Configuration) any {
+func (k *Keeper) configure(now time.Time, c *jobwire.Configuration) any {
 	if c.GetVersion() > k.state.Configuration.GetVersion() {
+		for _, q := range c.GetQueues() {
+			if former := k.state.Queue(q.GetName()); former != nil && former.GetPool() != q.GetPool() {
+				k.state.QueuesMoved = now
+			}
+		}
 		k.state.Configuration = c
 		k.fleetChanged()
 	}
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -34,6 +34,9 @@
 	for _, id := range slices.Sorted(maps.Keys(s.Waves)) {
 		m.Waves = append(m.Waves, s.Waves[id])
 	}
+	if !s.QueuesMoved.IsZero() {
+		m.QueuesMovedUnixNanos = s.QueuesMoved.UnixNano()
+	}
 	data, err := proto.Marshal(m)
 	return data, errors.Wrap(err, "jobkeeper: encode")
 }
@@ -46,6 +49,9 @@
 	}
 	s := newState()
 	s.Configuration = m.GetConfiguration()
+	if moved := m.GetQueuesMovedUnixNanos(); moved != 0 {
+		s.QueuesMoved = time.Unix(0, moved)
+	}
 	for _, dataCentre := range m.GetEvacuated() {
 		s.Evacuated[dataCentre] = true
 	}
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -20,6 +20,8 @@
 	id     string
 	record *jobkeeper.Job
 	pool   *pool
+	// old is true for a job that was accepted before this term.
+	old bool
 	// started is true once a task has been ordered to start.
 	started bool
 	// Invariant: sorted by number, without the done ones.
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -72,6 +72,7 @@
 	s.reconcile(w, answer)
 	if !w.adopted {
 		w.adopted = true
+		delete(s.unknown, w.info.GetId())
 		s.markPool(w.info.GetPool())
 	}
 	if w.info.GetLapsed() {
@@ -206,7 +207,7 @@
 // stops it when its task needs no run.
 func (s *Scheduler) meet(w *worker, key runKey) *run {
 	st := s.find(key.StepKey)
-	wanted := st != nil && s.live[key.taskKey] == 0 && !s.opened &&
+	wanted := st != nil && s.live[key.taskKey] == 0 && s.unknown[w.info.GetId()] == w &&
 		!st.occurrence.job.record.Task(key.task()).Done
 	if st != nil {
 		st.numbers[key.index] = max(st.numbers[key.index], key.number)
@@ -241,34 +242,25 @@
 }
 
 // tickWorkers sends the looks that are due, takes runs back from workers whose
-// leases have ended, and opens the term.
+// leases have ended, and gives up the wait for unknown workers.
 func (s *Scheduler) tickWorkers(contact time.Time) {
-	known := true
 	for _, w := range s.workers {
 		s.tickWorker(w, contact)
-		known = known && (w.adopted || w.info.GetLapsed())
-	}
-	if s.opened {
-		return
 	}
 	// A former leader's orders end a lease after its last confirmation, which
 	// was before this term began.
-	if bound := time.Duration(float64(s.settings.Lease)*clockSlack) + 2*leaseMargin; known || s.now.Sub(s.since) > bound {
-		s.open()
-	}
-}
-
-// open lets tasks start; workers that were not heard from run nothing any more.
-func (s *Scheduler) open() {
-	s.opened = true
-	for _, w := range s.workers {
-		if !w.adopted && !w.info.GetLapsed() {
+	if bound := time.Duration(float64(s.settings.Lease)*clockSlack) + 2*leaseMargin; s.now.Sub(s.since) > bound {
+		for _, w := range s.unknown {
 			s.noteLapsed(w, true)
 		}
+		clear(s.unknown)
+	}
+	if len(s.unknown) == 0 && !s.opened {
+		s.opened = true
+		s.markAll()
+		s.logger.Info("scheduler: all runs are known", "term", s.term, "workers", len(s.workers), "jobs", len(s.jobs),
+			"waited", s.now.Sub(s.since))
 	}
-	s.markAll()
-	s.logger.Info("scheduler: tasks may start", "term", s.term, "workers", len(s.workers), "jobs", len(s.jobs),
-		"waited", s.now.Sub(s.since))
 }
 
 func (s *Scheduler) tickWorker(w *worker, contact time.Time) {
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -21,13 +21,11 @@
 	}
 	s.tickWorkers(contact)
 	s.tickRuns()
-	if s.opened {
-		s.tickHosts()
-		for _, p := range s.pools {
-			if p.dirty {
-				p.dirty = false
-				s.place(p, contact)
-			}
+	s.tickHosts()
+	for _, p := range s.pools {
+		if p.dirty {
+			p.dirty = false
+			s.place(p, contact)
 		}
 	}
 	return s.take()
@@ -53,6 +51,9 @@
 	workers := s.candidates(p)
 	waiting := s.waiting(p, len(workers))
 	for _, st := range waiting {
+		if s.mayBeUnknown(st.occurrence.job) {
+			continue
+		}
 		if st.spec.GetGang() {
 			s.placeGang(st, workers, contact)
 			continue
@@ -211,6 +212,9 @@
 	account := st.occurrence.job.record.Spec.GetAccount()
 	ceiling := s.ceiling(account)
 	used := s.used[account]
+	if ceiling != (amount{}) {
+		used = used.plus(s.unknownUse())
+	}
 	if used == (amount{}) && n == 1 {
 		return true
 	}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -287,6 +287,8 @@
 func (s *Scheduler) leave(w *worker) {
 	s.loseAll(w, "this life of the worker has ended")
 	delete(s.workers, w.info.GetId())
+	delete(s.unknown, w.info.GetId())
+	s.markPool(w.info.GetPool())
 	s.emit(Forget{
 		ID:   w.info.GetId(),
 		Born: w.info.GetBorn(),
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -37,9 +37,13 @@
 	state    *jobkeeper.State
 	term     uint64
 	since    time.Time
-	// opened is true once no run of a former leader can be unknown, so that
-	// tasks may start.
-	opened bool
+	// unknown holds the workers that may run tasks of a former leader and have
+	// not told which. Old jobs of their pools wait until they have, or until the
+	// leases of the former leader have ended.
+	unknown map[string]*worker
+	// allWait is true when old jobs of all pools wait for each unknown worker.
+	allWait bool
+	opened  bool
 
 	jobs    map[string]*job
 	workers map[string]*worker
@@ -97,6 +101,7 @@
 		queues:   make(map[string]*jobwire.Queue),
 		used:     make(map[string]amount),
 		live:     make(map[taskKey]int),
+		unknown:  make(map[string]*worker),
 		hosts: hosts{
 			upkeeps: make(map[string]*upkeep),
 			moves:   make(map[string]*move),
@@ -106,10 +111,15 @@
 	s.FleetChanged()
 	for _, w := range state.Workers {
 		s.WorkerChanged(w)
+		if !w.GetLapsed() {
+			s.unknown[w.GetId()] = s.workers[w.GetId()]
+		}
 	}
+	s.allWait = wall.Sub(state.QueuesMoved) < queuesMovedRecently
 	for _, j := range state.Jobs {
 		if j.Open() {
 			s.JobAdded(j)
+			s.jobs[j.Spec.GetId()].old = true
 		}
 	}
 	return s
@@ -119,8 +129,32 @@
 // time of day.
 func (s *Scheduler) SetTime(now, wall time.Time) { s.now, s.wall = now, wall }
 
-// Opened reports whether tasks may start.
-func (s *Scheduler) Opened() bool { return s.opened }
+// queuesMovedRecently is the age of a queue's change of its pool up to which its
+// tasks may run in the former pool.
+const queuesMovedRecently = 20 * time.Second
+
+// mayBeUnknown reports whether a task of the job may run on a worker that has
+// not told what it runs.
+func (s *Scheduler) mayBeUnknown(j *job) bool {
+	if !j.old || len(s.unknown) == 0 {
+		return false
+	}
+	for _, w := range s.unknown {
+		if s.allWait || w.info.GetPool() == j.pool.name {
+			return true
+		}
+	}
+	return false
+}
+
+// unknownUse returns what may be running on workers that have not told.
+func (s *Scheduler) unknownUse() amount {
+	var sum amount
+	for _, w := range s.unknown {
+		sum = sum.plus(w.capacity)
+	}
+	return sum
+}
 
 func (s *Scheduler) pool(name string) *pool {
 	p, ok := s.pools[name]
--- a/internal/jobscheduler/takeover_test.go
+++ b/internal/jobscheduler/takeover_test.go
@@ -78,3 +78,24 @@
 	w.pass(lease / 10)
 	w.is.Equal(describe(takeAll[jobscheduler.Start](w)), "job.0.0@b ")
 }
+
+// While one worker can't be asked, work that it can't be running goes on: jobs
+// of other pools, and jobs that came after the former leader.
+func TestSilentWorkerHoldsUpOnlyWhatItMayRun(t *testing.T) {
+	w := newWorld(t)
+	w.addWorker("a")
+	w.addWorker("b")
+	w.submit("old", tasks(1, 1000))
+	w.lead()
+	w.submit("new", tasks(1, 1000))
+	w.pass(0)
+	for _, look := range takeAll[jobscheduler.Look](w) {
+		answer := jobscheduler.LookAnswer{
+			Failed: look.Target.ID == "a",
+			Clock:  w.clock(),
+		}
+		w.report(func() { w.sched.LookAnswered(look, answer) })
+	}
+	w.pass(time.Millisecond)
+	w.is.Equal(describe(takeAll[jobscheduler.Start](w)), "new.0.0@b ")
+}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -110,6 +110,7 @@
 	}
 	if ok {
 		s.loseAll(w, "the worker started again")
+		delete(s.unknown, info.GetId())
 	}
 	w = &worker{
 		info:     info,
@@ -131,6 +132,8 @@
 	}
 	s.loseAll(w, "the worker has left")
 	delete(s.workers, info.GetId())
+	delete(s.unknown, info.GetId())
+	s.markPool(info.GetPool())
 }
 
 // WorkerHeard notes a heartbeat that states the worker's clock.
