--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -15,6 +15,11 @@
 	// begins and ends; the gap keeps noise from ending it.
 	onsetShare = 0.5
 	endShare   = 0.25
+	// clipFactor bounds what one arrival counts for, in means: a job of unusual
+	// size is spread over its own run time and asks for no more hosts at once.
+	clipFactor = 3.0
+	// meanWeight is the weight of a new arrival in the mean.
+	meanWeight = 0.02
 	// maxDecay is the part of the highest rate that is kept with each peak, so
 	// that it follows a load that falls.
 	maxDecay = 0.8
@@ -31,6 +36,8 @@
 	// bins[i%binsKept] is the work of bin i.
 	bins [binsKept]float64
 	last int
+	// mean is the moving mean of one arrival.
+	mean float64
 	// highest is the highest rate of the last peaks.
 	highest float64
 	peaks   int
@@ -42,7 +49,11 @@
 // Add notes work that came at the given time.
 func (d *Demand) Add(now time.Time, work float64) {
 	d.advance(now)
-	d.bins[d.last%binsKept] += work
+	if d.mean == 0 {
+		d.mean = work
+	}
+	d.mean += meanWeight * (work - d.mean)
+	d.bins[d.last%binsKept] += min(work, clipFactor*d.mean)
 }
 
 // advance opens the bins up to now.
@@ -102,21 +113,43 @@
 	Rate float64
 }
 
-// Outlook returns what to expect. Peaks go from pool to pool by turns: without
-// a rhythm of its own yet, a pool is expected to peak again when the given
-// number of pools had a turn as long as its own.
-func (d *Demand) Outlook(now time.Time, pools int) Outlook {
+// Onset returns when the newest peak began; false when there was none.
+func (d *Demand) Onset() (time.Time, bool) { return d.onset, d.peaks > 0 }
+
+// Outlook returns what to expect. Peaks go from pool to pool by turns; the
+// period is the time in which all pools had theirs, 0 when it is not known.
+func (d *Demand) Outlook(now time.Time, period time.Duration) Outlook {
 	d.advance(now)
 	if d.inPeak || d.peaks == 0 {
 		return Outlook{}
 	}
-	period := d.end.Sub(d.onset) * time.Duration(max(pools, 1))
 	if d.peaks > 1 {
 		period = d.onset.Sub(d.former)
 	}
+	if period <= 0 {
+		return Outlook{}
+	}
 	return Outlook{
 		Known: true,
 		Next:  d.onset.Add(period),
 		Rate:  d.highest,
 	}
 }
+
+// Interval returns the mean time from one pool's peak to the next pool's, 0
+// when fewer than two pools had a peak.
+func Interval(onsets []time.Time) time.Duration {
+	if len(onsets) < 2 {
+		return 0
+	}
+	first, last := onsets[0], onsets[0]
+	for _, t := range onsets {
+		if t.Before(first) {
+			first = t
+		}
+		if t.After(last) {
+			last = t
+		}
+	}
+	return last.Sub(first) / time.Duration(len(onsets)-1)
+}
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -104,10 +104,11 @@
 		return
 	}
 	s.hosts.balancedAt = s.now
+	turn := s.turn()
 	var pools []balancer.Pool
 	for _, cfg := range s.state.Configuration.GetPools() {
 		p := s.pool(cfg.GetName())
-		view := s.viewPool(p)
+		view := s.viewPool(p, turn)
 		view.Reserve = cfg.GetStandby()
 		if max(view.Need, view.Floor, view.Keep) >= view.Hosts {
 			p.spareSince = time.Time{}
@@ -117,6 +118,7 @@
 		view.SpareSince = p.spareSince
 		pools = append(pools, view)
 	}
+	s.logPools(pools)
 	moves := balancer.Plan(s.now, pools, balancer.Settings{
 		IdleTime:  idleTime,
 		MostMoves: mostMoves,
@@ -126,8 +128,23 @@
 	}
 }
 
+// poolsLogInterval is the time between two lines on all pools.
+const poolsLogInterval = 2 * time.Second
+
+// logPools writes what the next plan goes by.
+func (s *Scheduler) logPools(pools []balancer.Pool) {
+	if s.now.Sub(s.hosts.loggedAt) < poolsLogInterval {
+		return
+	}
+	s.hosts.loggedAt = s.now
+	for _, p := range pools {
+		s.logger.Info("scheduler: pool", "pool", p.Name, "reserve", p.Reserve, "hosts", p.Hosts, "need", p.Need,
+			"floor", p.Floor, "keep", p.Keep, "idle", len(p.Idle), "moving", len(s.hosts.moves))
+	}
+}
+
 // viewPool returns what the balancer needs to know of a pool.
-func (s *Scheduler) viewPool(p *pool) balancer.Pool {
+func (s *Scheduler) viewPool(p *pool, turn turn) balancer.Pool {
 	view := balancer.Pool{
 		Name:  p.name,
 		Floor: leastHosts,
@@ -144,34 +161,59 @@
 		p.base = view.Hosts
 		p.demand.Least = peakShare * float64(view.Hosts)
 	}
-	view.Keep = s.keep(p, lasting)
+	view.Keep = s.keep(p, turn, lasting)
 	return view
 }
 
+// turn is what the peaks of all pools so far say of the next one.
+type turn struct {
+	// interval is the time from one peak to the next; 0 when it is not known.
+	interval time.Duration
+	// last is when the newest peak began.
+	last time.Time
+	// pools is the number of pools that take turns.
+	pools int
+}
+
+func (s *Scheduler) turn() turn {
+	t := turn{}
+	var onsets []time.Time
+	for _, cfg := range s.state.Configuration.GetPools() {
+		if cfg.GetStandby() {
+			continue
+		}
+		t.pools++
+		if onset, ok := s.pool(cfg.GetName()).demand.Onset(); ok {
+			onsets = append(onsets, onset)
+			if onset.After(t.last) {
+				t.last = onset
+			}
+		}
+	}
+	t.interval = balancer.Interval(onsets)
+	return t
+}
+
 // keep returns how many hosts a pool should hold for what it expects: those
-// that it began with before its first peak, few after a peak, and as many as
-// the last peak took when the next one is due.
-func (s *Scheduler) keep(p *pool, lasting float64) int {
-	outlook := p.demand.Outlook(s.now, s.workingPools())
+// that it began with while its first peak may come at any time, few until the
+// next peak is due, and most of what the last peak took then.
+func (s *Scheduler) keep(p *pool, t turn, lasting float64) int {
+	outlook := p.demand.Outlook(s.now, t.interval*time.Duration(t.pools))
+	_, peaked := p.demand.Onset()
 	switch {
-	case !outlook.Known, s.now.Sub(outlook.Next) > overdueLimit:
+	case !peaked && t.interval > 0 && s.now.Before(t.last.Add(t.interval-moveAhead)):
+		// Another pool has its turn.
+		return 0
+	case !peaked:
 		return p.base
-	case s.now.Before(outlook.Next.Add(-moveAhead)):
+	case !outlook.Known, s.now.Before(outlook.Next.Add(-moveAhead)):
 		return 0
+	case s.now.Sub(outlook.Next) > overdueLimit:
+		return p.base
 	}
 	return int(math.Ceil(lasting + outlook.Rate*expectShare/fillShare))
 }
 
-func (s *Scheduler) workingPools() int {
-	n := 0
-	for _, cfg := range s.state.Configuration.GetPools() {
-		if !cfg.GetStandby() {
-			n++
-		}
-	}
-	return n
-}
-
 // poolLoad returns how many hosts the lasting and the short tasks fill that run
 // in a pool.
 func (s *Scheduler) poolLoad(p *pool, whole amount) (lasting, short float64) {
--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -100,6 +100,8 @@
 	missing map[string]time.Time
 	// moves holds the hosts that are being moved.
 	moves map[string]*move
+	// loggedAt is when the pools were last logged.
+	loggedAt time.Time
 	// balancedAt is when the pools were last compared.
 	balancedAt time.Time
 }
