--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -17,7 +17,7 @@
 	endShare   = 0.25
 	// clipFactor bounds what one arrival counts for, in means: a job of unusual
 	// size is spread over its own run time and asks for no more hosts at once.
-	clipFactor = 3.0
+	clipFactor = 8.0
 	// meanWeight is the weight of a new arrival in the mean.
 	meanWeight = 0.02
 	// maxDecay is the part of the highest rate that is kept with each peak, so
