--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -11,6 +11,7 @@
 
 	"github.com/alitto/pond/v2"
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heathermux/heathermux/internal/jobkeeper"
@@ -69,13 +70,16 @@
 	Clock    timer.Clock
 	Logger   *slog.Logger
 	Settings jobscheduler.Settings
+	// Registerer takes the metrics; nil means none.
+	Registerer prometheus.Registerer
 }
 
 // Conductor is safe for concurrent use; make one with New.
 type Conductor struct {
-	opts  Options
-	pool  pond.Pool
-	wakes chan struct{}
+	opts    Options
+	metrics *metrics
+	pool    pond.Pool
+	wakes   chan struct{}
 
 	// sched is nil while this host does not lead. It is used with the lock of
 	// the keeper held.
@@ -95,12 +99,17 @@
 
 // New returns a conductor that does nothing until Run.
 func New(opts Options) *Conductor {
-	return &Conductor{
+	m := newMetrics()
+	opts.Settings.Waited = func(d time.Duration) { m.waited.Observe(d.Seconds()) }
+	c := &Conductor{
 		opts:      opts,
+		metrics:   m,
 		pool:      pond.NewPool(callsInFlight),
 		wakes:     make(chan struct{}, 1),
 		sequences: make(map[life]uint64),
 	}
+	c.register()
+	return c
 }
 
 // Run conducts until ctx ends.
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -21,6 +21,34 @@
 
 // Job answers a call of a submitter.
 func (c *Conductor) Job(ctx context.Context, req *jobwire.JobRequest) *jobwire.JobResponse {
+	begun := c.opts.Clock.Now()
+	resp := c.job(ctx, req)
+	c.metrics.note(callName(req), resp.GetOutcome(), c.opts.Clock.Now().Sub(begun))
+	c.logJob(req, resp)
+	return resp
+}
+
+// logJob writes a line for each call that changes a job or fails.
+func (c *Conductor) logJob(req *jobwire.JobRequest, resp *jobwire.JobResponse) {
+	if req.GetGet() != nil && resp.GetOutcome() == jobwire.Outcome_OUTCOME_OK {
+		return
+	}
+	c.opts.Logger.Info("conductor: call", "call", callName(req), "host", req.GetAddress().GetHost(),
+		"path", req.GetAddress().GetPath(), "account", req.GetSubmit().GetAccount(), "outcome", resp.GetOutcome().String(),
+		"reason", resp.GetReason())
+}
+
+func callName(req *jobwire.JobRequest) string {
+	switch req.GetCall().(type) {
+	case *jobwire.JobRequest_Submit:
+		return "submit"
+	case *jobwire.JobRequest_Cancel:
+		return "cancel"
+	}
+	return "get"
+}
+
+func (c *Conductor) job(ctx context.Context, req *jobwire.JobRequest) *jobwire.JobResponse {
 	if _, ok := c.authority(c.opts.Clock.Now()); !ok {
 		return &jobwire.JobResponse{
 			Outcome: jobwire.Outcome_OUTCOME_NOT_LEADER,
--- /dev/null
+++ b/internal/conductor/metrics.go
@@ -0,0 +1,124 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// metrics are the counters and histograms of a conductor.
+type metrics struct {
+	calls  *prometheus.CounterVec
+	took   *prometheus.HistogramVec
+	waited prometheus.Histogram
+}
+
+func newMetrics() *metrics {
+	buckets := prometheus.ExponentialBuckets(0.001, 2, 15)
+	return &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "heathermux_job_calls_total",
+			Help: "Calls of submitters that the leader answered.",
+		}, []string{"call", "outcome"}),
+		took: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "heathermux_job_call_seconds",
+			Help:    "Time that the leader took for a call, with the writing of the log.",
+			Buckets: buckets,
+		}, []string{"call"}),
+		waited: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "heathermux_first_start_seconds",
+			Help:    "Time from the acceptance of a job, or its due time, to its first start.",
+			Buckets: buckets,
+		}),
+	}
+}
+
+func (m *metrics) note(call string, outcome jobwire.Outcome, took time.Duration) {
+	m.calls.WithLabelValues(call, outcome.String()).Inc()
+	m.took.WithLabelValues(call).Observe(took.Seconds())
+}
+
+// gauge is one number of the present term.
+type gauge struct {
+	name string
+	help string
+	read func(m jobscheduler.Metrics) int64
+}
+
+// register offers the metrics, with the counters of the present term.
+func (c *Conductor) register() {
+	r := c.opts.Registerer
+	if r == nil {
+		return
+	}
+	r.MustRegister(c.metrics.calls, c.metrics.took, c.metrics.waited)
+	gauges := []gauge{
+		{
+			name: "heathermux_task_starts",
+			help: "Starts that this term has ordered.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Starts },
+		},
+		{
+			name: "heathermux_task_done",
+			help: "Runs that ended done in this term.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Done },
+		},
+		{
+			name: "heathermux_task_failed",
+			help: "Runs that failed in this term.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Failed },
+		},
+		{
+			name: "heathermux_task_lost",
+			help: "Runs that were lost in this term.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Lost },
+		},
+		{
+			name: "heathermux_task_stops",
+			help: "Stops that this term has ordered.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Stops },
+		},
+		{
+			name: "heathermux_task_no_room",
+			help: "Starts that a worker had no room for.",
+			read: func(m jobscheduler.Metrics) int64 { return m.NoRoom },
+		},
+		{
+			name: "heathermux_task_lapses",
+			help: "Runs that ended with their lease.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Lapses },
+		},
+		{
+			name: "heathermux_jobs_waiting",
+			help: "Open jobs of which no task has started.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Waiting },
+		},
+		{
+			name: "heathermux_workers_known",
+			help: "Workers that the leader knows.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Workers },
+		},
+	}
+	for _, g := range gauges {
+		r.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: g.name,
+			Help: g.help + " It is 0 on hosts that do not lead.",
+		}, func() float64 { return float64(g.read(c.counters())) }))
+	}
+}
+
+// counters returns the counters of the present term, all 0 when this host does
+// not lead.
+func (c *Conductor) counters() jobscheduler.Metrics {
+	var m jobscheduler.Metrics
+	c.opts.Keeper.View(func(*jobkeeper.State) {
+		if c.sched != nil {
+			m = c.sched.Counters()
+		}
+	})
+	return m
+}
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -33,8 +33,10 @@
 	// idleTime is how long a pool keeps hosts that it does not need; a move
 	// there and back costs about as much.
 	idleTime = 3 * time.Second
-	// mostMoves bounds the moves that are ordered at once.
-	mostMoves = 12
+	// mostMoves bounds the moves that are ordered at once, and movesShare is
+	// that bound as a part of all hosts where they are many.
+	mostMoves  = 12
+	movesShare = 0.1
 	// moveLimit is the time after which a move that does not end is forgotten.
 	moveLimit = 10 * time.Second
 )
@@ -70,14 +72,14 @@
 // hostSize returns the capacity of a host of a pool, or of any when the pool
 // has none.
 func (s *Scheduler) hostSize(pool string) amount {
-	var any amount
+	var other amount
 	for _, w := range s.workers {
 		if w.info.GetPool() == pool {
 			return w.capacity
 		}
-		any = w.capacity
+		other = w.capacity
 	}
-	return any
+	return other
 }
 
 // hostShare returns the part of a host that a task takes.
@@ -121,7 +123,7 @@
 	s.logPools(pools)
 	moves := balancer.Plan(s.now, pools, balancer.Settings{
 		IdleTime:  idleTime,
-		MostMoves: mostMoves,
+		MostMoves: max(mostMoves, int(movesShare*float64(len(s.hosts.known)))),
 	})
 	for _, m := range moves {
 		s.beginMove(m, pools)
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -132,16 +132,16 @@
 	}]
 	switch end.GetEnding() {
 	case jobwire.Ending_ENDING_DONE:
-		s.Metrics.Done++
+		s.counters.Done++
 		s.noteSuccess(w)
 	case jobwire.Ending_ENDING_FAILED:
-		s.Metrics.Failed++
+		s.counters.Failed++
 		if r != nil && r.step != nil {
 			r.step.avoid[r.key.index] = w.info.GetId()
 		}
 		s.noteFailure(w)
 	case jobwire.Ending_ENDING_LAPSED:
-		s.Metrics.Lapses++
+		s.counters.Lapses++
 	}
 	if r != nil {
 		s.dropRun(r)
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -244,7 +244,7 @@
 	s.addRun(w, st, key, starting)
 	s.logger.Info("scheduler: task starts", "task", nameOf(key.taskKey), "run", number, "worker", w.info.GetId(),
 		"slack", st.occurrence.objective.Sub(s.wall)-st.occurrence.job.tail[st.number], "used", w.used.milliCores)
-	s.Metrics.Starts++
+	s.counters.Starts++
 	s.emit(Start{
 		Target:     w.target(),
 		Task:       key.task(),
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -71,6 +71,9 @@
 		st.runs[key.index] = r
 		st.perWorker[w.info.GetId()]++
 		st.unqueue(key.index)
+		if !st.occurrence.begun && state == starting && s.settings.Waited != nil {
+			s.settings.Waited(s.wall.Sub(st.occurrence.due))
+		}
 		st.occurrence.job.started = true
 		st.occurrence.begun = true
 	}
@@ -114,7 +117,7 @@
 // loseRun drops a run that ended without a listed end and queues its task.
 func (s *Scheduler) loseRun(r *run, cause string) {
 	s.dropRun(r)
-	s.Metrics.Lost++
+	s.counters.Lost++
 	s.logger.Info("scheduler: run is lost", "task", nameOf(r.key.taskKey), "run", r.key.number,
 		"worker", r.worker.info.GetId(), "cause", cause)
 	if r.step == nil || s.find(r.key.StepKey) != r.step || s.live[r.key.taskKey] > 0 {
@@ -136,7 +139,7 @@
 		r.confirmed = time.Time{}
 	}
 	r.stopSent = s.now
-	s.Metrics.Stops++
+	s.counters.Stops++
 	s.emit(Stop{
 		Target: r.worker.target(),
 		Task:   r.key.task(),
@@ -232,7 +235,7 @@
 	s.dropRun(r)
 	switch answer {
 	case StartNoRoom:
-		s.Metrics.NoRoom++
+		s.counters.NoRoom++
 		w.fullUntil = s.now.Add(fullPause)
 	case StartRefused, StartInvalid:
 		s.noteFailure(w)
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -25,6 +25,8 @@
 	// HolderLease is how long a leader waits before it orders work on hosts, so
 	// that its orders do not mix with those of the former one.
 	HolderLease time.Duration
+	// Waited is told how long each job waited for its first start; nil is not.
+	Waited func(time.Duration)
 	// RemoteSlowdown is how many times as long a task takes away from its data.
 	RemoteSlowdown float64
 }
@@ -60,14 +62,29 @@
 	now  time.Time
 	wall time.Time
 
-	actions []Action
-	// Metrics counts what has happened since New.
-	Metrics Metrics
+	actions  []Action
+	counters Metrics
 }
 
-// Metrics counts events of one term.
+// Metrics counts the events of one term, and holds present numbers.
 type Metrics struct {
 	Starts, Done, Failed, Lost, Stops, NoRoom, Lapses int64
+	// Waiting is the number of open jobs of which no task has started.
+	Waiting int64
+	// Workers is the number of known workers.
+	Workers int64
+}
+
+// Counters returns what has happened since New and what is known now.
+func (s *Scheduler) Counters() Metrics {
+	m := s.counters
+	m.Workers = int64(len(s.workers))
+	for _, j := range s.jobs {
+		if !j.started {
+			m.Waiting++
+		}
+	}
+	return m
 }
 
 // pool holds the jobs and workers of one pool.
