--- /dev/null
+++ b/internal/balancer/balancer_test.go
@@ -0,0 +1,225 @@
+package balancer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/heathermux/heathermux/internal/balancer"
+)
+
+var settings = balancer.Settings{
+	IdleTime:  3 * time.Second,
+	MostMoves: 10,
+}
+
+func text(moves []balancer.Move) string {
+	s := ""
+	for _, m := range moves {
+		s += fmt.Sprintf("%s:%s>%s ", m.Host, m.From, m.To)
+	}
+	return s
+}
+
+// Each case is a load pattern and the moves that answer it.
+func TestPlan(t *testing.T) {
+	now := time.Unix(100, 0)
+	cases := map[string]struct {
+		pools []balancer.Pool
+		moves string
+	}{
+		"a peak takes from the reserve first": {
+			pools: []balancer.Pool{
+				{
+					Name:  "busy",
+					Hosts: 2,
+					Need:  4,
+				},
+				{
+					Name:  "idle",
+					Hosts: 3,
+					Need:  1,
+					Idle:  []string{"i1", "i2"},
+				},
+				{
+					Name:    "off",
+					Reserve: true,
+					Hosts:   1,
+					Idle:    []string{"o1"},
+				},
+			},
+			moves: "o1:off>busy i1:idle>busy ",
+		},
+		"the larger lack is served first": {
+			pools: []balancer.Pool{
+				{
+					Name:  "a",
+					Hosts: 8,
+					Need:  9,
+				},
+				{
+					Name:  "b",
+					Hosts: 1,
+					Need:  3,
+				},
+				{
+					Name:    "off",
+					Reserve: true,
+					Hosts:   1,
+					Idle:    []string{"o1"},
+				},
+			},
+			moves: "o1:off>b ",
+		},
+		"hosts that are not needed go back after a while": {
+			pools: []balancer.Pool{
+				{
+					Name:       "a",
+					Hosts:      5,
+					Need:       1,
+					Floor:      3,
+					Idle:       []string{"a1", "a2", "a3"},
+					SpareSince: now.Add(-4 * time.Second),
+				},
+				{
+					Name:    "off",
+					Reserve: true,
+				},
+			},
+			moves: "a1:a>off a2:a>off ",
+		},
+		"but not at once": {
+			pools: []balancer.Pool{
+				{
+					Name:       "a",
+					Hosts:      5,
+					Need:       1,
+					Floor:      3,
+					Idle:       []string{"a1", "a2"},
+					SpareSince: now.Add(-time.Second),
+				},
+				{
+					Name:    "off",
+					Reserve: true,
+				},
+			},
+		},
+		"a pool that expects a peak keeps its hosts": {
+			pools: []balancer.Pool{
+				{
+					Name:       "a",
+					Hosts:      5,
+					Need:       1,
+					Keep:       5,
+					Idle:       []string{"a1", "a2"},
+					SpareSince: now.Add(-4 * time.Second),
+				},
+				{
+					Name:    "off",
+					Reserve: true,
+				},
+			},
+		},
+		"without a reserve nothing goes back": {
+			pools: []balancer.Pool{
+				{
+					Name:       "a",
+					Hosts:      5,
+					Need:       1,
+					Idle:       []string{"a1"},
+					SpareSince: now.Add(-4 * time.Second),
+				},
+				{
+					Name:  "b",
+					Hosts: 2,
+					Need:  2,
+				},
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(text(balancer.Plan(now, c.pools, settings)), c.moves)
+		})
+	}
+}
+
+// No plan may take a pool below what it needs, move a host twice, or move one
+// that is not idle.
+func TestPlanKeepsWhatPoolsNeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var pools []balancer.Pool
+		left := make(map[string]int)
+		least := make(map[string]int)
+		idle := make(map[string]bool)
+		for i := range rapid.IntRange(1, 5).Draw(t, "pools") {
+			p := balancer.Pool{
+				Name:    fmt.Sprint("p", i),
+				Reserve: i == 0,
+				Hosts:   rapid.IntRange(0, 9).Draw(t, "hosts"),
+				Need:    rapid.IntRange(0, 12).Draw(t, "need"),
+				Floor:   rapid.IntRange(0, 3).Draw(t, "floor"),
+				Keep:    rapid.IntRange(0, 9).Draw(t, "keep"),
+			}
+			for h := range rapid.IntRange(0, p.Hosts).Draw(t, "idle") {
+				p.Idle = append(p.Idle, fmt.Sprint(p.Name, "-", h))
+				idle[p.Idle[h]] = true
+			}
+			if rapid.Bool().Draw(t, "spare") {
+				p.SpareSince = time.Unix(1, 0)
+			}
+			left[p.Name], least[p.Name] = p.Hosts, min(p.Hosts, max(p.Need, p.Floor))
+			if p.Reserve {
+				least[p.Name] = 0
+			}
+			pools = append(pools, p)
+		}
+		moves := balancer.Plan(time.Unix(100, 0), pools, settings)
+		if len(moves) > settings.MostMoves {
+			t.Fatal("too many moves")
+		}
+		for _, m := range moves {
+			if !idle[m.Host] {
+				t.Fatalf("host %s is not idle or moves twice", m.Host)
+			}
+			idle[m.Host] = false
+			left[m.From]--
+			left[m.To]++
+		}
+		for name, n := range left {
+			if n < least[name] {
+				t.Fatalf("pool %s is left with %d of %d", name, n, least[name])
+			}
+		}
+	})
+}
+
+// A rhythm is seen from the work alone, and one large job is no peak of its own
+// size.
+func TestDemand(t *testing.T) {
+	is := is.New(t)
+	begun := time.Unix(100, 0)
+	d := balancer.Demand{
+		Least: 2,
+	}
+	// Two peaks of 4 s, 20 s apart, at 40 jobs a second of 0.2 hosts each.
+	for tick := range 300 {
+		now := begun.Add(time.Duration(tick) * 100 * time.Millisecond)
+		if second := (tick / 10) % 20; second < 4 {
+			for range 4 {
+				d.Add(now, 0.2)
+			}
+		}
+	}
+	now := begun.Add(30 * time.Second)
+	outlook := d.Outlook(now, 0)
+	is.True(outlook.Known)
+	is.True(outlook.Next.Sub(begun.Add(40*time.Second)).Abs() < time.Second)
+	is.True(outlook.Rate > 7 && outlook.Rate < 10)
+	is.True(d.Rate(now) < 0.1)
+	d.Add(now, 100)
+	is.True(d.Rate(now.Add(300*time.Millisecond)) < 10)
+}
--- a/internal/balancer/demand.go
+++ b/internal/balancer/demand.go
@@ -52,8 +52,9 @@
 	if d.mean == 0 {
 		d.mean = work
 	}
+	work = min(work, clipFactor*d.mean)
 	d.mean += meanWeight * (work - d.mean)
-	d.bins[d.last%binsKept] += min(work, clipFactor*d.mean)
+	d.bins[d.last%binsKept] += work
 }
 
 // advance opens the bins up to now.
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -120,6 +120,9 @@
 	if len(id) != idLength {
 		return refuse(jobwire.Outcome_OUTCOME_INVALID, "a job's id has 16 characters"), nil
 	}
+	if limit := s.Configuration.GetBodyLimitBytes(); limit > 0 && req.GetBodyBytes() > limit {
+		return refuse(jobwire.Outcome_OUTCOME_TOO_LARGE, "the body exceeds the limit"), nil
+	}
 	switch call := req.GetCall().(type) {
 	case *jobwire.JobRequest_Submit:
 		return c.admitJob(s, q, account, id, call.Submit)
--- a/internal/jobkeeper/check.go
+++ b/internal/jobkeeper/check.go
@@ -59,14 +59,22 @@
 	return nil
 }
 
+// mostTasks bounds the tasks of one step, so that one call takes a bounded
+// amount of memory.
+const mostTasks = 10_000
+
 // CheckJob returns why a job can't be taken, nil when it can.
 func CheckJob(j *jobwire.Job) error {
 	if len(j.GetSteps()) == 0 {
 		return errors.New("job: there are no steps")
 	}
 	for i, s := range j.GetSteps() {
-		if s.GetTasks() <= 0 {
-			return errors.Errorf("job: step %d has no tasks", i)
+		if s.GetTasks() <= 0 || s.GetTasks() > mostTasks {
+			return errors.Errorf("job: step %d has %d tasks; there may be 1 to %d", i, s.GetTasks(), mostTasks)
+		}
+		each := s.GetEach()
+		if each.GetMilliCores() < 0 || each.GetMemoryBytes() < 0 || each.GetAccelerators() < 0 {
+			return errors.Errorf("job: step %d asks for less than nothing", i)
 		}
 		for _, before := range s.GetAfter() {
 			if before < 0 || int(before) >= i {
--- /dev/null
+++ b/internal/jobkeeper/keeper_test.go
@@ -0,0 +1,329 @@
+package jobkeeper_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+func apply(t interface{ Fatal(args ...any) }, k *jobkeeper.Keeper, at time.Time, cmd *jobwire.Command) any {
+	cmd.ProposedAtUnixNanos = at.UnixNano()
+	data, err := proto.Marshal(cmd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := k.Apply(data)
+	if err, failed := result.(error); failed {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func configure(version uint64, attempts int32) *jobwire.Command {
+	return &jobwire.Command{
+		Change: &jobwire.Command_Configure{
+			Configure: &jobwire.Configuration{
+				Version: version,
+				Queues: []*jobwire.Queue{
+					{
+						Name:     "q",
+						Pool:     "p",
+						Attempts: attempts,
+					},
+				},
+			},
+		},
+	}
+}
+
+func submit(id string, repeat int32, tasks ...int32) *jobwire.Command {
+	job := &jobwire.Job{
+		Id:          id,
+		Queue:       "q",
+		RepeatCount: repeat,
+	}
+	for i, n := range tasks {
+		s := &jobwire.Step{
+			Tasks: n,
+		}
+		if i > 0 {
+			s.After = []int32{int32(i - 1)}
+		}
+		job.Steps = append(job.Steps, s)
+	}
+	return &jobwire.Command{
+		Change: &jobwire.Command_Submit{
+			Submit: job,
+		},
+	}
+}
+
+func cancel(id string) *jobwire.Command {
+	return &jobwire.Command{
+		Change: &jobwire.Command_Cancel{
+			Cancel: &jobwire.CancelJob{
+				Id: id,
+			},
+		},
+	}
+}
+
+func end(job string, occurrence, step, index int32, run uint64, how jobwire.Ending) *jobwire.Command {
+	return &jobwire.Command{
+		Change: &jobwire.Command_Ends{
+			Ends: &jobwire.Ends{
+				Ends: []*jobwire.End{
+					{
+						Task: &jobwire.Task{
+							Job:        job,
+							Occurrence: occurrence,
+							Step:       step,
+							Index:      index,
+						},
+						Run:    run,
+						Ending: how,
+					},
+				},
+			},
+		},
+	}
+}
+
+const (
+	done   = jobwire.Ending_ENDING_DONE
+	failed = jobwire.Ending_ENDING_FAILED
+)
+
+// Each case guards against a state of a job that its submitter must not see.
+func TestJobStates(t *testing.T) {
+	cases := map[string]struct {
+		commands []*jobwire.Command
+		state    jobwire.JobState
+	}{
+		"completed only with the last task": {
+			commands: []*jobwire.Command{submit("a", 0, 2), end("a", 0, 0, 0, 1, done)},
+			state:    jobwire.JobState_JOB_STATE_UNSPECIFIED,
+		},
+		"completed": {
+			commands: []*jobwire.Command{submit("a", 0, 2), end("a", 0, 0, 0, 1, done), end("a", 0, 0, 1, 1, done)},
+			state:    jobwire.JobState_JOB_STATE_COMPLETED,
+		},
+		"one end listed twice counts once": {
+			commands: []*jobwire.Command{submit("a", 0, 2), end("a", 0, 0, 0, 1, done), end("a", 0, 0, 0, 1, done)},
+			state:    jobwire.JobState_JOB_STATE_UNSPECIFIED,
+		},
+		"one failure listed twice counts once": {
+			commands: []*jobwire.Command{submit("a", 0, 1), end("a", 0, 0, 0, 1, failed), end("a", 0, 0, 0, 1, failed)},
+			state:    jobwire.JobState_JOB_STATE_UNSPECIFIED,
+		},
+		"failed after as many runs as the queue allows": {
+			commands: []*jobwire.Command{submit("a", 0, 1), end("a", 0, 0, 0, 1, failed), end("a", 0, 0, 0, 2, failed)},
+			state:    jobwire.JobState_JOB_STATE_FAILED,
+		},
+		"stopped runs are no failures": {
+			commands: []*jobwire.Command{
+				submit("a", 0, 1), end("a", 0, 0, 0, 1, jobwire.Ending_ENDING_STOPPED),
+				end("a", 0, 0, 0, 2, jobwire.Ending_ENDING_LAPSED), end("a", 0, 0, 0, 3, failed),
+			},
+			state: jobwire.JobState_JOB_STATE_UNSPECIFIED,
+		},
+		"a repeated job is completed with its last occurrence": {
+			commands: []*jobwire.Command{submit("a", 2, 1), end("a", 1, 0, 0, 1, done)},
+			state:    jobwire.JobState_JOB_STATE_UNSPECIFIED,
+		},
+		"a job cancelled before it came does not start": {
+			commands: []*jobwire.Command{cancel("a"), submit("a", 0, 1)},
+			state:    jobwire.JobState_JOB_STATE_CANCELLED,
+		},
+		"a cancelled job stays cancelled": {
+			commands: []*jobwire.Command{submit("a", 0, 1), cancel("a"), end("a", 0, 0, 0, 1, done), submit("a", 0, 1)},
+			state:    jobwire.JobState_JOB_STATE_CANCELLED,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k := jobkeeper.New()
+			now := time.Unix(1000, 0)
+			apply(t, k, now, configure(1, 2))
+			for _, cmd := range c.commands {
+				apply(t, k, now, cmd)
+			}
+			k.View(func(s *jobkeeper.State) { is.Equal(s.Jobs["a"].Ended, c.state) })
+		})
+	}
+}
+
+// An older configuration must not come into force again.
+func TestHighestVersionIsInForce(t *testing.T) {
+	is := is.New(t)
+	k := jobkeeper.New()
+	now := time.Unix(1000, 0)
+	for _, version := range []uint64{3, 7, 5, 7} {
+		apply(t, k, now, configure(version, int32(version)))
+	}
+	k.View(func(s *jobkeeper.State) {
+		is.Equal(s.Configuration.GetVersion(), uint64(7))
+		is.Equal(s.Queue("q").GetAttempts(), int32(7))
+	})
+}
+
+// An entry of an earlier life of a worker must not replace a later one.
+func TestLaterLifeOfWorkerStays(t *testing.T) {
+	is := is.New(t)
+	k := jobkeeper.New()
+	now := time.Unix(1000, 0)
+	for _, born := range []int64{5, 9, 7} {
+		apply(t, k, now, &jobwire.Command{
+			Change: &jobwire.Command_Worker{
+				Worker: &jobwire.Worker{
+					Id:   "w",
+					Born: born,
+				},
+			},
+		})
+	}
+	apply(t, k, now, &jobwire.Command{
+		Change: &jobwire.Command_ForgetWorker{
+			ForgetWorker: &jobwire.ForgetWorker{
+				Id:   "w",
+				Born: 5,
+			},
+		},
+	})
+	k.View(func(s *jobkeeper.State) { is.Equal(s.Workers["w"].GetBorn(), int64(9)) })
+}
+
+// Ended jobs are forgotten some time after the promised one, so that memory is
+// bounded and no submitter is told too soon that its job is not known.
+func TestEndedJobsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	k := jobkeeper.New()
+	now := time.Unix(1000, 0)
+	apply(t, k, now, configure(1, 1))
+	apply(t, k, now, submit("a", 0, 1))
+	apply(t, k, now, end("a", 0, 0, 0, 1, done))
+	apply(t, k, now.Add(2*time.Minute), submit("b", 0, 1))
+	k.View(func(s *jobkeeper.State) { is.True(s.Jobs["a"] != nil) })
+	apply(t, k, now.Add(4*time.Minute), submit("c", 0, 1))
+	k.View(func(s *jobkeeper.State) {
+		is.True(s.Jobs["a"] == nil)
+		is.True(s.Jobs["b"] != nil)
+	})
+}
+
+// A replica that starts from a snapshot has to reach the same state as one that
+// ran all entries: a difference would show a job in two states.
+func TestSnapshotEqualsReplay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, now := jobkeeper.New(), time.Unix(1000, 0)
+		apply(t, whole, now, configure(1, 2))
+		restored := whole
+		n := rapid.IntRange(1, 60).Draw(t, "commands")
+		snapshotAt := rapid.IntRange(0, n).Draw(t, "snapshot at")
+		for i := range n {
+			if i == snapshotAt {
+				data, err := whole.Encode()
+				if err != nil {
+					t.Fatal(err)
+				}
+				restored = jobkeeper.New()
+				if err := restored.Restore(data); err != nil {
+					t.Fatal(err)
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "seconds")) * time.Second)
+			cmd := draw(t)
+			apply(t, whole, now, proto.CloneOf(cmd))
+			if restored != whole {
+				apply(t, restored, now, cmd)
+			}
+		}
+		a, errA := whole.Encode()
+		b, errB := restored.Encode()
+		if errA != nil || errB != nil || string(a) != string(b) {
+			t.Fatal("the states differ")
+		}
+	})
+}
+
+func draw(t *rapid.T) *jobwire.Command {
+	id := fmt.Sprint("job", rapid.IntRange(0, 3).Draw(t, "job"))
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		return submit(id, int32(rapid.IntRange(0, 3).Draw(t, "repeat")), 2, 1)
+	case 1:
+		return cancel(id)
+	case 2:
+		return configure(uint64(rapid.IntRange(1, 5).Draw(t, "version")), 2)
+	default:
+		how := rapid.SampledFrom([]jobwire.Ending{done, failed, jobwire.Ending_ENDING_STOPPED}).Draw(t, "how")
+		return end(id, int32(rapid.IntRange(0, 2).Draw(t, "occurrence")), int32(rapid.IntRange(0, 1).Draw(t, "step")),
+			int32(rapid.IntRange(0, 1).Draw(t, "index")), uint64(rapid.IntRange(1, 4).Draw(t, "run")), how)
+	}
+}
+
+// Each case is a configuration that must be refused, since acknowledging it
+// would put it in force.
+func TestCheckRefuses(t *testing.T) {
+	valid := func() *jobwire.Configuration {
+		return &jobwire.Configuration{
+			Version: 1,
+			Pools: []*jobwire.Pool{
+				{
+					Name: "p",
+				},
+			},
+			Queues: []*jobwire.Queue{
+				{
+					Name:         "q",
+					Host:         "h",
+					Prefix:       "/a/",
+					Pool:         "p",
+					TimeoutNanos: 1,
+				},
+				{
+					Name:         "r",
+					Host:         "h",
+					Prefix:       "/b/",
+					Pool:         "p",
+					TimeoutNanos: 1,
+				},
+			},
+			Accounts: []*jobwire.Account{
+				{
+					Name: "one",
+					Keys: []string{"k1", "k2"},
+				},
+				{
+					Name: "two",
+					Keys: []string{"k3"},
+				},
+			},
+		}
+	}
+	is := is.New(t)
+	is.NoErr(jobkeeper.Check(valid()))
+	cases := map[string]func(c *jobwire.Configuration){
+		"unknown pool":     func(c *jobwire.Configuration) { c.Queues[0].Pool = "x" },
+		"same place":       func(c *jobwire.Configuration) { c.Queues[1].Prefix = "/a/" },
+		"no timeout":       func(c *jobwire.Configuration) { c.Queues[1].TimeoutNanos = 0 },
+		"shared key":       func(c *jobwire.Configuration) { c.Accounts[1].Keys = []string{"k2"} },
+		"queue twice":      func(c *jobwire.Configuration) { c.Queues[1].Name = "q" },
+		"queue without id": func(c *jobwire.Configuration) { c.Queues[1].Name = "" },
+	}
+	for name, spoil := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := valid()
+			spoil(c)
+			is.True(jobkeeper.Check(c) != nil)
+		})
+	}
+}
