--- a/internal/voter/replica/cluster_test.go
+++ b/internal/voter/replica/cluster_test.go
@@ -57,6 +57,7 @@
 	route   func(from, to string) []time.Duration
 	observe func(h *host, event string)
 	hook    func(h *host, op faultfs.Op, name string) error
+	adjust  func(h *host, o *replica.Options)
 
 	leaders map[uint64]string
 	order   map[uint64]string
@@ -64,7 +65,13 @@
 }
 
 func newCluster(t *testing.T, seed uint64, n int) *cluster {
+	return newClusterWith(t, seed, n, func(*host, *replica.Options) {})
+}
+
+// newClusterWith lets adjust change the options of each host.
+func newClusterWith(t *testing.T, seed uint64, n int, adjust func(h *host, o *replica.Options)) *cluster {
 	c := &cluster{
+		adjust:  adjust,
 		t:       t,
 		r:       rand.New(rand.NewPCG(seed, 1)),
 		now:     time.Unix(1_000_000, 0),
@@ -114,7 +121,7 @@
 }
 
 func (c *cluster) options(h *host) replica.Options {
-	return replica.Options{
+	o := replica.Options{
 		Name:          h.name,
 		Peers:         c.names,
 		Dir:           "data",
@@ -125,6 +132,10 @@
 		Incarnation:   func() string { return fmt.Sprintf("%016x", c.r.Uint64()) },
 		SnapshotEvery: 8,
 	}
+	if c.adjust != nil {
+		c.adjust(h, &o)
+	}
+	return o
 }
 
 // crash stops a host; reap completes it when the call under way has returned.
