--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -181,6 +181,8 @@
 	})
 	s.is.Equal(s.configure(configuration(1)), jobwire.Outcome_OUTCOME_OK)
 	s.is.Equal(s.heartbeat("w", "10.0.0.1:1", 1, 1), jobwire.Outcome_OUTCOME_OK)
+	// A call that comes before the first pass is told to come back.
+	s.reachable()
 	return s
 }
 
@@ -405,7 +407,6 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			s := newSession(t)
-			s.reachable()
 			s.is.Equal(s.call(c.path, c.key, c.req).GetOutcome(), c.outcome)
 		})
 	}
@@ -424,7 +425,6 @@
 // What the log may or may not hold must not be answered as accepted or refused.
 func TestUnknownOutcomeIsSaid(t *testing.T) {
 	s := newSession(t)
-	s.reachable()
 	s.log.mu.Lock()
 	s.log.lost = true
 	s.log.mu.Unlock()
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -222,6 +222,7 @@
 	if !ok {
 		return
 	}
+	s.logEnd(j)
 	delete(s.jobs, j.id)
 	delete(j.pool.jobs, j.id)
 	j.pool.dirty = true
@@ -234,6 +235,18 @@
 	}
 }
 
+// logEnd writes how a job has ended, and by how much its last occurrence missed
+// its objective or kept it.
+func (s *Scheduler) logEnd(j *job) {
+	spare := time.Duration(0)
+	if n := len(j.occurrences); n > 0 {
+		spare = j.occurrences[n-1].objective.Sub(s.wall)
+	}
+	s.logger.Info("scheduler: job ended", "job", j.id, "queue", j.record.Spec.GetQueue(), "pool", j.pool.name,
+		"account", j.record.Spec.GetAccount(), "state", j.record.Ended.String(),
+		"took", s.wall.Sub(time.Unix(0, j.record.Spec.GetAcceptedAtUnixNanos())), "spare", spare)
+}
+
 // RunEnded implements jobkeeper.Observer.
 func (s *Scheduler) RunEnded(record *jobkeeper.Job, end *jobwire.End) {
 	j, ok := s.jobs[record.Spec.GetId()]
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -146,6 +146,10 @@
 	if r != nil {
 		s.dropRun(r)
 	}
+	if end.GetEnding() != jobwire.Ending_ENDING_DONE {
+		s.logger.Info("scheduler: run ended", "task", nameOf(keyOf(end.GetTask())), "run", end.GetRun(),
+			"worker", w.info.GetId(), "ending", end.GetEnding().String(), "known", r != nil)
+	}
 	// Whether the task waits again is known once the end is recorded.
 	if st := s.find(keyOf(end.GetTask()).StepKey); st != nil {
 		st.unqueue(end.GetTask().GetIndex())
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -201,3 +201,23 @@
 	err := newClient(t).Call(withTimeout(t, time.Second), address, "Registry.Begin", &wire.BeginRequest{}, &wire.BeginResponse{})
 	is.True(errors.Is(err, messenger.ErrUnreachable))
 }
+
+// A call that was handed to a connection may have been carried out, also when
+// this host closes the connection because of another call. Reporting it as not
+// sent would let a caller be told that its work never runs.
+func TestCallOnDroppedConnectionMayHaveActed(t *testing.T) {
+	frozen := listen(t)
+	defer frozen.Close()
+	c := newClient(t)
+	var group sync.WaitGroup
+	for _, timeout := range []time.Duration{50 * time.Millisecond, 5 * time.Second} {
+		ctx := withTimeout(t, timeout)
+		group.Go(func() {
+			err := c.Call(ctx, frozen.Addr().String(), "Registry.Begin", &wire.BeginRequest{}, &wire.BeginResponse{})
+			if messenger.NotSent(err) {
+				t.Errorf("a call that was handed over is said not to be sent: %v", err)
+			}
+		})
+	}
+	group.Wait()
+}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -95,11 +95,9 @@
 	if errors.As(done.Error, &refused) || errors.Is(done.Error, ErrBusy) {
 		return done.Error
 	}
+	// A call whose connection this host closed meanwhile ends with ErrShutdown
+	// too, so that error does not prove that nothing was sent.
 	p.drop(client)
-	if errors.Is(done.Error, rpc.ErrShutdown) {
-		// The connection had ended before the call was handed over.
-		return errors.Wrap(ErrUnreachable, "connection was closed")
-	}
 	return errors.Wrap(done.Error, "messenger: connection lost during the call")
 }
 
