internal/jobscheduler: a task waits until all its ends are recorded

Ruled out: the lease (it had ended) and the run numbers. Test: TestOlderEndDoesNotRestartDoneTask failed first.

--- a/internal/conductor/act.go
+++ b/internal/conductor/act.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
@@ -14,6 +15,8 @@
 	orderTimeout = 500 * time.Millisecond
 	// lookTimeout is added to the time that a worker may wait.
 	lookTimeout = 600 * time.Millisecond
+	// recordPause is the time before ends are written again.
+	recordPause = 100 * time.Millisecond
 	// listTimeout bounds one listing of the provider, which may be slow.
 	listTimeout = 3 * time.Second
 	// providerTimeout bounds one order to the provider. With authorityLimit it
@@ -118,20 +121,40 @@
 	c.with(sched, func() { sched.HostsListed(asked, hosts) })
 }
 
+// record writes ends to the log, again until it succeeds or the lead ends: a
+// task whose end is not recorded may neither start again nor count as done.
 func (c *Conductor) record(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Record) {
-	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
-	defer cancel()
-	_, err := c.submit(ctx, &jobwire.Command{
+	cmd := &jobwire.Command{
 		Change: &jobwire.Command_Ends{
 			Ends: &jobwire.Ends{
 				Ends: a.Ends,
 			},
 		},
-	})
-	if err != nil {
+	}
+	for ctx.Err() == nil && c.conducts(sched) {
+		err := c.recordOnce(ctx, cmd)
+		if err == nil {
+			c.with(sched, func() { sched.Recorded(a) })
+			return
+		}
 		c.opts.Logger.Info("conductor: ends were not recorded", "worker", a.Target.ID, "ends", len(a.Ends), "error", err)
+		pause := c.opts.Clock.NewTimer(recordPause)
+		<-pause.C()
 	}
-	c.with(sched, func() { sched.Recorded(a, err == nil) })
+}
+
+func (c *Conductor) recordOnce(ctx context.Context, cmd *jobwire.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	_, err := c.submit(ctx, cmd)
+	return err
+}
+
+// conducts reports whether the scheduler is the one of the present term.
+func (c *Conductor) conducts(sched *jobscheduler.Scheduler) bool {
+	same := false
+	c.opts.Keeper.View(func(*jobkeeper.State) { same = c.sched == sched })
+	return same
 }
 
 // write submits a command whose result is not waited for by anyone.
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -269,8 +269,17 @@
 		st.occurrence.refresh()
 		return
 	}
-	if s.live[keyOf(t)] == 0 {
-		st.requeue(t.GetIndex())
+	s.requeue(keyOf(t))
+}
+
+// requeue makes a task wait again once no run of it is live and no end of it
+// is on its way to the log.
+func (s *Scheduler) requeue(key taskKey) {
+	if s.live[key] > 0 || s.unrecorded[key] > 0 {
+		return
+	}
+	if st := s.find(key.StepKey); st != nil {
+		st.requeue(key.index)
 	}
 }
 
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -150,23 +150,27 @@
 		s.logger.Info("scheduler: run ended", "task", nameOf(keyOf(end.GetTask())), "run", end.GetRun(),
 			"worker", w.info.GetId(), "ending", end.GetEnding().String(), "known", r != nil)
 	}
-	// Whether the task waits again is known once the end is recorded.
+	// Whether the task waits again is known once its ends are recorded.
+	s.unrecorded[keyOf(end.GetTask())]++
 	if st := s.find(keyOf(end.GetTask()).StepKey); st != nil {
 		st.unqueue(end.GetTask().GetIndex())
 	}
 }
 
-// Recorded takes the outcome of a Record.
-func (s *Scheduler) Recorded(a Record, ok bool) {
+// Recorded notes that the ends of a Record are in the log.
+func (s *Scheduler) Recorded(a Record) {
+	for _, end := range a.Ends {
+		key := keyOf(end.GetTask())
+		if s.unrecorded[key]--; s.unrecorded[key] <= 0 {
+			delete(s.unrecorded, key)
+		}
+		s.requeue(key)
+	}
 	w, found := s.workers[a.Target.ID]
 	if !found || w.info.GetBorn() != a.Target.Born {
 		return
 	}
 	w.recording = false
-	if !ok {
-		w.lookAt = s.now.Add(failedLookPause)
-		return
-	}
 	w.seen = max(w.seen, a.UpTo)
 	// One more look takes note of the ends on the worker.
 	w.lookAt = s.now
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -58,3 +58,57 @@
 	w.pass(time.Millisecond)
 	w.is.Equal(len(takeAll[jobscheduler.Stop](w)), 1)
 }
+
+// Ends of two runs of one task may be on their way to the log at once: that of
+// a lost run whose worker is back, and the one that was done meanwhile. The task
+// must not start again before both are recorded.
+func TestOlderEndDoesNotRestartDoneTask(t *testing.T) {
+	w := newWorld(t)
+	w.addWorker("a")
+	w.submit("job", tasks(2, 1000))
+	w.lead()
+	w.open()
+	first := w.accept()[0]
+	w.addWorker("b")
+	var second []jobscheduler.Start
+	for range 60 {
+		w.pass(100 * time.Millisecond)
+		for _, look := range takeAll[jobscheduler.Look](w) {
+			answer := jobscheduler.LookAnswer{
+				Failed: look.Target.ID == "a",
+				Clock:  w.clock(),
+				SentAt: w.now.Add(-time.Hour),
+			}
+			w.report(func() { w.sched.LookAnswered(look, answer) })
+		}
+		second = append(second, w.accept()...)
+	}
+	w.is.Equal(len(second), 2)
+	// A heartbeat of the silent worker brings the next look forward.
+	w.addWorker("a")
+	w.report(func() { w.sched.WorkerHeard("a", 1, w.clock()) })
+	w.pass(time.Second)
+	w.answerLooks(map[string]jobscheduler.LookAnswer{
+		"a": {
+			Ended: []jobscheduler.EndedTask{ended(1, first.Task, first.Run, jobwire.Ending_ENDING_LAPSED)},
+		},
+		"b": {
+			Ended: []jobscheduler.EndedTask{
+				ended(1, second[0].Task, second[0].Run, jobwire.Ending_ENDING_DONE),
+				ended(2, second[1].Task, second[1].Run, jobwire.Ending_ENDING_DONE),
+			},
+		},
+	})
+	records := takeAll[jobscheduler.Record](w)
+	w.pass(0)
+	records = append(records, takeAll[jobscheduler.Record](w)...)
+	w.is.Equal(len(records), 2)
+	for _, r := range records {
+		if r.Target.ID == "a" {
+			w.actions = append(w.actions, r)
+		}
+	}
+	w.record()
+	w.pass(time.Millisecond)
+	w.is.Equal(describe(takeAll[jobscheduler.Start](w)), "")
+}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -120,10 +120,7 @@
 	s.counters.Lost++
 	s.logger.Info("scheduler: run is lost", "task", nameOf(r.key.taskKey), "run", r.key.number,
 		"worker", r.worker.info.GetId(), "cause", cause)
-	if r.step == nil || s.find(r.key.StepKey) != r.step || s.live[r.key.taskKey] > 0 {
-		return
-	}
-	r.step.requeue(r.key.index)
+	s.requeue(r.key.taskKey)
 }
 
 func (s *Scheduler) loseAll(w *worker, cause string) {
@@ -247,9 +244,7 @@
 			r.step.advice = advice{}
 		}
 	}
-	if r.step != nil && s.live[r.key.taskKey] == 0 && s.find(r.key.StepKey) == r.step {
-		r.step.requeue(r.key.index)
-	}
+	s.requeue(r.key.taskKey)
 }
 
 // StopAnswered takes the outcome of a Stop: whether the worker confirmed it.
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -53,7 +53,10 @@
 	queues  map[string]*jobwire.Queue
 	used    map[string]amount
 	// Invariant: counts the runs of a task that are not known to have ended.
-	live  map[taskKey]int
+	live map[taskKey]int
+	// Invariant: counts the ends of a task that are on their way to the log.
+	unrecorded map[taskKey]int
+
 	hosts hosts
 	// due holds the workers whose hosts have their maintenance before them.
 	due map[string]bool
@@ -119,6 +122,8 @@
 		used:     make(map[string]amount),
 		live:     make(map[taskKey]int),
 		unknown:  make(map[string]*worker),
+
+		unrecorded: make(map[taskKey]int),
 		hosts: hosts{
 			upkeeps: make(map[string]*upkeep),
 			moves:   make(map[string]*move),
--- a/internal/jobscheduler/world_test.go
+++ b/internal/jobscheduler/world_test.go
@@ -198,7 +198,7 @@
 				},
 			},
 		})
-		w.report(func() { w.sched.Recorded(r, true) })
+		w.report(func() { w.sched.Recorded(r) })
 	}
 }
 
