--- a/internal/voter/replica/formation.go
+++ b/internal/voter/replica/formation.go
@@ -34,7 +34,22 @@
 // campaign, so that it has to ask to join.
 func (r *Replica) stray(now time.Time) bool {
 	status := r.core.Status()
-	return !status.Voter && now.Sub(status.Heard) > strayAfter
+	if now.Sub(status.Heard) <= strayAfter || status.Leads {
+		return false
+	}
+	// In an open group a voter may have been replaced without knowing of it.
+	return !status.Voter || r.opts.Voters > 0
+}
+
+// acquaintances returns the names of the hosts that may belong to the group.
+func (r *Replica) acquaintances() []string {
+	names := slices.Clone(r.opts.Peers)
+	for _, m := range r.core.Status().Membership.GetMembers() {
+		if name := nameOf(m.GetId()); r.opts.Voters > 0 && !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 func (r *Replica) tickFormation(now time.Time) {
@@ -42,7 +57,7 @@
 		return
 	}
 	r.formation.asked = now
-	for _, peer := range r.opts.Peers {
+	for _, peer := range r.acquaintances() {
 		if peer == r.opts.Name {
 			continue
 		}
@@ -62,9 +77,23 @@
 // stepQuery answers whether this replica belongs to a group. On the leader the
 // question is also a request to join.
 func (r *Replica) stepQuery(from string, q *replication.Query) {
-	r.sendAnswer(from, q.GetId())
-	if r.leading.joins != nil && nameOf(q.GetId()) == from && r.mayJoin(from) {
-		r.leading.joins[from] = q.GetId()
+	name := nameOf(q.GetId())
+	passedOn := name != from
+	if !passedOn {
+		r.sendAnswer(from, q.GetId())
+	}
+	if r.leading.joins != nil && (!passedOn || r.opts.Voters > 0) && r.mayJoin(name) {
+		r.leading.joins[name] = q.GetId()
+		return
+	}
+	leader := nameOf(string(r.core.Leader()))
+	if r.opts.Voters > 0 && !passedOn && leader != "" && leader != r.opts.Name {
+		// A host that joins knows its seeds only, and none of them may lead.
+		r.send(leader, &replication.Packet{
+			Body: &replication.Packet_Query{
+				Query: q,
+			},
+		})
 	}
 }
 
--- a/internal/voter/replica/machine_test.go
+++ b/internal/voter/replica/machine_test.go
@@ -112,3 +112,53 @@
 	c.run(10 * time.Second)
 	is.New(t).Equal(len(c.leaders), 0)
 }
+
+// members returns the names of all members, learners included.
+func members(c *cluster) []string {
+	var names []string
+	for _, m := range c.leader().replica.Status().Membership.GetMembers() {
+		name, _, _ := strings.Cut(m.GetId(), "#")
+		names = append(names, name)
+	}
+	return names
+}
+
+// A voter whose place was given away while it was frozen does not know of it;
+// unless it asks to join again, the group stays one member short.
+func TestRemovedVoterJoinsAgain(t *testing.T) {
+	is := is.New(t)
+	c := newClusterWith(t, 1, 4, make(tapes).adjust)
+	former := c.leader()
+	is.True(c.submit("a"))
+	c.run(4 * time.Second)
+	former.frozenUntil = c.now.Add(8 * time.Second)
+	c.run(8 * time.Second)
+	is.Equal(len(members(c)), 3)
+	c.run(12 * time.Second)
+	is.Equal(len(members(c)), 4)
+}
+
+// A host that lost its disk knows only its seeds, which need not lead.
+func TestHostJoinsThroughOthers(t *testing.T) {
+	is := is.New(t)
+	c := newClusterWith(t, 1, 4, make(tapes).adjust)
+	c.leader()
+	is.True(c.submit("a"))
+	c.run(4 * time.Second)
+	// The learner becomes a voter and leads once the others are gone in turn.
+	for range 20 {
+		if c.leader().name == "h-3" {
+			break
+		}
+		former := c.leader()
+		c.crash(former, false, false, false)
+		c.run(6 * time.Second)
+		c.open(former)
+		c.run(8 * time.Second)
+	}
+	is.Equal(c.leader().name, "h-3")
+	c.crash(c.hosts["h-0"], true, false, true)
+	c.run(15 * time.Second)
+	is.Equal(c.leader().name, "h-3")
+	is.Equal(len(members(c)), 4)
+}
--- a/pkg/replicator/membership.go
+++ b/pkg/replicator/membership.go
@@ -104,6 +104,10 @@
 	if !ok {
 		return Position{}, ErrMembershipChange
 	}
+	if change.Kind == AddLearner {
+		// What is known of an earlier membership of the same replica is old.
+		delete(c.leading.progress, change.ID)
+	}
 	return c.append(&Entry{
 		Kind:       replication.EntryKind_ENTRY_KIND_MEMBERSHIP,
 		Membership: next,
