--- a/internal/conductor/act.go
+++ b/internal/conductor/act.go
@@ -64,6 +64,8 @@
 		answer := c.opts.Provider.Move(ctx, fence, a)
 		c.opts.Logger.Info("conductor: move was ordered", "host", a.Host, "pool", a.Pool, "answer", int(answer))
 		c.with(sched, func() { sched.HostMoved(a, answer) })
+	case jobscheduler.Advise:
+		c.advise(ctx, sched, a)
 	case jobscheduler.NoteWave:
 		c.write(ctx, &jobwire.Command{
 			Change: &jobwire.Command_WaveProgress{
@@ -109,6 +111,17 @@
 	c.with(sched, func() { sched.LookAnswered(a, answer) })
 }
 
+func (c *Conductor) advise(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Advise) {
+	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	sent := c.opts.Clock.Now()
+	tickets, valid, err := c.opts.Adviser.Advise(ctx, a)
+	if err != nil {
+		c.opts.Logger.Info("conductor: adviser did not answer", "job", a.Step.Job, "step", a.Step.Step, "error", err)
+	}
+	c.with(sched, func() { sched.Advised(a, sent, tickets, valid, err == nil) })
+}
+
 func (c *Conductor) listHosts(ctx context.Context, sched *jobscheduler.Scheduler) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -59,6 +59,12 @@
 	Move(ctx context.Context, fence uint64, a jobscheduler.MoveHost) jobscheduler.HostAnswer
 }
 
+// Adviser knows which workers may run a step of an advised queue.
+type Adviser interface {
+	// Advise returns the tickets by worker and how long they are valid.
+	Advise(ctx context.Context, a jobscheduler.Advise) (map[string]string, time.Duration, error)
+}
+
 // Options set up a Conductor.
 type Options struct {
 	Log     Log
@@ -66,6 +72,8 @@
 	Workers Workers
 	// Provider is the one of the workers' hosts.
 	Provider Provider
+	// Adviser is asked for the steps of advised queues only.
+	Adviser Adviser
 	// Clock is the one of the log; it must count suspended time.
 	Clock    timer.Clock
 	Logger   *slog.Logger
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -21,6 +21,11 @@
 	}
 	s.tickWorkers(contact)
 	s.tickRuns()
+	if s.now.Sub(s.markedAt) >= passPause {
+		// Pauses of workers and tickets end without an event.
+		s.markedAt = s.now
+		s.markAll()
+	}
 	s.tickHosts()
 	for _, p := range s.pools {
 		if p.dirty {
@@ -181,6 +186,7 @@
 		}
 		w := s.choose(st, index, workers, nil)
 		if w == nil {
+			s.seekAdvice(st, workers)
 			return
 		}
 		s.start(st, index, s.nextRun(st, index), w, contact)
@@ -194,6 +200,7 @@
 	}
 	chosen := s.chooseGang(st, workers)
 	if chosen == nil {
+		s.seekAdvice(st, workers)
 		return
 	}
 	number := uint64(0)
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -241,7 +241,8 @@
 		w.fullUntil = s.now.Add(fullPause)
 	case StartNoTicket:
 		if r.step != nil {
-			r.step.advice = advice{}
+			// The next pass asks again.
+			r.step.advice.until = time.Time{}
 		}
 	}
 	s.requeue(r.key.taskKey)
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -58,9 +58,13 @@
 	unrecorded map[taskKey]int
 
 	hosts hosts
+	// advising is the number of calls that wait for the adviser.
+	advising int
 	// due holds the workers whose hosts have their maintenance before them.
 	due map[string]bool
 
+	// markedAt is when all pools were last marked for a pass.
+	markedAt time.Time
 	// now and wall are the times of the present call.
 	now  time.Time
 	wall time.Time
