internal/jobgateway, internal/jobscheduler: no refusal of what may be accepted; former leases are kept

Ruled out: late orders (their deadline is absolute). Tests: TestOutcomes (what may be accepted ...) and TestAdoptedRunsKeepFormerLeaseWithoutClock failed first.

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -142,7 +142,7 @@
 		}
 		left -= g.opts.Clock.Now().Sub(begun)
 		host := g.await(ctx, left)
-		if host == "" {
+		if host == "" || ctx.Err() != nil {
 			return nil, sent
 		}
 		resp, err := attempt[R, PR](ctx, g, host, method, req)
@@ -155,6 +155,10 @@
 		case resp.GetOutcome() == jobwire.Outcome_OUTCOME_UNKNOWN:
 			sent = true
 			g.lost(host, "the lead ended during the call")
+		case sent && resp.GetOutcome() == jobwire.Outcome_OUTCOME_UNAVAILABLE:
+			// An earlier attempt may have been accepted, so this is no refusal.
+			g.found(host)
+			g.pause(ctx)
 		default:
 			g.found(host)
 			return resp, true
@@ -200,6 +204,16 @@
 	}
 }
 
+// pause waits a little before the same host is asked again.
+func (g *Gateway) pause(ctx context.Context) {
+	t := g.opts.Clock.NewTimer(probePause)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-ctx.Done():
+	}
+}
+
 // find asks all hosts at once until one leads.
 func (g *Gateway) find() {
 	for g.Leader() == "" {
--- a/internal/jobgateway/gateway_test.go
+++ b/internal/jobgateway/gateway_test.go
@@ -32,6 +32,10 @@
 	follows
 	frozen
 	down
+	// unprepared hosts lead and have no configuration yet.
+	unprepared
+	// ends hosts lose the lead while a call is in the log.
+	ends
 )
 
 func (h *hosts) set(name string, b behaviour) {
@@ -55,6 +59,10 @@
 		return ctx.Err()
 	case down:
 		return errors.Wrap(messenger.ErrUnreachable, host)
+	case unprepared:
+		outcome = jobwire.Outcome_OUTCOME_UNAVAILABLE
+	case ends:
+		outcome = jobwire.Outcome_OUTCOME_UNKNOWN
 	case follows:
 		outcome = jobwire.Outcome_OUTCOME_NOT_LEADER
 	}
@@ -118,6 +126,17 @@
 			outcome: jobwire.Outcome_OUTCOME_OK,
 			within:  1700 * time.Millisecond,
 		},
+		"what may be accepted is not refused by the next leader": {
+			before:  map[string]behaviour{"a": leads, "b": follows, "c": follows},
+			after:   map[string]behaviour{"a": ends, "b": unprepared},
+			outcome: jobwire.Outcome_OUTCOME_UNKNOWN,
+			within:  1700 * time.Millisecond,
+		},
+		"a leader without a configuration refuses": {
+			before:  map[string]behaviour{"a": unprepared, "b": follows},
+			outcome: jobwire.Outcome_OUTCOME_UNAVAILABLE,
+			within:  600 * time.Millisecond,
+		},
 		"the leader goes down and another leads": {
 			before:  map[string]behaviour{"a": leads, "b": follows, "c": follows},
 			after:   map[string]behaviour{"a": down, "b": leads},
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -72,6 +72,10 @@
 	s.reconcile(w, answer)
 	if !w.adopted {
 		w.adopted = true
+		// What it runs may be under a lease of the former leader.
+		if end := s.since.Add(s.formerLease()); end.After(w.leaseEnd) {
+			w.leaseEnd = end
+		}
 		delete(s.unknown, w.info.GetId())
 		s.markPool(w.info.GetPool())
 	}
@@ -255,9 +259,7 @@
 	for _, w := range s.workers {
 		s.tickWorker(w, contact)
 	}
-	// A former leader's orders end a lease after its last confirmation, which
-	// was before this term began.
-	if bound := time.Duration(float64(s.settings.Lease)*clockSlack) + 2*leaseMargin; s.now.Sub(s.since) > bound {
+	if s.now.Sub(s.since) > s.formerLease() {
 		for _, w := range s.unknown {
 			s.noteLapsed(w, true)
 		}
@@ -271,6 +273,13 @@
 	}
 }
 
+// formerLease returns the time since the beginning of this term after which
+// nothing runs under a lease of a former leader: such leases count from its last
+// confirmation, which was before the term.
+func (s *Scheduler) formerLease() time.Duration {
+	return time.Duration(float64(s.settings.Lease)*clockSlack) + 2*leaseMargin
+}
+
 func (s *Scheduler) tickWorker(w *worker, contact time.Time) {
 	if w.failing && len(w.runs) > 0 && s.now.After(w.leaseEnd) {
 		s.loseAll(w, "the lease has ended")
--- a/internal/jobscheduler/takeover_test.go
+++ b/internal/jobscheduler/takeover_test.go
@@ -99,3 +99,72 @@
 	w.pass(time.Millisecond)
 	w.is.Equal(describe(takeAll[jobscheduler.Start](w)), "new.0.0@b ")
 }
+
+// A worker that has told what it runs and then falls silent runs on under the
+// lease of the former leader; its tasks must not start elsewhere before that ends.
+func TestAdoptedRunsKeepFormerLease(t *testing.T) {
+	w := newWorld(t)
+	w.addWorker("a")
+	w.submit("job", tasks(1, 1000))
+	w.lead()
+	w.open()
+	start := w.accept()[0]
+	w.addWorker("b")
+	w.lead()
+	w.pass(0)
+	w.answerLooks(map[string]jobscheduler.LookAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(start.Task, start.Run)},
+		},
+	})
+	begun := w.now
+	for w.now.Sub(begun) < 2*lease {
+		w.pass(100 * time.Millisecond)
+		for _, look := range takeAll[jobscheduler.Look](w) {
+			// Each look that extends the lease is lost on its way.
+			answer := jobscheduler.LookAnswer{
+				Failed: look.Target.ID == "a",
+				Clock:  w.clock(),
+				SentAt: w.now,
+			}
+			w.report(func() { w.sched.LookAnswered(look, answer) })
+		}
+		if len(takeAll[jobscheduler.Start](w)) > 0 {
+			break
+		}
+	}
+	w.is.True(w.now.Sub(begun) >= lease)
+	w.is.True(w.now.Sub(begun) < 2*lease)
+}
+
+// The same without any look after the first one: the leader's first order to
+// the worker may be the one that is lost.
+func TestAdoptedRunsKeepFormerLeaseWithoutClock(t *testing.T) {
+	w := newWorld(t)
+	w.addWorker("a")
+	w.submit("job", tasks(1, 1000))
+	w.lead()
+	w.open()
+	start := w.accept()[0]
+	w.addWorker("b")
+	w.lead()
+	w.pass(0)
+	for _, look := range takeAll[jobscheduler.Look](w) {
+		answer := jobscheduler.LookAnswer{
+			SentAt: w.now,
+		}
+		if look.Target.ID == "a" {
+			answer.Running = []jobscheduler.RunningTask{runningTask(start.Task, start.Run)}
+		}
+		w.report(func() { w.sched.LookAnswered(look, answer) })
+	}
+	w.report(func() {
+		w.sched.LookAnswered(jobscheduler.Look{
+			Target: start.Target,
+		}, jobscheduler.LookAnswer{
+			Failed: true,
+		})
+	})
+	w.pass(lease / 2)
+	w.is.Equal(describe(takeAll[jobscheduler.Start](w)), "")
+}
