--- a/internal/conductor/control.go
+++ b/internal/conductor/control.go
@@ -94,11 +94,11 @@
 		c.opts.Logger.Info("conductor: configuration is not newer", "version", cfg.GetVersion(), "in-force", version)
 		return done()
 	}
-	resp := c.change(ctx, &jobwire.Command{
-		Change: &jobwire.Command_Configure{
-			Configure: cfg,
-		},
-	})
+	cmd, err := jobkeeper.Configure(cfg)
+	if err != nil {
+		return failedControl(err)
+	}
+	resp := c.change(ctx, cmd)
 	c.opts.Logger.Info("conductor: configuration", "version", cfg.GetVersion(), "former", version,
 		"queues", len(cfg.GetQueues()), "outcome", resp.GetOutcome().String())
 	return resp
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -62,6 +62,8 @@
 	// Waves holds all maintenance waves by their id.
 	Waves map[string]*jobwire.Wave
 
+	// queues holds the queues of the configuration by name.
+	queues map[string]*jobwire.Queue
 	// ended holds the ids of ended jobs in the order of their ends.
 	ended []string
 }
@@ -135,6 +137,12 @@
 		return k.recordEnds(now, c.Ends.GetEnds())
 	case *jobwire.Command_Configure:
 		return k.configure(now, c.Configure)
+	case *jobwire.Command_Packed:
+		cfg, err := unpack(c.Packed)
+		if err != nil {
+			return err
+		}
+		return k.configure(now, cfg)
 	case *jobwire.Command_Evacuate:
 		return k.evacuate(c.Evacuate)
 	case *jobwire.Command_Wave:
@@ -222,19 +230,22 @@
 }
 
 // Queue returns the queue of the given name, nil when there is none.
-func (s *State) Queue(name string) *jobwire.Queue {
-	for _, q := range s.Configuration.GetQueues() {
-		if q.GetName() == name {
-			return q
-		}
+func (s *State) Queue(name string) *jobwire.Queue { return s.queues[name] }
+
+// setQueues indexes the queues of a configuration.
+func (s *State) setQueues(c *jobwire.Configuration) {
+	s.queues = make(map[string]*jobwire.Queue, len(c.GetQueues()))
+	for _, q := range c.GetQueues() {
+		s.queues[q.GetName()] = q
 	}
-	return nil
 }
 
 func (k *Keeper) configure(now time.Time, c *jobwire.Configuration) any {
 	if c.GetVersion() > k.state.Configuration.GetVersion() {
-		for _, q := range c.GetQueues() {
-			if former := k.state.Queue(q.GetName()); former != nil && former.GetPool() != q.GetPool() {
+		former := k.state.queues
+		k.state.setQueues(c)
+		for name, q := range k.state.queues {
+			if f, ok := former[name]; ok && f.GetPool() != q.GetPool() {
 				k.state.QueuesMoved = now
 			}
 		}
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -49,6 +49,7 @@
 	}
 	s := newState()
 	s.Configuration = m.GetConfiguration()
+	s.setQueues(s.Configuration)
 	if moved := m.GetQueuesMovedUnixNanos(); moved != 0 {
 		s.QueuesMoved = time.Unix(0, moved)
 	}
