--- /dev/null
+++ b/internal/soaker/process.go
@@ -0,0 +1,86 @@
+package soaker
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// process is one program of the system with its settings.
+type process struct {
+	name, role, ip string
+	dir            string
+	program        string
+	settings       string
+	cmd            *exec.Cmd
+	exited         chan struct{}
+	frozen         bool
+}
+
+// start runs the program; its output is appended to a file in dir.
+func (p *process) start() error {
+	path := filepath.Join(p.dir, p.name+".conf")
+	if err := os.WriteFile(path, []byte(p.settings), 0o600); err != nil {
+		return errors.Wrap(err, "soaker: write settings")
+	}
+	out, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "soaker: open log")
+	}
+	defer func() { _ = out.Close() }()
+	p.cmd = exec.Command(p.program, p.role)
+	p.cmd.Env = append(os.Environ(), "HEATHERMUX_BOOT="+path)
+	p.cmd.Stdout, p.cmd.Stderr = out, out
+	if err := p.cmd.Start(); err != nil {
+		return errors.Wrap(err, "soaker: start "+p.name)
+	}
+	p.exited = make(chan struct{})
+	go func(cmd *exec.Cmd, exited chan struct{}) {
+		_ = cmd.Wait()
+		close(exited)
+	}(p.cmd, p.exited)
+	// Later starts are not the first one of the system.
+	p.settings = strings.Replace(p.settings, "bootstrap=true", "bootstrap=false", 1)
+	return nil
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// settingsText returns the settings of a process of the given machine.
+func settingsText(m machine, seeds []string, dir string, provider string) string {
+	lines := []string{
+		"node=" + m.name,
+		"ip=" + m.ip,
+		"zone=" + m.zone,
+		fmt.Sprintf("internal_ports=%d,%d", internalPort, internalPort+5),
+		"seeds=" + strings.Join(seeds, ","),
+		"bootstrap=true",
+		"limits.memory_mb=280",
+		"fault_tolerance.machines=1",
+		"cloud.address=" + provider,
+		"bounds.max_hold_ms=10000",
+		"bounds.lease_ms=3000",
+		"bounds.grace_s=6",
+		"bounds.notice_ms=4500",
+		"bounds.gang_timeout_ms=3000",
+		"bounds.remote_slowdown=2",
+	}
+	if m.role == roleCore {
+		lines = append(lines, "listen.control="+m.control(), "data_dir="+filepath.Join(dir, "data-"+m.name))
+	} else {
+		lines = append(lines, "listen.front="+m.front(), "listen.ready="+fmt.Sprintf("%s:%d", m.ip, readyPort))
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
