--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/balancer"
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
@@ -61,7 +62,7 @@
 			continue
 		}
 		seconds := time.Duration(spec.GetEstimateNanos()).Seconds()
-		work += float64(spec.GetTasks()) * hostShare(amountOf(spec.GetEach()), whole) * seconds
+		work += float64(spec.GetTasks()) * hostShare(controller.AmountOf(spec.GetEach()), whole) * seconds
 	}
 	j.size = work
 	if work > 0 {
@@ -71,8 +72,8 @@
 
 // hostSize returns the capacity of a host of a pool, or of any when the pool
 // has none.
-func (s *Scheduler) hostSize(pool string) amount {
-	var other amount
+func (s *Scheduler) hostSize(pool string) controller.Amount {
+	var other controller.Amount
 	for _, w := range s.workers {
 		if w.info.GetPool() == pool {
 			return w.capacity
@@ -83,16 +84,16 @@
 }
 
 // hostShare returns the part of a host that a task takes.
-func hostShare(a, whole amount) float64 {
+func hostShare(a, whole controller.Amount) float64 {
 	share := 0.0
-	if whole.milliCores > 0 {
-		share = float64(a.milliCores) / float64(whole.milliCores)
+	if whole.MilliCores > 0 {
+		share = float64(a.MilliCores) / float64(whole.MilliCores)
 	}
-	if whole.memory > 0 {
-		share = math.Max(share, float64(a.memory)/float64(whole.memory))
+	if whole.MemoryBytes > 0 {
+		share = math.Max(share, float64(a.MemoryBytes)/float64(whole.MemoryBytes))
 	}
-	if whole.accelerators > 0 {
-		share = math.Max(share, float64(a.accelerators)/float64(whole.accelerators))
+	if whole.Accelerators > 0 {
+		share = math.Max(share, float64(a.Accelerators)/float64(whole.Accelerators))
 	}
 	return share
 }
@@ -167,58 +168,9 @@
 	return view
 }
 
-// turn is what the peaks of all pools so far say of the next one.
-type turn struct {
-	// interval is the time from one peak to the next; 0 when it is not known.
-	interval time.Duration
-	// last is when the newest peak began.
-	last time.Time
-	// pools is the number of pools that take turns.
-	pools int
-}
-
-func (s *Scheduler) turn() turn {
-	t := turn{}
-	var onsets []time.Time
-	for _, cfg := range s.state.Configuration.GetPools() {
-		if cfg.GetStandby() {
-			continue
-		}
-		t.pools++
-		if onset, ok := s.pool(cfg.GetName()).demand.Onset(); ok {
-			onsets = append(onsets, onset)
-			if onset.After(t.last) {
-				t.last = onset
-			}
-		}
-	}
-	t.interval = balancer.Interval(onsets)
-	return t
-}
-
-// keep returns how many hosts a pool should hold for what it expects: those
-// that it began with while its first peak may come at any time, few until the
-// next peak is due, and most of what the last peak took then.
-func (s *Scheduler) keep(p *pool, t turn, lasting float64) int {
-	outlook := p.demand.Outlook(s.now, t.interval*time.Duration(t.pools))
-	_, peaked := p.demand.Onset()
-	switch {
-	case !peaked && t.interval > 0 && s.now.Before(t.last.Add(t.interval-moveAhead)):
-		// Another pool has its turn.
-		return 0
-	case !peaked:
-		return p.base
-	case !outlook.Known, s.now.Before(outlook.Next.Add(-moveAhead)):
-		return 0
-	case s.now.Sub(outlook.Next) > overdueLimit:
-		return p.base
-	}
-	return int(math.Ceil(lasting + outlook.Rate*expectShare/fillShare))
-}
-
 // poolLoad returns how many hosts the lasting and the short tasks fill that run
 // in a pool.
-func (s *Scheduler) poolLoad(p *pool, whole amount) (lasting, short float64) {
+func (s *Scheduler) poolLoad(p *pool, whole controller.Amount) (lasting, short float64) {
 	for _, w := range s.workers {
 		if w.info.GetPool() != p.name {
 			continue
@@ -237,7 +189,7 @@
 
 // waitingNeed returns how many hosts the waiting tasks of a job need, and
 // raises the floor for lasting tasks that have to be spread.
-func (s *Scheduler) waitingNeed(j *job, whole amount, view *balancer.Pool) float64 {
+func (s *Scheduler) waitingNeed(j *job, whole controller.Amount, view *balancer.Pool) float64 {
 	need := 0.0
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
@@ -50,7 +51,7 @@
 	occurrence *occurrence
 	number     int32
 	spec       *jobwire.Step
-	each       amount
+	each       controller.Amount
 	// share is the part of a host that a task takes.
 	share float64
 	ready bool
@@ -137,8 +138,8 @@
 		occurrence: o,
 		number:     number,
 		spec:       spec,
-		each:       amountOf(spec.GetEach()),
-		share:      hostShare(amountOf(spec.GetEach()), s.hostSize(o.job.pool.name)),
+		each:       controller.AmountOf(spec.GetEach()),
+		share:      hostShare(controller.AmountOf(spec.GetEach()), s.hostSize(o.job.pool.name)),
 		runs:       make(map[int32]*run),
 		numbers:    make(map[int32]uint64),
 		avoid:      make(map[int32]string),
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/heathermux/heathermux/internal/controller"
 )
 
 const (
@@ -79,105 +81,6 @@
 	return list
 }
 
-// waiting returns the steps of a pool that have tasks to start, most urgent first.
-func (s *Scheduler) waiting(p *pool, workers int) []*step {
-	var list []*step
-	for _, j := range p.jobs {
-		for _, o := range j.occurrences {
-			for _, st := range o.steps {
-				if st.ready && len(st.pending) > 0 {
-					list = append(list, st)
-				}
-			}
-		}
-	}
-	crowded := s.crowded(list, workers)
-	ranks := make(map[*step]rank, len(list))
-	for _, st := range list {
-		ranks[st] = s.rank(st, crowded)
-	}
-	slices.SortFunc(list, func(a, b *step) int { return ranks[a].compare(ranks[b]) })
-	return list
-}
-
-// rank orders steps for starting.
-type rank struct {
-	class    int
-	priority int32
-	// slack is how long the step may wait, or the work left of one that is late.
-	slack time.Duration
-	id    string
-	step  int32
-}
-
-// The classes of a rank, most urgent first: lasting tasks serve their users all
-// the time; a job that has begun is finished before another one begins; what is
-// late already gives way to what can still be in time; what is too late to earn
-// anything comes last.
-const (
-	classLasting = iota
-	classBegun
-	classInTime
-	classLate
-	classTooLate
-)
-
-const (
-	// lateFactor is how many times its objective a job may take to earn
-	// anything.
-	lateFactor = 3
-	// crowdedTime is the time that the waiting work would keep all hosts of a
-	// pool busy from which on the pool is crowded.
-	crowdedTime = 400 * time.Millisecond
-)
-
-func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority),
-		cmp.Compare(r.slack, o.slack), cmp.Compare(r.id, o.id), cmp.Compare(r.step, o.step))
-}
-
-// rank places a step among those that wait. In a crowded pool not all jobs can
-// be in time; the one with the least slack first would make nearly all of them
-// late, so there the smaller jobs come first.
-func (s *Scheduler) rank(st *step, crowded bool) rank {
-	o := st.occurrence
-	r := rank{
-		class:    classInTime,
-		priority: s.queues[o.job.record.Spec.GetQueue()].GetPriority(),
-		id:       o.job.id,
-		step:     st.number,
-	}
-	left := o.job.tail[st.number]
-	r.slack = o.objective.Sub(s.wall) - left
-	switch {
-	case st.spec.GetLasting():
-		r.class = classLasting
-	case r.slack < 0:
-		r.class = classLate
-		r.slack += (lateFactor - 1) * o.objective.Sub(o.due)
-		if r.slack < 0 {
-			r.class, r.slack = classTooLate, left
-		}
-	case o.begun:
-		r.class = classBegun
-	case crowded:
-		r.slack = time.Duration(o.job.size * float64(time.Second))
-	}
-	return r
-}
-
-// crowded reports whether the waiting work of a pool exceeds what its hosts can
-// do soon.
-func (s *Scheduler) crowded(list []*step, workers int) bool {
-	waiting := 0.0
-	for _, st := range list {
-		if !st.spec.GetLasting() {
-			waiting += st.share * float64(len(st.pending)) * time.Duration(st.spec.GetEstimateNanos()).Seconds()
-		}
-	}
-	return waiting > crowdedTime.Seconds()*float64(workers)
-}
-
 // placeTasks starts the tasks of a step that fit.
 func (s *Scheduler) placeTasks(st *step, workers []*worker, contact time.Time) {
 	for _, index := range slices.Clone(st.pending) {
@@ -219,25 +122,25 @@
 	account := st.occurrence.job.record.Spec.GetAccount()
 	ceiling := s.ceiling(account)
 	used := s.used[account]
-	if ceiling != (amount{}) {
-		used = used.plus(s.unknownUse())
+	if ceiling != (controller.Amount{}) {
+		used = used.Plus(s.unknownUse())
 	}
-	if used == (amount{}) && n == 1 {
+	if used == (controller.Amount{}) && n == 1 {
 		return true
 	}
 	for range n {
-		used = used.plus(st.each)
+		used = used.Plus(st.each)
 	}
-	return used.under(ceiling)
+	return under(used, ceiling)
 }
 
-func (s *Scheduler) ceiling(account string) amount {
+func (s *Scheduler) ceiling(account string) controller.Amount {
 	for _, a := range s.state.Configuration.GetAccounts() {
 		if a.GetName() == account {
-			return amountOf(a.GetCeiling())
+			return controller.AmountOf(a.GetCeiling())
 		}
 	}
-	return amount{}
+	return controller.Amount{}
 }
 
 // start books a run and orders it.
@@ -250,7 +153,7 @@
 	}
 	s.addRun(w, st, key, starting)
 	s.logger.Info("scheduler: task starts", "task", nameOf(key.taskKey), "run", number, "worker", w.info.GetId(),
-		"slack", st.occurrence.objective.Sub(s.wall)-st.occurrence.job.tail[st.number], "used", w.used.milliCores)
+		"slack", st.occurrence.objective.Sub(s.wall)-st.occurrence.job.tail[st.number], "used", w.used.MilliCores)
 	s.counters.Starts++
 	s.emit(Start{
 		Target:     w.target(),
@@ -281,106 +184,6 @@
 	return ""
 }
 
-// fits reports whether a task of the step may run on the worker with extra
-// tasks of the same step already chosen for it.
-func (s *Scheduler) fits(st *step, w *worker, extra int) bool {
-	room := roomOf(st)
-	used := w.used
-	for range extra {
-		used = used.plus(room)
-	}
-	if !used.plus(room).within(w.capacity) {
-		return false
-	}
-	if most := int(st.spec.GetMostPerWorker()); most > 0 && st.perWorker[w.info.GetId()]+extra >= most {
-		return false
-	}
-	label := st.spec.GetLabel()
-	return label == "" || slices.Contains(w.info.GetLabels(), label)
-}
-
-// choose returns the worker on which a task starts: near its data, not where
-// it failed last, and where least is free.
-func (s *Scheduler) choose(st *step, index int32, workers []*worker, extra map[*worker]int) *worker {
-	var best *worker
-	var bestCost float64
-	for _, w := range workers {
-		if !s.usable(w) || !s.fits(st, w, extra[w]) || !s.allowed(st, w) {
-			continue
-		}
-		cost := s.cost(st, index, w)
-		if best == nil || cost < bestCost {
-			best, bestCost = w, cost
-		}
-	}
-	return best
-}
-
-// Costs of a placement, in shares of a worker's capacity.
-const (
-	costRemote = 4.0
-	costAvoid  = 8.0
-	costTrial  = 1.0
-	costDue    = 2.0
-	// costSpread keeps the loss of one host within what a step may miss.
-	costSpread = 4.0
-)
-
-func (s *Scheduler) cost(st *step, index int32, w *worker) float64 {
-	// Full hosts come first, so that the others become idle and can move.
-	cost := -hostShare(w.used, w.capacity)
-	if rack := st.spec.GetDataRack(); rack != "" && rack != w.info.GetRack() {
-		cost += costRemote
-	}
-	if st.avoid[index] == w.info.GetId() {
-		cost += costAvoid
-	}
-	if miss := int(st.spec.GetMayMiss()); miss > 0 && st.perWorker[w.info.GetId()] >= miss {
-		cost += costSpread
-	}
-	if st.spec.GetLasting() && s.dueForUpkeep(w) {
-		cost += costDue
-	}
-	return cost + costTrial*float64(w.streak)
-}
-
-// chooseGang returns a worker for each waiting task of a gang, on one rack if
-// the step asks for it; nil when not all fit.
-func (s *Scheduler) chooseGang(st *step, workers []*worker) []*worker {
-	if !st.spec.GetSameRack() {
-		return s.chooseAll(st, workers)
-	}
-	racks := make(map[string][]*worker)
-	for _, w := range workers {
-		racks[w.info.GetRack()] = append(racks[w.info.GetRack()], w)
-	}
-	names := make([]string, 0, len(racks))
-	for name := range racks {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
-		if chosen := s.chooseAll(st, racks[name]); chosen != nil {
-			return chosen
-		}
-	}
-	return s.chooseAll(st, workers)
-}
-
-func (s *Scheduler) chooseAll(st *step, workers []*worker) []*worker {
-	extra := make(map[*worker]int)
-	chosen := make([]*worker, 0, len(st.pending))
-	for _, index := range st.pending {
-		w := s.choose(st, index, workers, extra)
-		if w == nil {
-			return nil
-		}
-		extra[w]++
-		chosen = append(chosen, w)
-	}
-	return chosen
-}
-
 // Next returns when Pass has to be called again if nothing happens before.
 func (s *Scheduler) Next() time.Time {
 	next := s.now.Add(passPause)
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
@@ -29,8 +30,8 @@
 	// step is nil when the task is not open.
 	step    *step
 	account string
-	each    amount
-	room    amount
+	each    controller.Amount
+	room    controller.Amount
 
 	state runState
 	tries int
@@ -78,17 +79,17 @@
 		st.occurrence.begun = true
 	}
 	w.runs[key] = r
-	w.used = w.used.plus(r.room)
-	s.used[r.account] = s.used[r.account].plus(r.each)
+	w.used = w.used.Plus(r.room)
+	s.used[r.account] = s.used[r.account].Plus(r.each)
 	s.live[key.taskKey]++
 	return r
 }
 
 // roomOf returns what a task of a step takes of its worker's capacity.
-func roomOf(st *step) amount {
+func roomOf(st *step) controller.Amount {
 	room := st.each
 	if st.spec.GetFills() {
-		room.milliCores = 0
+		room.MilliCores = 0
 	}
 	return room
 }
@@ -100,8 +101,8 @@
 		return
 	}
 	delete(w.runs, r.key)
-	w.used = w.used.minus(r.room)
-	s.used[r.account] = s.used[r.account].minus(r.each)
+	w.used = w.used.Minus(r.room)
+	s.used[r.account] = s.used[r.account].Minus(r.each)
 	if s.live[r.key.taskKey]--; s.live[r.key.taskKey] == 0 {
 		delete(s.live, r.key.taskKey)
 	}
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/balancer"
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
@@ -51,7 +52,7 @@
 	workers map[string]*worker
 	pools   map[string]*pool
 	queues  map[string]*jobwire.Queue
-	used    map[string]amount
+	used    map[string]controller.Amount
 	// Invariant: counts the runs of a task that are not known to have ended.
 	live map[taskKey]int
 	// Invariant: counts the ends of a task that are on their way to the log.
@@ -123,7 +124,7 @@
 		workers:  make(map[string]*worker),
 		pools:    make(map[string]*pool),
 		queues:   make(map[string]*jobwire.Queue),
-		used:     make(map[string]amount),
+		used:     make(map[string]controller.Amount),
 		live:     make(map[taskKey]int),
 		unknown:  make(map[string]*worker),
 
@@ -174,10 +175,10 @@
 }
 
 // unknownUse returns what may be running on workers that have not told.
-func (s *Scheduler) unknownUse() amount {
-	var sum amount
+func (s *Scheduler) unknownUse() controller.Amount {
+	var sum controller.Amount
 	for _, w := range s.unknown {
-		sum = sum.plus(w.capacity)
+		sum = sum.Plus(w.capacity)
 	}
 	return sum
 }
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
@@ -31,8 +32,8 @@
 // worker is what the leader knows of one life of a worker.
 type worker struct {
 	info     *jobwire.Worker
-	capacity amount
-	used     amount
+	capacity controller.Amount
+	used     controller.Amount
 	runs     map[runKey]*run
 
 	// adopted is true once it has told this leader what it runs.
@@ -104,7 +105,7 @@
 	w, ok := s.workers[info.GetId()]
 	if ok && w.info.GetBorn() == info.GetBorn() {
 		w.info = info
-		w.capacity = amountOf(info.GetCapacity())
+		w.capacity = controller.AmountOf(info.GetCapacity())
 		s.markPool(info.GetPool())
 		return
 	}
@@ -114,7 +115,7 @@
 	}
 	w = &worker{
 		info:     info,
-		capacity: amountOf(info.GetCapacity()),
+		capacity: controller.AmountOf(info.GetCapacity()),
 		runs:     make(map[runKey]*run),
 		lookAt:   s.now,
 	}
