internal/jobscheduler, internal/linewriter: fewer looks, searches and writes in a large fleet

Cause: at the peak of the grown site the leader ends up to 1,800 tasks a second; looks every 15 ms at each worker, a search of all workers for each waiting step and a system call for each line took its share of the core, and it missed heartbeats.

--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -29,6 +29,8 @@
 	// passInterval is the least time between two passes, so that events of a
 	// burst share one.
 	passInterval = 4 * time.Millisecond
+	// passShare is the part of that time for each worker of a large fleet.
+	passShare = 40 * time.Microsecond
 	// callsInFlight bounds the calls to workers.
 	callsInFlight = 2048
 	// recordTimeout bounds the writing of ends to the log.
@@ -93,6 +95,8 @@
 	// the keeper held.
 	sched *jobscheduler.Scheduler
 	term  uint64
+	// workers is the number of workers at the last pass; used by Run only.
+	workers int
 
 	// mu guards sequences.
 	mu sync.Mutex
@@ -130,7 +134,7 @@
 			c.pool.Stop()
 			return
 		case <-c.wakes:
-			pause := c.opts.Clock.NewTimer(passInterval)
+			pause := c.opts.Clock.NewTimer(c.interval())
 			<-pause.C()
 		case <-t.C():
 		}
@@ -139,6 +143,12 @@
 	}
 }
 
+// interval returns the least time between two passes, which grows with the
+// fleet as a pass does.
+func (c *Conductor) interval() time.Duration {
+	return max(passInterval, time.Duration(c.workers)*passShare)
+}
+
 // wake makes the next pass happen soon.
 func (c *Conductor) wake() {
 	select {
@@ -171,9 +181,10 @@
 		sched.SetTime(c.opts.Clock.Now(), time.Now())
 		actions = sched.Pass(authority.Contact)
 		next = sched.Next()
+		c.workers = sched.Workers()
 	})
 	c.carryOut(ctx, sched, authority.Term, actions)
-	return max(passInterval, next.Sub(c.opts.Clock.Now()))
+	return max(c.interval(), next.Sub(c.opts.Clock.Now()))
 }
 
 // follow begins and ends the scheduler with the term that this host leads.
--- a/internal/jobscheduler/ceiling_test.go
+++ b/internal/jobscheduler/ceiling_test.go
@@ -88,3 +88,15 @@
 		w.is.Equal(s.Run, starts[0].Run)
 	}
 }
+
+// A large step that finds no place must not keep a smaller one behind it from
+// starting.
+func TestSmallerStepStartsBehindOneThatDoesNotFit(t *testing.T) {
+	w := newWorld(t)
+	w.addWorker("a")
+	w.submit("large", tasks(1, 9000))
+	w.submit("small", tasks(1, 8000))
+	w.lead()
+	w.open()
+	w.is.Equal(describe(w.accept()), "small.0.0@a ")
+}
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -102,12 +102,18 @@
 // since the worker lists them again until then.
 func (s *Scheduler) planLook(w *worker) {
 	if len(w.runs) > 0 {
-		w.lookAt = s.now.Add(lookPause)
+		w.lookAt = s.now.Add(s.lookPause())
 		return
 	}
 	w.lookAt = s.now.Add(far)
 }
 
+// lookPause returns the least time between two looks at a worker. It grows with
+// the fleet, so that the looks of all workers take a bounded part of the leader.
+func (s *Scheduler) lookPause() time.Duration {
+	return max(lookPause, time.Duration(len(s.workers))*lookShare)
+}
+
 // noteEnds frees the runs that have ended and asks for their ends to be recorded.
 func (s *Scheduler) noteEnds(w *worker, ended []EndedTask) {
 	record := Record{
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -57,15 +57,18 @@
 func (s *Scheduler) place(p *pool, contact time.Time) {
 	workers := s.candidates(p)
 	waiting := s.waiting(p, len(workers))
+	var tooLarge []controller.Amount
 	for _, st := range waiting {
-		if s.mayBeUnknown(st.occurrence.job) {
+		if s.mayBeUnknown(st.occurrence.job) || exceeds(roomOf(st), tooLarge) {
 			continue
 		}
 		if st.spec.GetGang() {
 			s.placeGang(st, workers, contact)
 			continue
 		}
-		s.placeTasks(st, workers, contact)
+		if !s.placeTasks(st, workers, contact) && s.unbound(st) {
+			tooLarge = append(tooLarge, roomOf(st))
+		}
 	}
 }
 
@@ -81,19 +84,37 @@
 	return list
 }
 
-// placeTasks starts the tasks of a step that fit.
-func (s *Scheduler) placeTasks(st *step, workers []*worker, contact time.Time) {
+// exceeds reports whether an amount is at least as large as one that found no
+// place. In a full pool this spares the search for most waiting steps.
+func exceeds(a controller.Amount, tooLarge []controller.Amount) bool {
+	for _, b := range tooLarge {
+		if b.FitsIn(a) {
+			return true
+		}
+	}
+	return false
+}
+
+// unbound reports whether only room decides where the tasks of a step may run.
+func (s *Scheduler) unbound(st *step) bool {
+	return st.spec.GetLabel() == "" && st.spec.GetMostPerWorker() == 0 && !s.queueOf(st).GetAdvised()
+}
+
+// placeTasks starts the tasks of a step that fit. It reports false when one
+// found no place.
+func (s *Scheduler) placeTasks(st *step, workers []*worker, contact time.Time) bool {
 	for _, index := range slices.Clone(st.pending) {
 		if !s.underCeiling(st, 1) {
-			return
+			return true
 		}
 		w := s.choose(st, index, workers, nil)
 		if w == nil {
 			s.seekAdvice(st, workers)
-			return
+			return false
 		}
 		s.start(st, index, s.nextRun(st, index), w, contact)
 	}
+	return true
 }
 
 // placeGang starts all tasks of a step or none, under one run number.
@@ -165,7 +186,7 @@
 		Deadline:   deadline,
 	})
 	if w.lookAt.After(s.now.Add(lookWait)) {
-		w.lookAt = s.now.Add(lookPause)
+		w.lookAt = s.now.Add(s.lookPause())
 	}
 }
 
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -278,7 +278,7 @@
 
 // wake lets the next look at a worker happen soon.
 func (s *Scheduler) wake(w *worker) {
-	if at := s.now.Add(lookPause); w.lookAt.After(at) {
+	if at := s.now.Add(s.lookPause()); w.lookAt.After(at) {
 		w.lookAt = at
 	}
 }
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -183,6 +183,9 @@
 	return sum
 }
 
+// Workers returns how many workers are known.
+func (s *Scheduler) Workers() int { return len(s.workers) }
+
 func (s *Scheduler) pool(name string) *pool {
 	p, ok := s.pools[name]
 	if !ok {
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -20,6 +20,8 @@
 	// lookPause is the least time between two looks at a worker, so that ends
 	// come in batches.
 	lookPause = 15 * time.Millisecond
+	// lookShare is the part of that time for each worker of a large fleet.
+	lookShare = 300 * time.Microsecond
 	// failedLookPause is the time before the next look after one that failed.
 	failedLookPause = 250 * time.Millisecond
 	// streakLimit is the number of failures in a row that put a worker into quarantine.
--- a/internal/linewriter/linewriter.go
+++ b/internal/linewriter/linewriter.go
@@ -3,6 +3,7 @@
 package linewriter
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"sync"
@@ -12,6 +13,9 @@
 // waitingLines bounds the lines that wait for the output.
 const waitingLines = 2048
 
+// bufferBytes is the most that is written in one piece.
+const bufferBytes = 64 << 10
+
 // Writer is safe for concurrent use; make one with New.
 type Writer struct {
 	lines   chan []byte
@@ -50,17 +54,24 @@
 // Dropped returns how many lines were dropped since New.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
+// run writes the lines that wait together in one piece, since each write costs
+// the process a system call.
 func (w *Writer) run(out io.Writer) {
 	defer close(w.done)
+	buf := bufio.NewWriterSize(out, bufferBytes)
 	reported := int64(0)
 	for line := range w.lines {
 		if n := w.dropped.Load(); n != reported {
-			_, _ = fmt.Fprintf(out, "{\"level\":\"WARN\",\"msg\":\"log: lines were dropped\",\"dropped\":%d}\n", n-reported)
+			_, _ = fmt.Fprintf(buf, "{\"level\":\"WARN\",\"msg\":\"log: lines were dropped\",\"dropped\":%d}\n", n-reported)
 			reported = n
 		}
 		// Nothing can be done about an output that fails.
-		_, _ = out.Write(line)
+		_, _ = buf.Write(line)
+		if len(w.lines) == 0 {
+			_ = buf.Flush()
+		}
 	}
+	_ = buf.Flush()
 }
 
 // Close writes the lines that wait and ends the writer.
