internal/jobscheduler: ends that a departing worker has listed count

Ruled out: a second order of another leader (one leader gave both). Test: TestEndListedByDepartingWorkerCounts failed first.

--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -50,6 +50,13 @@
 
 // LookAnswered takes the outcome of a Look.
 func (s *Scheduler) LookAnswered(a Look, answer LookAnswer) {
+	if w, ok := s.departing[life{
+		id:   a.Target.ID,
+		born: a.Target.Born,
+	}]; ok {
+		s.departed(w, answer)
+		return
+	}
 	w, ok := s.workers[a.Target.ID]
 	if !ok || w.info.GetBorn() != a.Target.Born {
 		return
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -112,3 +112,71 @@
 	w.pass(time.Millisecond)
 	w.is.Equal(describe(takeAll[jobscheduler.Start](w)), "")
 }
+
+// A worker that is gone may have listed an end in an answer that is still on its
+// way; its tasks must not start again before that answer has come or failed.
+func TestEndListedByDepartingWorkerCounts(t *testing.T) {
+	departures := map[string]func(w *world){
+		"forgotten": func(w *world) {
+			w.apply(&jobwire.Command{
+				Change: &jobwire.Command_ForgetWorker{
+					ForgetWorker: &jobwire.ForgetWorker{
+						Id:   "a",
+						Born: 1,
+					},
+				},
+			})
+		},
+		"started again": func(w *world) {
+			w.apply(&jobwire.Command{
+				Change: &jobwire.Command_Worker{
+					Worker: &jobwire.Worker{
+						Id:   "a",
+						Born: 2,
+						Pool: "p",
+					},
+				},
+			})
+		},
+	}
+	for name, depart := range departures {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.addWorker("a")
+			w.submit("job", tasks(2, 1000))
+			w.lead()
+			w.open()
+			starts := w.accept()
+			w.is.Equal(len(starts), 2)
+			w.addWorker("b")
+			w.pass(time.Second)
+			var look jobscheduler.Look
+			for _, l := range takeAll[jobscheduler.Look](w) {
+				if l.Target.ID == "a" {
+					look = l
+					continue
+				}
+				w.report(func() {
+					w.sched.LookAnswered(l, jobscheduler.LookAnswer{
+						Clock: w.clock(),
+					})
+				})
+			}
+			depart(w)
+			w.pass(time.Millisecond)
+			w.is.Equal(describe(takeAll[jobscheduler.Start](w)), "")
+			w.report(func() {
+				w.sched.LookAnswered(look, jobscheduler.LookAnswer{
+					Clock: w.clock(),
+					Ended: []jobscheduler.EndedTask{ended(1, starts[0].Task, starts[0].Run, jobwire.Ending_ENDING_DONE)},
+				})
+			})
+			w.pass(time.Millisecond)
+			w.record()
+			w.pass(time.Millisecond)
+			again := takeAll[jobscheduler.Start](w)
+			w.is.Equal(len(again), 1)
+			w.is.Equal(again[0].Task.GetIndex(), starts[1].Task.GetIndex())
+		})
+	}
+}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -285,10 +285,7 @@
 
 // leave notes that a life of a worker has ended.
 func (s *Scheduler) leave(w *worker) {
-	s.loseAll(w, "this life of the worker has ended")
-	delete(s.workers, w.info.GetId())
-	delete(s.unknown, w.info.GetId())
-	s.markPool(w.info.GetPool())
+	s.depart(w, "this life of the worker has ended")
 	s.emit(Forget{
 		ID:   w.info.GetId(),
 		Born: w.info.GetBorn(),
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -50,9 +50,12 @@
 
 	jobs    map[string]*job
 	workers map[string]*worker
-	pools   map[string]*pool
-	queues  map[string]*jobwire.Queue
-	used    map[string]controller.Amount
+	// departing holds lives of workers that have ended while an answer of them
+	// was on its way.
+	departing map[life]*worker
+	pools     map[string]*pool
+	queues    map[string]*jobwire.Queue
+	used      map[string]controller.Amount
 	// Invariant: counts the runs of a task that are not known to have ended.
 	live map[taskKey]int
 	// Invariant: counts the ends of a task that are on their way to the log.
@@ -129,6 +132,7 @@
 		unknown:  make(map[string]*worker),
 
 		unrecorded: make(map[taskKey]int),
+		departing:  make(map[life]*worker),
 		hosts: hosts{
 			upkeeps: make(map[string]*upkeep),
 			moves:   make(map[string]*move),
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -70,6 +70,19 @@
 	number uint64
 }
 
+// life names one life of a worker.
+type life struct {
+	id   string
+	born int64
+}
+
+func (w *worker) life() life {
+	return life{
+		id:   w.info.GetId(),
+		born: w.info.GetBorn(),
+	}
+}
+
 func (w *worker) target() Target {
 	return Target{
 		ID:      w.info.GetId(),
@@ -112,8 +125,7 @@
 		return
 	}
 	if ok {
-		s.loseAll(w, "the worker started again")
-		delete(s.unknown, info.GetId())
+		s.depart(w, "the worker started again")
 	}
 	w = &worker{
 		info:     info,
@@ -133,10 +145,30 @@
 	if !ok || w.info.GetBorn() != info.GetBorn() {
 		return
 	}
-	s.loseAll(w, "the worker has left")
-	delete(s.workers, info.GetId())
-	delete(s.unknown, info.GetId())
-	s.markPool(info.GetPool())
+	s.depart(w, "the worker has left")
+}
+
+// depart removes a life of a worker that has ended. While an answer of it is on
+// its way, its runs are kept: the answer may list their ends.
+func (s *Scheduler) depart(w *worker, cause string) {
+	delete(s.workers, w.info.GetId())
+	delete(s.unknown, w.info.GetId())
+	s.markPool(w.info.GetPool())
+	w.failing = true
+	if w.looking {
+		s.departing[w.life()] = w
+		return
+	}
+	s.loseAll(w, cause)
+}
+
+// departed takes the last answer of a life that has ended.
+func (s *Scheduler) departed(w *worker, answer LookAnswer) {
+	delete(s.departing, w.life())
+	if !answer.Failed && !answer.Gone {
+		s.noteEnds(w, answer.Ended)
+	}
+	s.loseAll(w, "this life of the worker has ended")
 }
 
 // WorkerHeard notes a heartbeat that states the worker's clock.
