internal/jobscheduler: refuse what surely can't be done in time

A job is refused with the time to come back when the work before it exceeds what it may wait and all that waits exceeds three times its objective.

--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -57,7 +57,12 @@
 	}
 	var resp *jobwire.JobResponse
 	var cmd *jobwire.Command
-	c.opts.Keeper.View(func(s *jobkeeper.State) { resp, cmd = c.admit(s, req) })
+	c.opts.Keeper.View(func(s *jobkeeper.State) {
+		if c.sched != nil {
+			c.sched.SetTime(c.opts.Clock.Now(), time.Now())
+		}
+		resp, cmd = c.admit(s, req)
+	})
 	if cmd == nil {
 		return resp
 	}
@@ -150,6 +155,11 @@
 	if err := jobkeeper.CheckJob(job); err != nil {
 		return refuse(jobwire.Outcome_OUTCOME_INVALID, err.Error()), nil
 	}
+	if wait, ok := c.sched.Refuse(q, job); ok {
+		resp := refuse(jobwire.Outcome_OUTCOME_TOO_MANY, "the queue is too full for the job to be done in time")
+		resp.RetryAfterNanos = int64(wait)
+		return resp, nil
+	}
 	job.Id, job.Queue, job.Account = id, q.GetName(), account
 	job.AcceptedAtUnixNanos = time.Now().UnixNano()
 	return accepted, &jobwire.Command{
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -55,19 +55,25 @@
 
 // noteDemand adds the work of a new job to the history of its pool.
 func (s *Scheduler) noteDemand(j *job) {
-	whole := s.hostSize(j.pool.name)
+	j.size = s.workOf(j.pool, j.record.Spec)
+	if j.size > 0 {
+		j.pool.demand.Add(s.now, j.size)
+	}
+}
+
+// workOf returns the work of the short tasks of one occurrence of a job, in
+// host-seconds.
+func (s *Scheduler) workOf(p *pool, job *jobwire.Job) float64 {
+	whole := s.hostSize(p.name)
 	work := 0.0
-	for _, spec := range j.record.Spec.GetSteps() {
+	for _, spec := range job.GetSteps() {
 		if spec.GetLasting() || spec.GetFills() {
 			continue
 		}
 		seconds := time.Duration(spec.GetEstimateNanos()).Seconds()
 		work += float64(spec.GetTasks()) * hostShare(controller.AmountOf(spec.GetEach()), whole) * seconds
 	}
-	j.size = work
-	if work > 0 {
-		j.pool.demand.Add(s.now, work)
-	}
+	return work
 }
 
 // hostSize returns the capacity of a host of a pool, or of any when the pool
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -173,6 +173,7 @@
 		number:  number,
 	}
 	s.addRun(w, st, key, starting)
+	st.occurrence.job.pool.pace.add(s.now, st.share*time.Duration(st.spec.GetEstimateNanos()).Seconds())
 	s.logger.Info("scheduler: task starts", "task", nameOf(key.taskKey), "run", number, "worker", w.info.GetId(),
 		"slack", st.occurrence.objective.Sub(s.wall)-st.occurrence.job.tail[st.number], "used", w.used.MilliCores)
 	s.counters.Starts++
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -104,6 +104,8 @@
 	jobs map[string]*job
 	// demand is the history of the work that came, in host-seconds.
 	demand balancer.Demand
+	// pace is the work that has started lately.
+	pace pace
 	// base is the number of hosts that the pool had when the term began.
 	base int
 	// spareSince is since when the pool has had hosts that it does not need.
