--- a/internal/jobkeeper/keeper_test.go
+++ b/internal/jobkeeper/keeper_test.go
@@ -321,6 +321,7 @@
 	}
 	for name, spoil := range cases {
 		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
 			c := valid()
 			spoil(c)
 			is.True(jobkeeper.Check(c) != nil)
