internal/messenger: a context error of a handler is the same error at its caller

Client and handler share the deadline. When the handler's answer arrives before the caller's goroutine runs, both cases of its select are ready, and the caller may get the handler's error, of which only the text crosses the connection; it did not match context.DeadlineExceeded.

Ruled out: a slow dial. The handler would not have run then, and the test would have waited for it instead of failing at its check.

Change: a handler's error whose text ends in that of a context error unwraps to that error. The new test fails without it in all three cases.

--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -26,6 +26,8 @@
 type registry struct {
 	ended  chan struct{}
 	tracer trace.TracerProvider
+	// failure is what Fetch fails with; nil means that there is no such slot.
+	failure error
 }
 
 func (registry) Begin(r *messenger.Request[wire.BeginRequest], answer *wire.BeginResponse) error {
@@ -39,7 +41,10 @@
 	return request.Context().Err()
 }
 
-func (registry) Fetch(*messenger.Request[wire.FetchRequest], *wire.FetchResponse) error {
+func (r registry) Fetch(*messenger.Request[wire.FetchRequest], *wire.FetchResponse) error {
+	if r.failure != nil {
+		return r.failure
+	}
 	return errors.New("no such slot")
 }
 
@@ -128,6 +133,40 @@
 	<-service.ended
 }
 
+// The called host may notice the end of a call before its caller does, and its
+// answer may win the race. The caller must see the same error either way.
+func TestDeadlineNoticedByHandlerFirst(t *testing.T) {
+	tests := map[string]struct {
+		reason string
+		want   error
+	}{
+		"deadline": {
+			reason: context.DeadlineExceeded.Error(),
+			want:   context.DeadlineExceeded,
+		},
+		"wrapped deadline": {
+			reason: "registry: wait: " + context.DeadlineExceeded.Error(),
+			want:   context.DeadlineExceeded,
+		},
+		"cancelled": {
+			reason: context.Canceled.Error(),
+			want:   context.Canceled,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, registry{
+				failure: errors.New(test.reason),
+			})
+			err := newClient(t).Call(withTimeout(t, 10*time.Second), address, "Registry.Fetch", &wire.FetchRequest{}, &wire.FetchResponse{})
+			is.True(errors.Is(err, test.want))
+			is.Equal(err.Error(), test.reason)
+			is.True(!messenger.NotSent(err))
+		})
+	}
+}
+
 // A call must be a span of its caller's trace on both sides, and calls in the
 // background must make none.
 func TestTraceCrossesHosts(t *testing.T) {
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -92,7 +92,10 @@
 		return nil
 	}
 	var refused rpc.ServerError
-	if errors.As(done.Error, &refused) || errors.Is(done.Error, ErrBusy) {
+	if errors.As(done.Error, &refused) {
+		return newRemoteError(refused)
+	}
+	if errors.Is(done.Error, ErrBusy) {
 		return done.Error
 	}
 	// A call whose connection this host closed meanwhile ends with ErrShutdown
