internal/jobscheduler: a pass gives its orders in parts that leave room for heartbeats

Change: at most 32 first looks are out that may be answered any moment; one without an answer after 100 ms no longer counts, so that dead workers do not hold up the others. A pass starts at most 48 tasks, and the next pass follows at once.

--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -9,6 +9,16 @@
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
+const (
+	// firstLooksAtOnce bounds the workers that a new leader asks at once. Each
+	// first look takes a new connection; those of a whole fleet together would
+	// keep the leader from its heartbeats until it is deposed.
+	firstLooksAtOnce = 32
+	// promptAnswer is how long a first look counts as one of them; a worker that
+	// has not answered by then may be dead and must not hold up the others.
+	promptAnswer = 100 * time.Millisecond
+)
+
 // far is a time for what waits for an event.
 const far = 365 * 24 * time.Hour
 
@@ -261,8 +271,19 @@
 // tickWorkers sends the looks that are due, takes runs back from workers whose
 // leases have ended, and gives up the wait for unknown workers.
 func (s *Scheduler) tickWorkers(contact time.Time) {
+	first := s.firstLooks()
 	for _, w := range s.workers {
-		s.tickWorker(w, contact)
+		s.tickLease(w)
+		if w.looking || w.recording || s.now.Before(w.lookAt) {
+			continue
+		}
+		if !w.adopted {
+			if first >= firstLooksAtOnce {
+				continue
+			}
+			first++
+		}
+		s.look(w, contact)
 	}
 	if s.now.Sub(s.since) > s.formerLease() {
 		for _, w := range s.unknown {
@@ -285,14 +306,27 @@
 	return time.Duration(float64(s.settings.Lease)*clockSlack) + 2*leaseMargin
 }
 
-func (s *Scheduler) tickWorker(w *worker, contact time.Time) {
+// firstLooks returns how many workers are being asked for the first time and may
+// answer any moment.
+func (s *Scheduler) firstLooks() int {
+	n := 0
+	for _, w := range s.workers {
+		if w.looking && !w.adopted && s.now.Sub(w.lookSent) < promptAnswer {
+			n++
+		}
+	}
+	return n
+}
+
+// tickLease takes runs back from a silent worker whose leases have ended.
+func (s *Scheduler) tickLease(w *worker) {
 	if w.failing && len(w.runs) > 0 && s.now.After(w.leaseEnd) {
 		s.loseAll(w, "the lease has ended")
 		s.noteLapsed(w, true)
 	}
-	if w.looking || w.recording || s.now.Before(w.lookAt) {
-		return
-	}
+}
+
+func (s *Scheduler) look(w *worker, contact time.Time) {
 	look := Look{
 		Target: w.target(),
 		Seen:   w.seen,
@@ -306,7 +340,7 @@
 			w.grant(look.Deadline)
 		}
 	}
-	w.looking = true
+	w.looking, w.lookSent = true, s.now
 	s.emit(look)
 }
 
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -11,6 +11,9 @@
 const (
 	// fullPause is the time without starts on a worker that had no room.
 	fullPause = 200 * time.Millisecond
+	// startsAtOnce bounds the tasks that one pass starts, but for a gang: the
+	// orders of a larger burst would keep the leader from its heartbeats.
+	startsAtOnce = 48
 )
 
 // Pass returns what is to be done now. Contact is the newest time at which a
@@ -27,10 +30,12 @@
 		s.markAll()
 	}
 	s.tickHosts()
+	s.startsLeft = startsAtOnce
 	for _, p := range s.pools {
-		if p.dirty {
+		if p.dirty && s.startsLeft > 0 {
 			p.dirty = false
 			s.place(p, contact)
+			p.dirty = p.dirty || s.startsLeft <= 0
 		}
 	}
 	return s.take()
@@ -57,6 +62,9 @@
 	waiting := s.waiting(p, len(workers))
 	var tooLarge []controller.Amount
 	for _, st := range waiting {
+		if s.startsLeft <= 0 {
+			return
+		}
 		if s.mayBeUnknown(st.occurrence.job) || exceeds(roomOf(st), tooLarge) {
 			continue
 		}
@@ -102,7 +110,7 @@
 // found no place.
 func (s *Scheduler) placeTasks(st *step, workers []*worker, contact time.Time) bool {
 	for _, index := range slices.Clone(st.pending) {
-		if !s.underCeiling(st, 1) {
+		if s.startsLeft <= 0 || !s.underCeiling(st, 1) {
 			return true
 		}
 		w := s.choose(st, index, workers, nil)
@@ -175,6 +183,7 @@
 	s.logger.Info("scheduler: task starts", "task", nameOf(key.taskKey), "run", number, "worker", w.info.GetId(),
 		"slack", st.occurrence.objective.Sub(s.wall)-st.occurrence.job.tail[st.number], "used", w.used.MilliCores)
 	s.counters.Starts++
+	s.startsLeft--
 	s.emit(Start{
 		Target:     w.target(),
 		Task:       key.task(),
@@ -207,6 +216,9 @@
 // Next returns when Pass has to be called again if nothing happens before.
 func (s *Scheduler) Next() time.Time {
 	next := s.now.Add(passPause)
+	if s.startsLeft <= 0 {
+		return s.now
+	}
 	for _, w := range s.workers {
 		if !w.looking && !w.recording && w.lookAt.Before(next) {
 			next = w.lookAt
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -67,6 +67,8 @@
 	// due holds the workers whose hosts have their maintenance before them.
 	due map[string]bool
 
+	// startsLeft is how many tasks the present pass may still start.
+	startsLeft int
 	// markedAt is when all pools were last marked for a pass.
 	markedAt time.Time
 	// now and wall are the times of the present call.
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -53,6 +53,8 @@
 	recording bool
 	looking   bool
 	lookAt    time.Time
+	// lookSent is when the newest look was sent.
+	lookSent time.Time
 
 	streak      int
 	quarantines int
