internal/jobscheduler, internal/jobkeeper: a worker can't name a task that does not exist

Cause: found by a test that let a worker list more ends than the job had tasks. The index of a task that a worker names was used unchecked, so one wrong row (a damaged worker, or an id that was used twice) ended the leader's process with a panic, and each next leader's after it.

Change: names of tasks that come from workers are looked up with their bounds checked; the log ignores ends of tasks that the job does not have. A run under such a name is stopped.

The test has seven such names; without the change it panics.

--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -107,10 +107,11 @@
 		t.GetIndex() >= 0 && t.GetIndex() < steps[t.GetStep()].GetTasks()
 }
 
-// record notes the end of one run; what is known already changes nothing.
+// record notes the end of one run of a task of the job; what is known already
+// changes nothing.
 func (j *Job) record(end *jobwire.End, attempts int32) {
 	t := end.GetTask()
-	if !j.Open() || !j.has(t) || j.OccurrenceDone(t.GetOccurrence()) {
+	if !j.Open() || j.OccurrenceDone(t.GetOccurrence()) {
 		return
 	}
 	s := j.step(t)
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -192,7 +192,7 @@
 func (k *Keeper) recordEnds(now time.Time, ends []*jobwire.End) any {
 	for _, end := range ends {
 		j, ok := k.state.Jobs[end.GetTask().GetJob()]
-		if !ok || !j.Open() {
+		if !ok || !j.Open() || !j.has(end.GetTask()) {
 			continue
 		}
 		j.record(end, k.state.attempts(j))
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -208,13 +208,23 @@
 		return nil
 	}
 	for _, o := range j.occurrences {
-		if o.number == k.Occurrence && int(k.Step) < len(o.steps) {
+		if o.number == k.Occurrence && k.Step >= 0 && int(k.Step) < len(o.steps) {
 			return o.steps[k.Step]
 		}
 	}
 	return nil
 }
 
+// findTask returns the step of a task; nil when it is not open or, as workers
+// name tasks, has no such task.
+func (s *Scheduler) findTask(k taskKey) *step {
+	st := s.find(k.StepKey)
+	if st == nil || k.index < 0 || k.index >= st.spec.GetTasks() {
+		return nil
+	}
+	return st
+}
+
 // JobEnded implements jobkeeper.Observer. Runs of the job are stopped.
 func (s *Scheduler) JobEnded(record *jobkeeper.Job) {
 	j, ok := s.jobs[record.Spec.GetId()]
@@ -253,7 +263,7 @@
 		return
 	}
 	t := end.GetTask()
-	st := s.find(keyOf(t).StepKey)
+	st := s.findTask(keyOf(t))
 	if st == nil {
 		return
 	}
@@ -277,7 +287,7 @@
 	if s.live[key] > 0 || s.unrecorded[key] > 0 {
 		return
 	}
-	if st := s.find(key.StepKey); st != nil {
+	if st := s.findTask(key); st != nil {
 		st.requeue(key.index)
 	}
 }
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -181,7 +181,7 @@
 	}
 	// Whether the task waits again is known once its ends are recorded.
 	s.unrecorded[keyOf(end.GetTask())]++
-	if st := s.find(keyOf(end.GetTask()).StepKey); st != nil {
+	if st := s.findTask(keyOf(end.GetTask())); st != nil {
 		st.unqueue(end.GetTask().GetIndex())
 	}
 }
@@ -243,7 +243,7 @@
 // meet takes over a run that a former leader or a late order has started, or
 // stops it when its task needs no run.
 func (s *Scheduler) meet(w *worker, key runKey) *run {
-	st := s.find(key.StepKey)
+	st := s.findTask(key.taskKey)
 	wanted := st != nil && s.live[key.taskKey] == 0 && s.unknown[w.info.GetId()] == w &&
 		!st.occurrence.job.record.Task(key.task()).Done
 	if st != nil {
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -180,3 +180,43 @@
 		})
 	}
 }
+
+// A worker that names tasks which the job does not have must not stop the
+// leader, and what it runs under such a name is stopped.
+func TestTaskThatDoesNotExist(t *testing.T) {
+	cases := map[string]*jobwire.Task{
+		"index too high": task("job", 0, 1000),
+		"negative index": task("job", 0, -1),
+		"step too high":  task("job", 9, 0),
+		"negative step":  task("job", -1, 0),
+		"occurrence": {
+			Job:        "job",
+			Occurrence: 7,
+		},
+		"negative occurrence": {
+			Job:        "job",
+			Occurrence: -7,
+		},
+		"other job": task("none", 0, 0),
+	}
+	for name, named := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.addWorker("a")
+			w.submit("job", tasks(2, 1000))
+			w.lead()
+			w.pass(0)
+			w.answerLooks(map[string]jobscheduler.LookAnswer{
+				"a": {
+					Running: []jobscheduler.RunningTask{runningTask(named, 3)},
+					Ended:   []jobscheduler.EndedTask{ended(1, named, 2, jobwire.Ending_ENDING_FAILED)},
+				},
+			})
+			w.record()
+			w.pass(time.Millisecond)
+			stops := takeAll[jobscheduler.Stop](w)
+			w.is.Equal(len(stops), 1)
+			w.is.Equal(len(takeAll[jobscheduler.Start](w)), 2)
+		})
+	}
+}
