internal/courier: agents on the other core hosts carry a large fleet's orders

Cause: at the peaks of the grown sites about 3,000 tasks start a second. Each start and its share of the looks cost the leader 0.3 ms of processor, so half of a core carries 1,700. The other seven core machines used a tenth of theirs.

Change: from 100 workers on, the leader hands its orders in batches to an agent in the worker's data centre, and collects outcomes in batches; each worker has one agent at a time. An agent obeys the highest term that it has seen and gives up the orders of a former leader. When it does not answer or has started again, looks take another way at once, as they may be repeated; starts and stops count as unanswered, since they may have been carried out. The ends that several workers report together share one entry of the log. In smaller fleets nothing changes but that.

Tests: the way of each order through an agent; a cut-off agent, one that starts again, a later leader; a small fleet; a worker's data centre.

--- a/cmd/heathermux-platform/main.go
+++ b/cmd/heathermux-platform/main.go
@@ -16,7 +16,8 @@
 )
 
 type arguments struct {
-	Positional struct {
+	DelegateFrom int `long:"delegate-from" description:"number of workers from which on other hosts carry the leader's orders" default:"100"`
+	Positional   struct {
 		Role string `positional-arg-name:"ROLE" description:"front: takes jobs of submitters; core: keeps the state and runs the jobs" choice:"front" choice:"core"`
 	} `positional-args:"yes" required:"yes"`
 }
@@ -27,29 +28,30 @@
 		// The parser has printed the reason.
 		os.Exit(2)
 	}
-	if err := run(args.Positional.Role); err != nil {
+	if err := run(args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(role string) error {
+func run(args arguments) error {
 	settings, err := platform.ReadSettings()
 	if err != nil {
 		return err
 	}
+	settings.DelegateFrom = args.DelegateFrom
 	lines := linewriter.New(os.Stdout)
 	defer lines.Close()
 	logger := slog.New(slog.NewJSONHandler(lines, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	switch role {
+	switch args.Positional.Role {
 	case "front":
 		err = platform.RunFront(ctx, settings, logger)
 	case "core":
 		err = platform.RunCore(ctx, settings, logger)
 	default:
-		err = fmt.Errorf("heathermux-platform: unknown role %q", role)
+		err = fmt.Errorf("heathermux-platform: unknown role %q", args.Positional.Role)
 	}
 	if err != nil {
 		logger.Error("process ends", "error", err)
--- a/internal/conductor/act.go
+++ b/internal/conductor/act.go
@@ -4,17 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/courier"
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
 const (
-	// orderTimeout bounds one order to a worker. An answer takes a few
-	// milliseconds; a lost one is asked for again.
-	orderTimeout = 500 * time.Millisecond
-	// lookTimeout is added to the time that a worker may wait.
-	lookTimeout = 600 * time.Millisecond
 	// recordPause is the time before ends are written again.
 	recordPause = 100 * time.Millisecond
 	// listTimeout bounds one listing of the provider, which may be slow.
@@ -26,30 +22,45 @@
 
 // carryOut begins all actions; their outcomes are reported when they come.
 func (c *Conductor) carryOut(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, actions []jobscheduler.Action) {
+	var orders []jobscheduler.Action
+	var records []jobscheduler.Record
 	for _, action := range actions {
+		if _, ok := courier.TargetOf(action); ok {
+			orders = append(orders, action)
+			continue
+		}
+		if r, ok := action.(jobscheduler.Record); ok {
+			records = append(records, r)
+			continue
+		}
 		c.pool.Go(func() { c.act(ctx, sched, fence, action) })
 	}
+	if len(records) > 0 {
+		c.pool.Go(func() { c.record(ctx, sched, records) })
+	}
+	if len(orders) > 0 {
+		c.courier.Send(orders, c.workers)
+	}
+}
+
+// answered passes the outcomes of orders to the scheduler that gave them.
+func (c *Conductor) answered(sched *jobscheduler.Scheduler, answers []courier.Answer) {
+	c.with(sched, func() {
+		for _, a := range answers {
+			switch o := a.Order.(type) {
+			case jobscheduler.Start:
+				sched.StartAnswered(o, a.Start, a.Clock)
+			case jobscheduler.Stop:
+				sched.StopAnswered(o, a.Confirmed, a.Clock)
+			case jobscheduler.Look:
+				sched.LookAnswered(o, a.Look)
+			}
+		}
+	})
 }
 
 func (c *Conductor) act(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, action jobscheduler.Action) {
 	switch a := action.(type) {
-	case jobscheduler.Start:
-		c.start(ctx, sched, fence, a)
-	case jobscheduler.Stop:
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		confirmed, clock := c.opts.Workers.Stop(ctx, fence, a)
-		c.with(sched, func() { sched.StopAnswered(a, confirmed, clock) })
-	case jobscheduler.Look:
-		c.look(ctx, sched, fence, a)
-	case jobscheduler.Pace:
-		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-		defer cancel()
-		if err := c.opts.Workers.Pace(ctx, fence, a); err != nil {
-			c.opts.Logger.Info("conductor: pace was not set", "worker", a.Target.ID, "error", err)
-		}
-	case jobscheduler.Record:
-		c.record(ctx, sched, a)
 	case jobscheduler.ListHosts:
 		c.listHosts(ctx, sched)
 	case jobscheduler.Maintain:
@@ -86,23 +97,6 @@
 	}
 }
 
-// start sends an order; one that comes too late has a deadline that is over.
-func (c *Conductor) start(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, a jobscheduler.Start) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	answer, clock := c.opts.Workers.Start(ctx, fence, a)
-	c.with(sched, func() { sched.StartAnswered(a, answer, clock) })
-}
-
-func (c *Conductor) look(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, a jobscheduler.Look) {
-	ctx, cancel := context.WithTimeout(ctx, a.Wait+lookTimeout)
-	defer cancel()
-	sent := c.opts.Clock.Now()
-	answer := c.opts.Workers.Look(ctx, fence, a)
-	answer.SentAt = sent
-	c.with(sched, func() { sched.LookAnswered(a, answer) })
-}
-
 func (c *Conductor) advise(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Advise) {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
@@ -128,21 +122,28 @@
 
 // record writes ends to the log, again until it succeeds or the lead ends: a
 // task whose end is not recorded may neither start again nor count as done.
-func (c *Conductor) record(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Record) {
+// The ends of all workers that answered together share one entry.
+func (c *Conductor) record(ctx context.Context, sched *jobscheduler.Scheduler, records []jobscheduler.Record) {
+	ends := &jobwire.Ends{}
+	for _, r := range records {
+		ends.Ends = append(ends.Ends, r.Ends...)
+	}
 	cmd := &jobwire.Command{
 		Change: &jobwire.Command_Ends{
-			Ends: &jobwire.Ends{
-				Ends: a.Ends,
-			},
+			Ends: ends,
 		},
 	}
 	for ctx.Err() == nil && c.conducts(sched) {
 		err := c.recordOnce(ctx, cmd)
 		if err == nil {
-			c.with(sched, func() { sched.Recorded(a) })
+			c.with(sched, func() {
+				for _, r := range records {
+					sched.Recorded(r)
+				}
+			})
 			return
 		}
-		c.opts.Logger.Info("conductor: ends were not recorded", "worker", a.Target.ID, "ends", len(a.Ends), "error", err)
+		c.opts.Logger.Info("conductor: ends were not recorded", "workers", len(records), "ends", len(ends.GetEnds()), "error", err)
 		pause := c.opts.Clock.NewTimer(recordPause)
 		<-pause.C()
 	}
--- a/internal/conductor/conductor.go
+++ b/internal/conductor/conductor.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/heathermux/heathermux/internal/courier"
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
@@ -31,8 +32,8 @@
 	passInterval = 4 * time.Millisecond
 	// passShare is the part of that time for each worker of a large fleet.
 	passShare = 40 * time.Microsecond
-	// callsInFlight bounds the calls to workers.
-	callsInFlight = 2048
+	// actionsInFlight bounds what is being done beside the orders to workers.
+	actionsInFlight = 256
 	// recordTimeout bounds the writing of ends to the log.
 	recordTimeout = 5 * time.Second
 )
@@ -44,15 +45,6 @@
 	Leader() (name string, self bool)
 }
 
-// Workers carries orders to workers. Its methods may be called from any number
-// of goroutines; the fence is the term of the ordering leader.
-type Workers interface {
-	Start(ctx context.Context, fence uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64)
-	Stop(ctx context.Context, fence uint64, a jobscheduler.Stop) (confirmed bool, clock int64)
-	Look(ctx context.Context, fence uint64, a jobscheduler.Look) jobscheduler.LookAnswer
-	Pace(ctx context.Context, fence uint64, a jobscheduler.Pace) error
-}
-
 // Provider moves and maintains the hosts of workers. Its methods may be called
 // from any number of goroutines.
 type Provider interface {
@@ -69,9 +61,10 @@
 
 // Options set up a Conductor.
 type Options struct {
-	Log     Log
-	Keeper  *jobkeeper.Keeper
-	Workers Workers
+	Log    Log
+	Keeper *jobkeeper.Keeper
+	// Courier says how orders get to the workers.
+	Courier courier.Options
 	// Provider is the one of the workers' hosts.
 	Provider Provider
 	// Adviser is asked for the steps of advised queues only.
@@ -95,6 +88,9 @@
 	// the keeper held.
 	sched *jobscheduler.Scheduler
 	term  uint64
+	// courier carries the orders of this term; nil while this host does not
+	// lead. Used by Run only.
+	courier *courier.Courier
 	// workers is the number of workers at the last pass; used by Run only.
 	workers int
 
@@ -116,7 +112,7 @@
 	c := &Conductor{
 		opts:      opts,
 		metrics:   m,
-		pool:      pond.NewPool(callsInFlight),
+		pool:      pond.NewPool(actionsInFlight),
 		wakes:     make(chan struct{}, 1),
 		sequences: make(map[life]uint64),
 	}
@@ -131,6 +127,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			c.resign()
 			c.pool.Stop()
 			return
 		case <-c.wakes:
@@ -191,8 +188,7 @@
 func (c *Conductor) follow(now time.Time, authority voter.Authority, ok bool) {
 	if c.term != 0 && authority.Term != c.term {
 		c.opts.Logger.Info("conductor: lead has ended", "term", c.term)
-		c.term = 0
-		c.opts.Keeper.Observe(nil, func(*jobkeeper.State) { c.sched = nil })
+		c.resign()
 	}
 	if c.term != 0 || !ok {
 		return
@@ -205,9 +201,21 @@
 		c.sched = jobscheduler.New(now, time.Now(), authority.Term, s, c.opts.Settings, c.opts.Logger)
 		observer.Scheduler = c.sched
 	})
+	sched := c.sched
+	c.courier = courier.New(c.opts.Courier, c.term, func(answers []courier.Answer) { c.answered(sched, answers) })
 	c.opts.Logger.Info("conductor: leads", "term", c.term)
 }
 
+// resign ends the scheduler and what carries its orders.
+func (c *Conductor) resign() {
+	c.term = 0
+	c.opts.Keeper.Observe(nil, func(*jobkeeper.State) { c.sched = nil })
+	if c.courier != nil {
+		c.courier.Close()
+		c.courier = nil
+	}
+}
+
 // observer passes changes of the state on to the scheduler and wakes the
 // conductor.
 type observer struct {
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/heathermux/heathermux/internal/conductor"
+	"github.com/heathermux/heathermux/internal/courier"
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
@@ -158,10 +159,16 @@
 		},
 		crew: newCrew(),
 	}
+	local := courier.NewLocal(s.crew, timer.System(), slog.New(slog.DiscardHandler))
+	t.Cleanup(local.Close)
 	s.conductor = conductor.New(conductor.Options{
-		Log:      s.log,
-		Keeper:   s.log.keeper,
-		Workers:  s.crew,
+		Log:    s.log,
+		Keeper: s.log.keeper,
+		Courier: courier.Options{
+			Local:  local,
+			Clock:  timer.System(),
+			Logger: slog.New(slog.DiscardHandler),
+		},
 		Provider: noHosts{},
 		Clock:    timer.System(),
 		Logger:   slog.New(slog.DiscardHandler),
--- /dev/null
+++ b/internal/courier/wire.go
@@ -0,0 +1,176 @@
+package courier
+
+import (
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// encodeOrder returns the message of an order; nil for other actions.
+func encodeOrder(number uint64, order jobscheduler.Action) *jobwire.Order {
+	target, ok := TargetOf(order)
+	if !ok {
+		return nil
+	}
+	message := &jobwire.Order{
+		Number: number,
+		Target: &jobwire.Target{
+			Id:      target.ID,
+			Born:    target.Born,
+			Address: target.Address,
+		},
+	}
+	switch o := order.(type) {
+	case jobscheduler.Start:
+		message.Order = &jobwire.Order_Start{
+			Start: &jobwire.StartOrder{
+				Task:           o.Task,
+				Run:            o.Run,
+				Payload:        o.Payload,
+				Checkpoint:     o.Checkpoint,
+				Ticket:         o.Ticket,
+				DeadlineMillis: o.Deadline,
+			},
+		}
+	case jobscheduler.Stop:
+		message.Order = &jobwire.Order_Stop{
+			Stop: &jobwire.StopOrder{
+				Task: o.Task,
+				Run:  o.Run,
+			},
+		}
+	case jobscheduler.Look:
+		message.Order = &jobwire.Order_Look{
+			Look: &jobwire.LookOrder{
+				DeadlineMillis: o.Deadline,
+				Seen:           o.Seen,
+				WaitNanos:      int64(o.Wait),
+			},
+		}
+	case jobscheduler.Pace:
+		message.Order = &jobwire.Order_Pace{
+			Pace: &jobwire.PaceOrder{
+				Task:    o.Task,
+				Run:     o.Run,
+				Percent: int32(o.Percent),
+			},
+		}
+	}
+	return message
+}
+
+// decodeOrder returns nil for an order of an unknown kind.
+func decodeOrder(message *jobwire.Order) jobscheduler.Action {
+	target := jobscheduler.Target{
+		ID:      message.GetTarget().GetId(),
+		Born:    message.GetTarget().GetBorn(),
+		Address: message.GetTarget().GetAddress(),
+	}
+	switch o := message.GetOrder().(type) {
+	case *jobwire.Order_Start:
+		return jobscheduler.Start{
+			Target:     target,
+			Task:       o.Start.GetTask(),
+			Run:        o.Start.GetRun(),
+			Payload:    o.Start.GetPayload(),
+			Checkpoint: o.Start.GetCheckpoint(),
+			Ticket:     o.Start.GetTicket(),
+			Deadline:   o.Start.GetDeadlineMillis(),
+		}
+	case *jobwire.Order_Stop:
+		return jobscheduler.Stop{
+			Target: target,
+			Task:   o.Stop.GetTask(),
+			Run:    o.Stop.GetRun(),
+		}
+	case *jobwire.Order_Look:
+		return jobscheduler.Look{
+			Target:   target,
+			Deadline: o.Look.GetDeadlineMillis(),
+			Seen:     o.Look.GetSeen(),
+			Wait:     time.Duration(o.Look.GetWaitNanos()),
+		}
+	case *jobwire.Order_Pace:
+		return jobscheduler.Pace{
+			Target:  target,
+			Task:    o.Pace.GetTask(),
+			Run:     o.Pace.GetRun(),
+			Percent: int(o.Pace.GetPercent()),
+		}
+	}
+	return nil
+}
+
+func encodeAnswer(number uint64, a Answer) *jobwire.OrderAnswer {
+	message := &jobwire.OrderAnswer{
+		Number:      number,
+		Start:       int32(a.Start),
+		Confirmed:   a.Confirmed,
+		ClockMillis: a.Clock,
+	}
+	if _, ok := a.Order.(jobscheduler.Look); !ok {
+		return message
+	}
+	message.ClockMillis = a.Look.Clock
+	message.Look = &jobwire.LookResult{
+		Failed:  a.Look.Failed,
+		Refused: a.Look.Refused,
+		Gone:    a.Look.Gone,
+		Fenced:  a.Look.Fenced,
+	}
+	for _, t := range a.Look.Running {
+		message.Look.Running = append(message.Look.Running, &jobwire.RunningTask{
+			Task:       t.Task,
+			Run:        t.Run,
+			Checkpoint: t.Checkpoint,
+			Percent:    int32(t.Percent),
+			Figure:     t.Figure,
+		})
+	}
+	for _, e := range a.Look.Ended {
+		message.Look.Ended = append(message.Look.Ended, &jobwire.EndedTask{
+			Number: e.Number,
+			End:    e.End,
+		})
+	}
+	return message
+}
+
+// decodeAnswer returns the outcome of an order that left at the given time.
+func decodeAnswer(order jobscheduler.Action, sent time.Time, message *jobwire.OrderAnswer) Answer {
+	a := Answer{
+		Order:     order,
+		Start:     jobscheduler.StartAnswer(message.GetStart()),
+		Confirmed: message.GetConfirmed(),
+		Clock:     message.GetClockMillis(),
+	}
+	if _, ok := order.(jobscheduler.Look); !ok {
+		return a
+	}
+	look := message.GetLook()
+	a.Look = jobscheduler.LookAnswer{
+		Failed:  look == nil || look.GetFailed(),
+		Refused: look.GetRefused(),
+		Gone:    look.GetGone(),
+		Fenced:  look.GetFenced(),
+		Clock:   message.GetClockMillis(),
+		SentAt:  sent,
+	}
+	for _, t := range look.GetRunning() {
+		a.Look.Running = append(a.Look.Running, jobscheduler.RunningTask{
+			Task:       t.GetTask(),
+			Run:        t.GetRun(),
+			Checkpoint: t.GetCheckpoint(),
+			Percent:    int(t.GetPercent()),
+			Figure:     t.GetFigure(),
+		})
+	}
+	for _, e := range look.GetEnded() {
+		a.Look.Ended = append(a.Look.Ended, jobscheduler.EndedTask{
+			Number: e.GetNumber(),
+			End:    e.GetEnd(),
+		})
+	}
+	return a
+}
--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -313,6 +313,13 @@
 	g.add(host)
 }
 
+// Hosts returns the names of all hosts that may lead.
+func (g *Gateway) Hosts() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.hosts)
+}
+
 // Watch asks the leader while no calls pass, until ctx ends, so that Ready
 // tells of the path to it.
 func (g *Gateway) Watch(ctx context.Context) {
--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -15,6 +15,8 @@
 	ID      string
 	Born    int64
 	Address string
+	// DataCentre is where the worker runs; empty when it is not known.
+	DataCentre string
 }
 
 // Start orders a worker to run a task; the outcome goes to StartAnswered.
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -87,9 +87,10 @@
 
 func (w *worker) target() Target {
 	return Target{
-		ID:      w.info.GetId(),
-		Born:    w.info.GetBorn(),
-		Address: w.info.GetAddress(),
+		ID:         w.info.GetId(),
+		Born:       w.info.GetBorn(),
+		Address:    w.info.GetAddress(),
+		DataCentre: w.info.GetDataCentre(),
 	}
 }
 
