internal/jobscheduler, internal/jobkeeper: a new leader knows the load that came before its term

A new leader took all open jobs for new ones, so the pool had a peak of 818 hosts' work in its first half second. It held up to 278 hosts with 164 of them idle while other pools lacked some, and the real peaks of the pool (127 to 250 hosts), below half of that, did not count as peaks, so that no next one was expected.

Change: each host remembers the arrivals of the log for two minutes; a new leader fills the history of each pool with them at their own times. Where load came before the term, the hosts that a pool "began with" are its even share of the fleet, not those that it holds at the moment.

--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -61,6 +61,10 @@
 	// Waves holds all maintenance waves by their id.
 	Waves map[string]*jobwire.Wave
 
+	// Arrivals holds the latest acceptances in the order of the log. It is a
+	// hint, which snapshots lack.
+	Arrivals []Arrival
+
 	// queues holds the queues of the configuration by name.
 	queues map[string]*jobwire.Queue
 	// ended holds the ids of ended jobs in the order of their ends.
@@ -150,6 +154,7 @@
 	}
 	j := newJob(spec)
 	k.state.Jobs[spec.GetId()] = j
+	k.state.noteArrival(spec)
 	if k.observer != nil {
 		k.observer.JobAdded(j)
 	}
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -8,6 +8,7 @@
 
 	"github.com/heathermux/heathermux/internal/balancer"
 	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
@@ -53,27 +54,31 @@
 	retryAt time.Time
 }
 
-// noteDemand adds the work of a new job to the history of its pool.
-func (s *Scheduler) noteDemand(j *job) {
-	j.size = s.workOf(j.pool, j.record.Spec)
-	if j.size > 0 {
-		j.pool.demand.Add(s.now, j.size)
-	}
-}
-
 // workOf returns the work of the short tasks of one occurrence of a job, in
 // host-seconds.
 func (s *Scheduler) workOf(p *pool, job *jobwire.Job) float64 {
-	whole := s.hostSize(p.name)
-	work := 0.0
-	for _, spec := range job.GetSteps() {
-		if spec.GetLasting() || spec.GetFills() {
+	return hostShare(jobkeeper.WorkOf(job), s.hostSize(p.name))
+}
+
+// recallDemand fills the histories of the pools with what came before this
+// term. Counting the waiting jobs as new ones would look like a peak.
+func (s *Scheduler) recallDemand() {
+	for _, cfg := range s.state.Configuration.GetPools() {
+		s.pool(cfg.GetName()).demand.Least = peakShare * s.evenShare(len(s.workers))
+	}
+	for _, a := range s.state.Arrivals {
+		q, ok := s.queues[a.Queue]
+		if !ok {
 			continue
 		}
-		seconds := time.Duration(spec.GetEstimateNanos()).Seconds()
-		work += float64(spec.GetTasks()) * hostShare(controller.AmountOf(spec.GetEach()), whole) * seconds
+		p := s.pool(q.GetPool())
+		p.demand.Add(s.now.Add(a.At.Sub(s.wall)), hostShare(a.Work, s.hostSize(p.name)))
 	}
-	return work
+}
+
+// evenShare returns the hosts of a pool if each had as many of the given number.
+func (s *Scheduler) evenShare(hosts int) float64 {
+	return float64(hosts) / float64(max(1, len(s.state.Configuration.GetPools())))
 }
 
 // hostSize returns the capacity of a host of a pool, or of any when the pool
@@ -168,7 +173,11 @@
 	s.countHosts(p, &view)
 	if p.base == 0 {
 		p.base = view.Hosts
-		p.demand.Least = peakShare * float64(view.Hosts)
+		if s.followed {
+			// Hosts may be anywhere in the middle of the load's turns.
+			p.base = int(s.evenShare(len(s.hosts.known)))
+		}
+		p.demand.Least = peakShare * float64(p.base)
 	}
 	view.Keep = s.keep(p, turn, lasting)
 	return view
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -70,6 +70,14 @@
 
 // JobAdded implements jobkeeper.Observer.
 func (s *Scheduler) JobAdded(record *jobkeeper.Job) {
+	j := s.addJob(record)
+	if j.size > 0 {
+		j.pool.demand.Add(s.now, j.size)
+	}
+}
+
+// addJob takes in an open job.
+func (s *Scheduler) addJob(record *jobkeeper.Job) *job {
 	spec := record.Spec
 	q := s.queues[spec.GetQueue()]
 	j := &job{
@@ -83,8 +91,9 @@
 	s.jobs[j.id] = j
 	j.pool.jobs[j.id] = j
 	j.pool.dirty = true
-	s.noteDemand(j)
+	j.size = s.workOf(j.pool, spec)
 	s.load(j)
+	return j
 }
 
 // tails returns the longest chain of estimates from each step on, and of all.
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -47,6 +47,8 @@
 	// allWait is true when old jobs of all pools wait for each unknown worker.
 	allWait bool
 	opened  bool
+	// followed is true when load came before this term.
+	followed bool
 
 	jobs    map[string]*job
 	workers map[string]*worker
@@ -134,6 +136,7 @@
 		used:     make(map[string]controller.Amount),
 		live:     make(map[taskKey]int),
 		unknown:  make(map[string]*worker),
+		followed: len(state.Arrivals) > 0,
 
 		unrecorded: make(map[taskKey]int),
 		departing:  make(map[life]*worker),
@@ -153,10 +156,10 @@
 	s.allWait = wall.Sub(state.QueuesMoved) < queuesMovedRecently
 	for _, j := range state.Jobs {
 		if j.Open() {
-			s.JobAdded(j)
-			s.jobs[j.Spec.GetId()].old = true
+			s.addJob(j).old = true
 		}
 	}
+	s.recallDemand()
 	return s
 }
 
