internal/jobscheduler: agents make the parts larger in which a peak is started

Cause: a pass started at most 48 tasks, however many hosts carry the orders.

Change: the bounds of starts and of first looks hold for each host that carries orders.

--- a/internal/courier/courier.go
+++ b/internal/courier/courier.go
@@ -90,6 +90,19 @@
 	}
 }
 
+// Carriers returns the number of hosts that carry orders.
+func (c *Courier) Carriers() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, r := range c.agents {
+		if r.up {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 // send gives an order to an agent, or carries it from here.
 func (c *Courier) send(order jobscheduler.Action) {
 	c.mu.Lock()
--- a/internal/jobscheduler/look.go
+++ b/internal/jobscheduler/look.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// firstLooksAtOnce bounds the workers that a new leader asks at once. Each
-	// first look takes a new connection; those of a whole fleet together would
-	// keep the leader from its heartbeats until it is deposed.
+	// firstLooksAtOnce bounds the workers that a new leader asks at once, for each
+	// host that carries orders. Each first look takes a new connection; those of a
+	// whole fleet together would keep the leader from its heartbeats until it is
+	// deposed.
 	firstLooksAtOnce = 32
 	// promptAnswer is how long a first look counts as one of them; a worker that
 	// has not answered by then may be dead and must not hold up the others.
@@ -278,7 +279,7 @@
 			continue
 		}
 		if !w.adopted {
-			if first >= firstLooksAtOnce {
+			if first >= firstLooksAtOnce*s.carriers {
 				continue
 			}
 			first++
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -11,14 +11,16 @@
 const (
 	// fullPause is the time without starts on a worker that had no room.
 	fullPause = 200 * time.Millisecond
-	// startsAtOnce bounds the tasks that one pass starts, but for a gang: the
-	// orders of a larger burst would keep the leader from its heartbeats.
+	// startsAtOnce bounds the tasks that one pass starts for each host that carries
+	// orders, but for a gang: a larger burst would keep the host from its heartbeats.
 	startsAtOnce = 48
 )
 
 // Pass returns what is to be done now. Contact is the newest time at which a
-// majority confirmed the lead; leases are counted from it.
-func (s *Scheduler) Pass(contact time.Time) []Action {
+// majority confirmed the lead; leases are counted from it. Carriers is the number
+// of hosts that carry orders.
+func (s *Scheduler) Pass(contact time.Time, carriers int) []Action {
+	s.carriers = max(carriers, 1)
 	for _, j := range s.jobs {
 		s.load(j)
 	}
@@ -30,7 +32,7 @@
 		s.markAll()
 	}
 	s.tickHosts()
-	s.startsLeft = startsAtOnce
+	s.startsLeft = startsAtOnce * s.carriers
 	for _, p := range s.pools {
 		if p.dirty && s.startsLeft > 0 {
 			p.dirty = false
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -69,6 +69,8 @@
 	// due holds the workers whose hosts have their maintenance before them.
 	due map[string]bool
 
+	// carriers is the number of hosts that carry orders.
+	carriers int
 	// startsLeft is how many tasks the present pass may still start.
 	startsLeft int
 	// markedAt is when all pools were last marked for a pass.
