pkg/replicator: a replica that is behind is probed, not flooded

After the cut the former leader's host never came back: the new leader closed its connection to it each second, with messages of 302 kB on their way, and its memory rose to 210 MB. Each refusal of a replica that is behind set back the next index, and each was answered with 512 entries at once; the copies filled the link, were lost, and were refused again.

Change: after a refusal one message with entries is under way until the replica confirms that its log matches; heartbeats go on. A probe without an answer is sent again after an election timeout.

--- a/pkg/replicator/leader.go
+++ b/pkg/replicator/leader.go
@@ -34,6 +34,12 @@
 	match uint64
 	// next is the next index to send; at least match+1.
 	next uint64
+	// probing is true from a refusal until the replica confirms that its log
+	// matches up to next. Till then one message with entries is under way at a
+	// time: copies for each refusal would fill a slow link.
+	probing bool
+	// probedAt is when the last such message was sent.
+	probedAt time.Time
 	// round is the newest heartbeat round that the replica acknowledged.
 	round uint64
 	// snapshotAt is when a snapshot was last sent; zero when none is under way.
@@ -113,14 +119,22 @@
 		if !force {
 			return
 		}
+	case p.probing && now.Sub(p.probedAt) < c.cfg.ElectionTimeout:
+		if !force {
+			return
+		}
+		m.Index, m.LogTerm, m.Commit = p.next-1, prevTerm, c.commit
 	default:
+		p.probedAt = now
 		m.Index, m.LogTerm = p.next-1, prevTerm
 		m.Commit = c.commit
 		m.Entries = c.log.slice(p.next-1, min(p.next-1+messageEntries, p.match+windowEntries))
 		if len(m.Entries) == 0 && !force {
 			return
 		}
-		p.next += uint64(len(m.Entries))
+		if !p.probing {
+			p.next += uint64(len(m.Entries))
+		}
 	}
 	c.send(m)
 }
@@ -173,12 +187,16 @@
 	switch {
 	case m.GetReject() && m.GetIndex() > p.match && m.GetIndex() < p.next:
 		p.next = max(p.match+1, min(m.GetIndex(), m.GetHint()+1))
+		p.probing, p.probedAt = true, time.Time{}
 	case !m.GetReject() && m.GetIndex() > p.match && m.GetIndex() <= c.log.last():
 		p.match = m.GetIndex()
 		p.next = max(p.next, p.match+1)
 		p.snapshotAt = time.Time{}
 		c.advanceCommit()
 	}
+	if !m.GetReject() && m.GetIndex()+1 >= p.next {
+		p.probing = false
+	}
 	c.sendAppend(now, id, false)
 }
 
