internal/jobgateway: a caller that gives up does not cost the others their leader

Each call that its caller had given up ("context canceled") counted as a leader that does not answer, so all calls at that moment were refused until the next search had found the same leader again.

Change: a call that ends with its caller's context says nothing of the leader. If the leader has not answered anything for half a second, it is probed; one that is silent then is given up as before.

The test fails without the change for a leader that is slow with one call, and for one that is frozen (the leader was dropped before it was asked).

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -64,6 +64,8 @@
 	answered time.Time
 	// finding is true while hosts are asked for the leader.
 	finding bool
+	// checking is true while the leader is asked whether it still leads.
+	checking bool
 	// changed is closed and replaced with each change of the leader.
 	changed chan struct{}
 }
@@ -147,6 +149,10 @@
 		}
 		resp, err := attempt[R, PR](ctx, g, host, method, req)
 		switch {
+		case err != nil && ctx.Err() != nil:
+			// The caller has given up, which says nothing of the leader.
+			g.check(host)
+			return nil, true
 		case err != nil:
 			sent = sent || !messenger.NotSent(err)
 			g.lost(host, err.Error())
@@ -233,6 +239,23 @@
 	g.mu.Unlock()
 }
 
+// check begins to ask a leader that has not answered lately whether it still
+// leads.
+func (g *Gateway) check(host string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.checking || g.opts.Clock.Now().Sub(g.answered) < freshFor/3 {
+		return
+	}
+	g.checking = true
+	go func() {
+		g.probe(host)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.checking = false
+	}()
+}
+
 // probe asks a host whether it leads, with a call that costs it little.
 func (g *Gateway) probe(host string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
--- a/internal/jobgateway/gateway_test.go
+++ b/internal/jobgateway/gateway_test.go
@@ -36,6 +36,8 @@
 	unprepared
 	// ends hosts lose the lead while a call is in the log.
 	ends
+	// stalls hosts lead and do not answer calls of submitters.
+	stalls
 )
 
 func (h *hosts) set(name string, b behaviour) {
@@ -57,6 +59,11 @@
 	case frozen:
 		<-ctx.Done()
 		return ctx.Err()
+	case stalls:
+		if _, ok := request.(*jobwire.JobRequest); ok {
+			<-ctx.Done()
+			return ctx.Err()
+		}
 	case down:
 		return errors.Wrap(messenger.ErrUnreachable, host)
 	case unprepared:
@@ -181,3 +188,36 @@
 	is.True(time.Since(begun) < promptly)
 	is.Equal(h.calls["a"], 2)
 }
+
+// A caller that gives up must not make the gateway refuse the calls of all
+// others; only a leader that does not answer a probe either is given up.
+func TestCallerThatGivesUp(t *testing.T) {
+	cases := map[string]struct {
+		leader behaviour
+		kept   bool
+	}{
+		"the leader is slow with one call": {
+			leader: stalls,
+			kept:   true,
+		},
+		"the leader is frozen": {
+			leader: frozen,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g, h := newGateway(map[string]behaviour{"a": leads, "b": follows})
+			g.Job(context.Background(), &jobwire.JobRequest{})
+			// The last answer has to be old to count for nothing.
+			time.Sleep(600 * time.Millisecond)
+			h.set("a", c.leader)
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			is.Equal(g.Job(ctx, &jobwire.JobRequest{}).GetOutcome(), jobwire.Outcome_OUTCOME_UNKNOWN)
+			is.Equal(g.Leader(), "a")
+			time.Sleep(promptly)
+			is.Equal(g.Leader() == "a", c.kept)
+		})
+	}
+}
