internal/courier: agents are used as soon as they answer

Cause: an agent counted as up with its first answer, and it waited 200 ms for something to answer. A new leader asked its first workers itself until then.

Change: an agent that is not known to be up is not to wait.

--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -581,3 +581,16 @@
 	}))
 	g.is.Equal(g.awaitCall("look 1 w 0 0 0s"), []string{"near"})
 }
+
+// A new leader of a large fleet has all workers to ask; its agents must be there
+// long before the workers' leases are an issue.
+func TestAgentsAreUsedAtOnce(t *testing.T) {
+	g := newGroup(t, map[string]string{
+		"leader": "a",
+		"near":   "b",
+	})
+	c, _ := g.lead(1)
+	begun := time.Now()
+	g.awaitAgents(c, "b")
+	g.is.True(time.Since(begun) < 100*time.Millisecond)
+}
--- a/internal/courier/remote.go
+++ b/internal/courier/remote.go
@@ -154,11 +154,12 @@
 func (c *Courier) collectAll(r *remote) {
 	for c.ctx.Err() == nil {
 		resp := &jobwire.CollectResponse{}
-		ctx, cancel := context.WithTimeout(c.ctx, collectWait+callTimeout)
+		wait := c.collectWait(r)
+		ctx, cancel := context.WithTimeout(c.ctx, wait+callTimeout)
 		err := c.opts.Caller.Call(ctx, r.host, CollectMethod, &jobwire.CollectRequest{
 			Session:   c.name,
 			Fence:     c.fence,
-			WaitNanos: int64(collectWait),
+			WaitNanos: int64(wait),
 		}, resp)
 		cancel()
 		if err != nil {
@@ -170,6 +171,17 @@
 	}
 }
 
+// collectWait returns how long an agent may wait for answers. One that is not
+// known to be up is not to wait, so that it can be used at once.
+func (c *Courier) collectWait(r *remote) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !r.up {
+		return 0
+	}
+	return collectWait
+}
+
 // collected takes the answers of an agent and gives up orders that are overdue.
 func (c *Courier) collected(r *remote, resp *jobwire.CollectResponse) {
 	if c.restarted(r, resp) {
