internal/soaker: in every second seed other hosts carry the leader's orders

The soak plays five workers, and agents are used from 100 on, so nothing of the courier between hosts was played.

--- a/cmd/heathermux-soak/main_test.go
+++ b/cmd/heathermux-soak/main_test.go
@@ -24,7 +24,8 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	cases := map[string]uint64{
-		"short run of mixed faults": 1,
+		"short run of mixed faults":                   1,
+		"the same, orders are carried by other hosts": 2,
 	}
 	for name, seed := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -16,6 +16,7 @@
 	name, role, ip string
 	dir            string
 	program        string
+	arguments      []string
 	settings       string
 	cmd            *exec.Cmd
 	exited         chan struct{}
@@ -33,7 +34,7 @@
 		return errors.Wrap(err, "soaker: open log")
 	}
 	defer func() { _ = out.Close() }()
-	p.cmd = exec.Command(p.program, p.role)
+	p.cmd = exec.Command(p.program, append([]string{p.role}, p.arguments...)...)
 	p.cmd.Env = append(os.Environ(), "HEATHERMUX_BOOT="+path)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
 	if err := p.cmd.Start(); err != nil {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -149,6 +149,10 @@
 			program:  s.opts.Program,
 			settings: settingsText(m, controls, s.opts.Dir, s.provider.Addr().String()),
 		}
+		if s.opts.Seed%2 == 0 {
+			// In every second seed other core machines carry the leader's orders.
+			p.arguments = []string{"--delegate-from", "1"}
+		}
 		s.processes = append(s.processes, p)
 		if err := p.start(); err != nil {
 			return err
