internal/conductor: a leader that was suspended sends no old order to the provider

The order had been decided before the freeze and had waited for its turn among more than a hundred moves; its time limit began only when it was sent.

Ruled out: a late delivery by the network (the call was made after the freeze).

Orders to workers carry fences, which workers check.

--- a/internal/conductor/act.go
+++ b/internal/conductor/act.go
@@ -64,15 +64,15 @@
 	case jobscheduler.ListHosts:
 		c.listHosts(ctx, sched)
 	case jobscheduler.Maintain:
-		ctx, cancel := context.WithTimeout(ctx, providerTimeout)
-		defer cancel()
-		answer := c.opts.Provider.Maintain(ctx, fence, a)
+		answer := c.orderHost(ctx, fence, func(ctx context.Context) jobscheduler.HostAnswer {
+			return c.opts.Provider.Maintain(ctx, fence, a)
+		})
 		c.opts.Logger.Info("conductor: maintenance was ordered", "host", a.Host, "wave", a.Wave, "answer", int(answer))
 		c.with(sched, func() { sched.Maintained(a, answer) })
 	case jobscheduler.MoveHost:
-		ctx, cancel := context.WithTimeout(ctx, providerTimeout)
-		defer cancel()
-		answer := c.opts.Provider.Move(ctx, fence, a)
+		answer := c.orderHost(ctx, fence, func(ctx context.Context) jobscheduler.HostAnswer {
+			return c.opts.Provider.Move(ctx, fence, a)
+		})
 		c.opts.Logger.Info("conductor: move was ordered", "host", a.Host, "pool", a.Pool, "answer", int(answer))
 		c.with(sched, func() { sched.HostMoved(a, answer) })
 	case jobscheduler.Advise:
@@ -97,6 +97,18 @@
 	}
 }
 
+// orderHost gives an order to the provider, which may check no fences. An order
+// that has waited in a process that was suspended is not sent: another leader
+// may be giving orders by now.
+func (c *Conductor) orderHost(ctx context.Context, fence uint64, order func(context.Context) jobscheduler.HostAnswer) jobscheduler.HostAnswer {
+	if a, ok := c.authority(c.opts.Clock.Now()); !ok || a.Term != fence {
+		return jobscheduler.HostOrderUnknown
+	}
+	ctx, cancel := context.WithTimeout(ctx, providerTimeout)
+	defer cancel()
+	return order(ctx)
+}
+
 func (c *Conductor) advise(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Advise) {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
--- a/internal/conductor/conductor_test.go
+++ b/internal/conductor/conductor_test.go
@@ -26,6 +26,8 @@
 	keeper *jobkeeper.Keeper
 	// lost is true when entries are not appended any more.
 	lost bool
+	// stale is true when the last confirmation of the lead is old.
+	stale bool
 }
 
 func (l *soloLog) Submit(_ context.Context, data []byte) (any, error) {
@@ -38,9 +40,15 @@
 }
 
 func (l *soloLog) Authority() voter.Authority {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	contact := time.Now()
+	if l.stale {
+		contact = contact.Add(-10 * time.Second)
+	}
 	return voter.Authority{
 		Term:      1,
-		Contact:   time.Now(),
+		Contact:   contact,
 		Confirmed: true,
 	}
 }
