internal/invoker, internal/jobserver, internal/emulator: pieces of the platform folder that the product needs too

The product is to have jobs of its own, so what is not the platform's moves out of platform/, once: the HTTP client for workers with its resetting connections (internal/invoker, which also speaks the product's own protocol to job workers), the services between core hosts (internal/jobserver), and what a stand-in worker does with runs, leases and fences (internal/emulator, JobRuns), which the stand-in of the platform and the soak now use.

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -38,6 +38,12 @@
 	freshFor = 1500 * time.Millisecond
 )
 
+// Methods of the service of the leading host.
+const (
+	jobMethod     = "Jobs.Job"
+	controlMethod = "Jobs.Control"
+)
+
 // Caller calls a method of another host by its name.
 type Caller interface {
 	Call(ctx context.Context, host, method string, request, response proto.Message) error
@@ -95,7 +101,7 @@
 
 // Job passes on a call of a submitter.
 func (g *Gateway) Job(ctx context.Context, req *jobwire.JobRequest) *jobwire.JobResponse {
-	resp, sent := forward[jobwire.JobResponse](ctx, g, "Jobs.Job", req)
+	resp, sent := forward[jobwire.JobResponse](ctx, g, jobMethod, req)
 	if resp != nil {
 		return resp
 	}
@@ -112,7 +118,7 @@
 
 // Control passes on a call of a worker or an operator.
 func (g *Gateway) Control(ctx context.Context, req *jobwire.ControlRequest) *jobwire.ControlResponse {
-	resp, _ := forward[jobwire.ControlResponse](ctx, g, "Jobs.Control", req)
+	resp, _ := forward[jobwire.ControlResponse](ctx, g, controlMethod, req)
 	if resp != nil {
 		return resp
 	}
@@ -261,7 +267,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	resp := &jobwire.ControlResponse{}
-	err := g.opts.Caller.Call(ctx, host, "Jobs.Control", &jobwire.ControlRequest{
+	err := g.opts.Caller.Call(ctx, host, controlMethod, &jobwire.ControlRequest{
 		Call: &jobwire.ControlRequest_ReadWave{
 			ReadWave: &jobwire.ReadWave{},
 		},
--- a/internal/soaker/ledger.go
+++ b/internal/soaker/ledger.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"sync"
+
+	"github.com/heathermux/heathermux/internal/emulator"
 )
 
 // ledger checks what workers do against what callers were told. It is safe for
@@ -40,7 +42,7 @@
 	l.broken = append(l.broken, fmt.Sprintf(format, args...))
 }
 
-// Started implements standin.Ledger.
+// Started implements emulator.JobLedger.
 func (l *ledger) Started(task string, run uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -56,22 +58,22 @@
 	}
 }
 
-// Ended implements standin.Ledger.
-func (l *ledger) Ended(task string, _ uint64, how string) {
+// Ended implements emulator.JobLedger.
+func (l *ledger) Ended(task string, _ uint64, how emulator.JobEnding) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.live[task]--
-	if how == "done" {
+	if how == emulator.JobDone {
 		l.events++
 		l.doneAt[task] = l.events
 	}
 }
 
-// Noted implements standin.Ledger.
-func (l *ledger) Noted(task string, run uint64, how string) {
+// Noted implements emulator.JobLedger.
+func (l *ledger) Noted(task string, run uint64, how emulator.JobEnding) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if how != "done" {
+	if how != emulator.JobDone {
 		return
 	}
 	l.noted[task] = true
