heathermux: jobs have their own API, command line and workers

The product's own entry hosts kept tasks alone.

Change: a queue of the kind "jobs" in the control state. Entry hosts take jobs at POST /v1/jobs with the key of a team that may use the queue, tell of them at GET /v1/jobs and /v1/jobs/{id}, and cancel at DELETE /v1/jobs/{id}; "heathermux job submit, get, list, cancel" call that. The voters keep jobs on the log that they have (internal/jobkeeper as its second state machine); the leader schedules with the conductor that the platform uses, and keeps pools, queues, limits of teams and data centres out of service in step with the control state (internal/jobconfigurer). Job workers announce themselves at /v1/job-workers and are called (internal/invoker). What jobs can't do yet (speculative copies, filling tasks, targets) is refused as an unknown field.

With an idempotency key the id of a job follows from team, key and body, so that a submission after a lost answer is the same job.

Ruled out: queues told apart by host and path, as the platform has them; the product's queues have names and its keys are kept as hashes only, so the entry host authenticates and passes the team on.

Tests: four real processes with job workers, of which the leader is killed between submissions and repeats of them (20 jobs, 100 tasks, none twice, all completed); the commands against real processes; parsing, fields, outcomes and scopes of the API; announcements; the configurer.

--- a/cmd/heathermux/cluster_test.go
+++ b/cmd/heathermux/cluster_test.go
@@ -184,6 +184,11 @@
 				"pool": "redeem",
 				"open": true,
 			},
+			{
+				"name": "redeem-jobs",
+				"kind": "jobs",
+				"pool": "redeem",
+			},
 		},
 		"contracts": []map[string]any{
 			{
@@ -194,7 +199,7 @@
 						"share":               1,
 						"request-rate":        "1000/s",
 						"request-concurrency": 100,
-						"queues":              []string{"redeem", "balance"},
+						"queues":              []string{"redeem", "balance", "redeem-jobs"},
 					},
 				},
 			},
--- /dev/null
+++ b/cmd/heathermux/jobs_test.go
@@ -0,0 +1,188 @@
+package main_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/heathermux/heathermux/internal/announcer"
+	"github.com/heathermux/heathermux/internal/commander"
+	"github.com/heathermux/heathermux/internal/emulator"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+// runs checks that no task of a job runs twice at once, or again after its end.
+type runs struct {
+	mu   sync.Mutex
+	live map[string]int
+	done map[string]int
+	// twice lists what went wrong.
+	twice []string
+}
+
+func (r *runs) Started(task string, run uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.live[task]++; r.live[task] > 1 || r.done[task] > 0 {
+		r.twice = append(r.twice, fmt.Sprint(task, " run ", run))
+	}
+}
+
+func (r *runs) Ended(task string, _ uint64, how emulator.JobEnding) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.live[task]--
+	if how == emulator.JobDone {
+		r.done[task]++
+	}
+}
+
+func (r *runs) Noted(string, uint64, emulator.JobEnding) {}
+
+// jobWorkers starts workers that run tasks of jobs.
+func (c *cluster) jobWorkers(n int, ledger emulator.JobLedger) {
+	c.t.Helper()
+	var urls []string
+	for _, h := range c.hosts {
+		urls = append(urls, h.url)
+	}
+	for i := range n {
+		w, err := emulator.NewJobWorker(emulator.JobWorkerOptions{
+			ID:         fmt.Sprint("j-", i+1),
+			Pool:       "redeem",
+			DataCentre: fmt.Sprintf("dc-%d", i%voterCount+1),
+			Capacity: announcer.Resources{
+				MilliCores:  8000,
+				MemoryBytes: 8 << 30,
+			},
+			TaskTime:   150 * time.Millisecond,
+			EntryHosts: urls,
+			Ledger:     ledger,
+		})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.t.Cleanup(w.Kill)
+	}
+}
+
+// jobAnswer is what a caller is told of a job.
+type jobAnswer struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+const twoSteps = `{"queue": "redeem-jobs", "steps": [
+	{"tasks": 3, "processors": 2, "memory": "1GiB", "run-time": "150ms"},
+	{"tasks": 2, "processors": 2, "memory": "1GiB", "run-time": "150ms", "after": [0]}]}`
+
+// submitJob submits a job until it is accepted and returns its id.
+func (c *cluster) submitJob(key, body string) string {
+	c.t.Helper()
+	id := ""
+	n := 0
+	c.eventually("job "+key+" is accepted", func() bool {
+		n++
+		h := c.hosts[n%len(c.hosts)]
+		var answer jobAnswer
+		response, err := c.client.R().SetAuthToken(c.teamKey).SetHeader("Idempotency-Key", key).
+			SetBody(body).SetResult(&answer).Post(h.url + "/v1/jobs")
+		if err != nil || response.StatusCode() != http.StatusAccepted {
+			return false
+		}
+		id = answer.ID
+		return true
+	})
+	return id
+}
+
+func (c *cluster) jobState(id string) string {
+	for _, h := range c.hosts {
+		var answer jobAnswer
+		response, err := c.client.R().SetAuthToken(c.teamKey).SetResult(&answer).Get(h.url + "/v1/jobs/" + id)
+		if err == nil && response.StatusCode() == http.StatusOK {
+			return answer.State
+		}
+	}
+	return ""
+}
+
+// jobs: what is accepted must survive the kill of the leader, run to its end,
+// and run once; a submission that is repeated is the same job.
+func TestJobsSurviveKilledLeader(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	c.ready()
+	ledger := &runs{
+		live: make(map[string]int),
+		done: make(map[string]int),
+	}
+	c.jobWorkers(4, ledger)
+	ids := make(map[string]bool)
+	for i := range 10 {
+		ids[c.submitJob(fmt.Sprint("before-", i), twoSteps)] = true
+	}
+	c.kill(c.leader())
+	for i := range 10 {
+		ids[c.submitJob(fmt.Sprint("after-", i), twoSteps)] = true
+		ids[c.submitJob(fmt.Sprint("before-", i), twoSteps)] = true
+	}
+	is.Equal(len(ids), 20)
+	for id := range ids {
+		c.eventually("job "+id+" is completed", func() bool { return c.jobState(id) == "completed" })
+	}
+	ledger.mu.Lock()
+	defer ledger.mu.Unlock()
+	is.Equal(len(ledger.twice), 0)
+	is.Equal(len(ledger.done), 20*5)
+}
+
+// The command line must do what its help says against real processes.
+func TestJobCommands(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	c.ready()
+	c.jobWorkers(2, &runs{
+		live: make(map[string]int),
+		done: make(map[string]int),
+	})
+	file := filepath.Join(t.TempDir(), "job.json")
+	is.NoErr(os.WriteFile(file, []byte(strings.Replace(twoSteps, `"run-time": "150ms"}`, `"lasting": true}`, 1)), 0o600))
+	t.Setenv("HEATHERMUX_KEY", c.teamKey)
+	run := func(want int, args ...string) string {
+		t.Helper()
+		var out bytes.Buffer
+		args = append([]string{"--server", c.hosts[0].url, "--wait", "30s", "job"}, args...)
+		code := commander.Run(t.Context(), args, commander.Programs{
+			Clock: timer.System(),
+		}, strings.NewReader(twoSteps), &out, &out)
+		if code != want {
+			t.Fatalf("%v: exit code %d, want %d: %s", args, code, want, &out)
+		}
+		return out.String()
+	}
+	id := strings.Fields(run(commander.ExitDone, "submit", "-"))[1]
+	c.eventually("the job is completed", func() bool { return strings.Contains(run(commander.ExitDone, "get", id), "completed") })
+	lasting := strings.Fields(run(commander.ExitDone, "submit", "--idempotency-key", "once", file))[1]
+	is.Equal(strings.Fields(run(commander.ExitDone, "submit", "--idempotency-key", "once", file))[1], lasting)
+	list := run(commander.ExitDone, "list")
+	is.True(strings.Contains(list, id) && strings.Contains(list, lasting))
+	is.True(strings.Contains(run(commander.ExitDone, "cancel", lasting), "cancelled"))
+	is.True(strings.Contains(run(commander.ExitDone, "get", lasting), "cancelled"))
+	run(commander.ExitRejected, "get", "0123456789abcdef")
+	run(commander.ExitRejected, "cancel", "0123456789abcdef")
+	is.NoErr(os.WriteFile(file, []byte(`{"queue": "redeem-jobs", "steps": [{"task": 3}]}`), 0o600))
+	is.True(strings.Contains(run(commander.ExitUsage, "submit", file), `field "task" is not known`))
+	is.NoErr(os.WriteFile(file, []byte(strings.Replace(twoSteps, "redeem-jobs", "redeem", 1)), 0o600))
+	run(commander.ExitRejected, "submit", file)
+	t.Setenv("HEATHERMUX_KEY", c.operatorKey)
+	run(commander.ExitNotAllowed, "list")
+}
--- a/internal/announcer/announcer_test.go
+++ b/internal/announcer/announcer_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/heathermux/heathermux/internal/announcer"
+	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -22,6 +23,16 @@
 	left      int
 	poll      *wire.WorkerPoll
 	orders    *wire.WorkerOrders
+	control   *jobwire.ControlRequest
+	outcome   jobwire.Outcome
+}
+
+func (r *recorder) Control(_ context.Context, req *jobwire.ControlRequest) *jobwire.ControlResponse {
+	r.control = req
+	return &jobwire.ControlResponse{
+		Outcome: r.outcome,
+		Reason:  "no host leads at the moment",
+	}
 }
 
 func (r *recorder) Announce(*wire.Upstream) error {
@@ -36,6 +47,8 @@
 	return r.orders
 }
 
+const goodJobWorker = `{"id": "j-1", "born": 5, "pool": "redeem", "address": "127.0.0.1:9", "data-centre": "lima-1", "rack": "r1", "labels": ["ssd"], "capacity": {"milli-cores": 4000, "memory-bytes": 1024}, "sequence": 3, "clock-millis": 7}`
+
 const goodUpstream = `{"id": "u-1", "incarnation": "1", "queue": "redeem", "address": "127.0.0.1:9", "data-centre": "lima-1", "slots": 8, "connections": 64}`
 
 // Bad input must get one clear error and must change nothing.
@@ -57,6 +70,30 @@
 			status: http.StatusBadRequest,
 			detail: `unknown field \"slot\"`,
 		},
+		"job worker without a pool": {
+			path:   "/v1/job-workers",
+			body:   strings.Replace(goodJobWorker, `"redeem"`, `""`, 1),
+			status: http.StatusUnprocessableEntity,
+			detail: "pool or data-centre is empty",
+		},
+		"job worker at a host name": {
+			path:   "/v1/job-workers",
+			body:   strings.Replace(goodJobWorker, `127.0.0.1:9`, `worker.example:9`, 1),
+			status: http.StatusUnprocessableEntity,
+			detail: "must be an IP address with a port",
+		},
+		"job worker without processors": {
+			path:   "/v1/job-workers",
+			body:   strings.Replace(goodJobWorker, `4000`, `0`, 1),
+			status: http.StatusUnprocessableEntity,
+			detail: "milli-cores above 0",
+		},
+		"job worker while no host leads": {
+			path:   "/v1/job-workers",
+			body:   goodJobWorker,
+			status: http.StatusServiceUnavailable,
+			detail: "no host leads at the moment",
+		},
 		"host name in place of an IP address": {
 			path:   "/v1/upstreams",
 			body:   strings.Replace(goodUpstream, "127.0.0.1:9", "localhost:9", 1),
@@ -93,7 +130,7 @@
 			is := is.New(t)
 			r := &recorder{}
 			w := httptest.NewRecorder()
-			announcer.NewHandler(r, r).ServeHTTP(w, httptest.NewRequest(http.MethodPost, test.path, strings.NewReader(test.body)))
+			announcer.NewHandler(r, r, r).ServeHTTP(w, httptest.NewRequest(http.MethodPost, test.path, strings.NewReader(test.body)))
 			is.Equal(w.Code, test.status)
 			is.True(strings.Contains(w.Body.String(), test.detail))
 			if test.detail != "" {
@@ -151,7 +188,7 @@
 	fill(poll.ProtoReflect(), &number)
 	// An error is sent as a problem and not with the orders.
 	r.orders.Error = ""
-	up := httptest.NewServer(announcer.NewHandler(r, r))
+	up := httptest.NewServer(announcer.NewHandler(r, r, r))
 	defer up.Close()
 	// Nothing listens at the first address, so the client has to use the second one.
 	c := announcer.NewClient("http://127.254.254.254:1", up.URL)
@@ -161,3 +198,51 @@
 	is.Equal(protojson.Format(orders), protojson.Format(r.orders))
 	is.Equal(protojson.Format(r.poll), protojson.Format(poll))
 }
+
+// All that a job worker says of itself must reach the leader.
+func TestJobWorker(t *testing.T) {
+	is := is.New(t)
+	r := &recorder{
+		outcome: jobwire.Outcome_OUTCOME_OK,
+	}
+	up := httptest.NewServer(announcer.NewHandler(r, r, r))
+	defer up.Close()
+	client := announcer.NewClient(up.URL)
+	defer client.Close()
+	w := announcer.JobWorker{
+		ID:         "j-1",
+		Born:       5,
+		Pool:       "redeem",
+		Address:    "127.0.0.1:9",
+		DataCentre: "lima-1",
+		Rack:       "r1",
+		Labels:     []string{"ssd"},
+		Capacity: announcer.Resources{
+			MilliCores:   4000,
+			MemoryBytes:  1024,
+			Accelerators: 1,
+		},
+		Draining:    true,
+		Sequence:    3,
+		ClockMillis: 7,
+	}
+	is.NoErr(client.AnnounceJobWorker(t.Context(), w))
+	report := r.control.GetReport()
+	is.Equal(report.GetSequence(), uint64(3))
+	is.Equal(report.GetClockMillis(), int64(7))
+	got := report.GetWorker()
+	is.Equal(got.GetId(), "j-1")
+	is.Equal(got.GetBorn(), int64(5))
+	is.Equal(got.GetPool(), "redeem")
+	is.Equal(got.GetAddress(), "127.0.0.1:9")
+	is.Equal(got.GetDataCentre(), "lima-1")
+	is.Equal(got.GetRack(), "r1")
+	is.Equal(got.GetLabels(), []string{"ssd"})
+	is.Equal(got.GetCapacity().GetMilliCores(), int64(4000))
+	is.Equal(got.GetCapacity().GetMemoryBytes(), int64(1024))
+	is.Equal(got.GetCapacity().GetAccelerators(), int64(1))
+	is.True(got.GetDraining())
+	is.NoErr(client.LeaveJobWorker(t.Context(), w))
+	is.Equal(r.control.GetLeave().GetId(), "j-1")
+	is.Equal(r.control.GetLeave().GetBorn(), int64(5))
+}
--- a/internal/announcer/handler.go
+++ b/internal/announcer/handler.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -28,6 +29,12 @@
 	Poll(ctx context.Context, poll *wire.WorkerPoll) *wire.WorkerOrders
 }
 
+// Jobs takes the announcements of job workers.
+type Jobs interface {
+	// Control passes a call on to the leader.
+	Control(ctx context.Context, req *jobwire.ControlRequest) *jobwire.ControlResponse
+}
+
 // problem is an RFC 9457 problem details object.
 type problem struct {
 	Type   string `json:"type"`
@@ -36,23 +43,27 @@
 	Detail string `json:"detail"`
 }
 
-// Handler serves /v1/upstreams and /v1/workers.
+// Handler serves /v1/upstreams, /v1/workers and /v1/job-workers.
 type Handler struct {
 	directory Directory
 	workers   Workers
+	jobs      Jobs
 	mux       *http.ServeMux
 }
 
 // NewHandler returns the handler of the announcement interface.
-func NewHandler(directory Directory, workers Workers) *Handler {
+func NewHandler(directory Directory, workers Workers, jobs Jobs) *Handler {
 	h := &Handler{
 		directory: directory,
 		workers:   workers,
+		jobs:      jobs,
 		mux:       http.NewServeMux(),
 	}
 	h.mux.HandleFunc("POST /v1/upstreams", h.announce)
 	h.mux.HandleFunc("POST /v1/upstreams/{id}/leave", h.leave)
 	h.mux.HandleFunc("POST /v1/workers/{id}/poll", h.poll)
+	h.mux.HandleFunc("POST /v1/job-workers", h.announceJobWorker)
+	h.mux.HandleFunc("POST /v1/job-workers/{id}/leave", h.leaveJobWorker)
 	return h
 }
 
@@ -116,6 +127,49 @@
 	_ = json.NewEncoder(w).Encode(OrdersOf(orders))
 }
 
+func (h *Handler) announceJobWorker(w http.ResponseWriter, r *http.Request) {
+	var j JobWorker
+	if err := decode(w, r, &j); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	if err := j.Check(); err != nil {
+		refuse(w, http.StatusUnprocessableEntity, err)
+		return
+	}
+	h.control(w, r, &jobwire.ControlRequest{
+		Call: &jobwire.ControlRequest_Report{
+			Report: j.report(),
+		},
+	})
+}
+
+func (h *Handler) leaveJobWorker(w http.ResponseWriter, r *http.Request) {
+	var j JobWorker
+	if err := decode(w, r, &j); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	h.control(w, r, &jobwire.ControlRequest{
+		Call: &jobwire.ControlRequest_Leave{
+			Leave: &jobwire.WorkerLeave{
+				Id:   r.PathValue("id"),
+				Born: j.Born,
+			},
+		},
+	})
+}
+
+// control passes a call of a job worker on to the leader.
+func (h *Handler) control(w http.ResponseWriter, r *http.Request, req *jobwire.ControlRequest) {
+	resp := h.jobs.Control(r.Context(), req)
+	if resp.GetOutcome() != jobwire.Outcome_OUTCOME_OK {
+		refuse(w, http.StatusServiceUnavailable, errors.Errorf("announcer: the announcement was not noted: %s", resp.GetReason()))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func decode(w http.ResponseWriter, r *http.Request, into any) error {
 	d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
 	d.DisallowUnknownFields()
--- a/internal/commander/call.go
+++ b/internal/commander/call.go
@@ -36,10 +36,10 @@
 		}
 		unknown = unknown || a.unknown && operation != ""
 		if a.final() || !clock.Now().Add(pause).Before(deadline) {
-			return a.fault(unknown, operation)
+			return a.fault(unknown, operation, c.repeat)
 		}
 		if !c.pause(max(pause, a.wait)) {
-			return a.fault(unknown, operation)
+			return a.fault(unknown, operation, c.repeat)
 		}
 		pause = min(2*pause, mostPause)
 	}
@@ -70,7 +70,7 @@
 // fault tells how a call ended. A conflict or rejection is the recorded result
 // of the operation and holds for all its attempts; other refusals say nothing
 // of an earlier attempt whose answer was lost.
-func (a attempt) fault(unknown bool, operation string) error {
+func (a attempt) fault(unknown bool, operation, repeat string) error {
 	f := &fault{
 		code:      ExitUnreachable,
 		text:      a.reason,
@@ -86,7 +86,7 @@
 	decided := f.code == ExitConflict || f.code == ExitRejected
 	if unknown && !decided {
 		f.code = ExitUnknown
-		f.text += "; the change may have been made, repeat the command with --operation-id " + operation
+		f.text += "; the change may have been made, repeat the command with " + repeat + " " + operation
 	}
 	return f
 }
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -30,6 +30,8 @@
 	session *session
 	resty   *resty.Client
 	servers []string
+	// repeat is the option that names an operation when a command is repeated.
+	repeat string
 }
 
 func (s *session) client() (*client, error) {
@@ -50,6 +52,7 @@
 		session: s,
 		resty:   rest,
 		servers: s.options.Servers,
+		repeat:  "--operation-id",
 	}, nil
 }
 
@@ -107,7 +110,8 @@
 
 // final reports whether a resend would get the same answer.
 func (a attempt) final() bool {
-	return a.done || a.problem != nil && a.problem.Status < http.StatusInternalServerError
+	return a.done || a.problem != nil && a.problem.Status < http.StatusInternalServerError &&
+		a.problem.Status != http.StatusTooManyRequests
 }
 
 // send makes one request and decodes the answer into result.
@@ -140,6 +144,10 @@
 	if a.done {
 		return a
 	}
+	// Refusals of submissions have their code in the type only.
+	if name, ok := strings.CutPrefix(problem.Type, "urn:heathermux:problem:"); ok && problem.Code == "" {
+		problem.Code = name
+	}
 	// An answer without a code comes from something between here and an entry host.
 	if problem.Code != "" {
 		a.problem = problem
--- a/internal/commander/parser.go
+++ b/internal/commander/parser.go
@@ -53,5 +53,6 @@
 		poolCommands(s),
 		hostCommands(s),
 		maintenanceCommands(s),
+		jobCommands(s),
 	)
 }
--- a/internal/conductor/jobs.go
+++ b/internal/conductor/jobs.go
@@ -30,7 +30,8 @@
 
 // logJob writes a line for each call that changes a job or fails.
 func (c *Conductor) logJob(req *jobwire.JobRequest, resp *jobwire.JobResponse) {
-	if req.GetGet() != nil && resp.GetOutcome() == jobwire.Outcome_OUTCOME_OK {
+	reads := req.GetGet() != nil || req.GetList() != nil
+	if reads && resp.GetOutcome() == jobwire.Outcome_OUTCOME_OK {
 		return
 	}
 	c.opts.Logger.Info("conductor: call", "call", callName(req), "host", req.GetAddress().GetHost(),
@@ -40,6 +41,8 @@
 
 func callName(req *jobwire.JobRequest) string {
 	switch req.GetCall().(type) {
+	case *jobwire.JobRequest_List:
+		return "list"
 	case *jobwire.JobRequest_Submit:
 		return "submit"
 	case *jobwire.JobRequest_Cancel:
@@ -109,6 +112,9 @@
 	if s.Configuration == nil || c.sched == nil {
 		return refuse(jobwire.Outcome_OUTCOME_UNAVAILABLE, "there is no configuration yet"), nil
 	}
+	if req.GetAddress().GetAccount() != "" {
+		return c.admitOwn(s, req)
+	}
 	q := findQueue(s.Configuration, req.GetAddress())
 	if q == nil {
 		return refuse(jobwire.Outcome_OUTCOME_NO_QUEUE, "no queue has this host and path"), nil
@@ -193,17 +199,20 @@
 	if !ok {
 		return refuse(jobwire.Outcome_OUTCOME_NO_JOB, "no such job")
 	}
-	state := j.Ended
-	if j.Open() {
-		state = jobwire.JobState_JOB_STATE_QUEUED
-		if j.Started() || c.sched.Running(id) {
-			state = jobwire.JobState_JOB_STATE_RUNNING
-		}
-	}
 	return &jobwire.JobResponse{
 		Outcome: jobwire.Outcome_OUTCOME_OK,
-		State:   state,
+		State:   c.stateOf(j),
+	}
+}
+
+func (c *Conductor) stateOf(j *jobkeeper.Job) jobwire.JobState {
+	switch {
+	case !j.Open():
+		return j.Ended
+	case j.Started() || c.sched.Running(j.Spec.GetId()):
+		return jobwire.JobState_JOB_STATE_RUNNING
 	}
+	return jobwire.JobState_JOB_STATE_QUEUED
 }
 
 // findQueue returns the queue whose host matches and whose prefix is the
--- a/internal/controller/contracts.go
+++ b/internal/controller/contracts.go
@@ -140,7 +140,7 @@
 		return v
 	}
 	if q.GetKind() == wire.QueueKind_QUEUE_KIND_UNSPECIFIED {
-		return rejected("queue %q: kind must be requests or tasks", name)
+		return rejected("queue %q: kind must be requests, tasks or jobs", name)
 	}
 	if _, ok := s.pools.Get(q.GetPool()); !ok {
 		return rejected("queue %q: pool %q is not known", name, q.GetPool())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,8 @@
 	"github.com/heathermux/heathermux/internal/dispatcher"
 	"github.com/heathermux/heathermux/internal/follower"
 	"github.com/heathermux/heathermux/internal/ingress"
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobserver"
 	"github.com/heathermux/heathermux/internal/loader"
 	"github.com/heathermux/heathermux/internal/messenger"
 	"github.com/heathermux/heathermux/internal/meter"
@@ -54,6 +56,7 @@
 	dispatcher *dispatcher.Dispatcher
 	ingress    *ingress.Ingress
 	supervisor *supervisor.Supervisor
+	jobs       jobs
 	peers      *messenger.Server
 	http       *http.Server
 	listener   net.Listener
@@ -81,6 +84,7 @@
 		d.openClient,
 		d.openVoter,
 		d.openParts,
+		d.openJobs,
 		d.openIngress,
 		d.openPeers,
 		d.openHTTP,
@@ -144,6 +148,7 @@
 		return nil
 	}
 	d.transport = newTransport(d.calls, voters(s))
+	d.jobs.keeper = jobkeeper.New()
 	var err error
 	d.voter, err = voter.Open(voter.Options{
 		Name:      s.Name,
@@ -152,6 +157,7 @@
 		Clock:     d.clock,
 		Transport: d.transport,
 		Logger:    d.opts.Logger,
+		Machine:   d.jobs.keeper,
 
 		RequestAllotter: allocator.New(),
 	})
@@ -243,6 +249,7 @@
 		Registry:   d.recorder,
 		Directory:  d.directory,
 		Tasks:      d.dispatcher,
+		Jobs:       d.jobs.gateway,
 		Allotments: d.follower,
 		Limits:     d.limits(),
 	})
@@ -289,7 +296,7 @@
 			return err
 		}
 	}
-	return nil
+	return jobserver.Register(d.peers, d.jobs.conductor, d.jobs.agent)
 }
 
 // demands returns the load of each team together with the part of its limits
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -54,10 +54,12 @@
 
 func (d *Daemon) routes() http.Handler {
 	mux := http.NewServeMux()
-	announcements := announcer.NewHandler(d.directory, d.dispatcher)
+	announcements := announcer.NewHandler(d.directory, d.dispatcher, d.jobs.gateway)
 	mux.Handle("/v1/upstreams", announcements)
 	mux.Handle("/v1/upstreams/", announcements)
 	mux.Handle("/v1/workers/", announcements)
+	mux.Handle("/v1/job-workers", announcements)
+	mux.Handle("/v1/job-workers/", announcements)
 	mux.Handle("/v1/", operator.New(operator.Config{
 		Control: d.control,
 		Status:  d,
--- /dev/null
+++ b/internal/daemon/jobs.go
@@ -0,0 +1,199 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/heathermux/heathermux/internal/conductor"
+	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/courier"
+	"github.com/heathermux/heathermux/internal/invoker"
+	"github.com/heathermux/heathermux/internal/jobconfigurer"
+	"github.com/heathermux/heathermux/internal/jobgateway"
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+const (
+	// jobLease is how long a job worker may run tasks without hearing from the
+	// leader: long enough for an election and the looks of a new leader.
+	jobLease = 3 * time.Second
+	// delegateFrom is the number of job workers from which on other entry hosts
+	// carry the leader's orders.
+	delegateFrom = 100
+)
+
+// jobs are the parts of this host that take and run jobs.
+type jobs struct {
+	keeper     *jobkeeper.Keeper
+	gateway    *jobgateway.Gateway
+	local      *courier.Local
+	agent      *courier.Agent
+	conductor  *conductor.Conductor
+	configurer *jobconfigurer.Configurer
+}
+
+// openJobs makes the parts that need no voter.
+func (d *Daemon) openJobs(context.Context) error {
+	caller := newJobCalls(d)
+	d.jobs.gateway = jobgateway.New(jobgateway.Options{
+		Hosts:  d.opts.Settings.Voters,
+		Caller: caller,
+		Clock:  d.clock,
+		Logger: d.opts.Logger,
+	})
+	d.jobs.local = courier.NewLocal(invoker.New(), d.clock, d.opts.Logger)
+	d.jobs.agent = courier.NewAgent(courier.AgentOptions{
+		Local:      d.jobs.local,
+		DataCentre: d.self.GetDataCentre(),
+		Clock:      d.clock,
+		Logger:     d.opts.Logger,
+	})
+	if d.voter == nil {
+		return nil
+	}
+	d.jobs.conductor = conductor.New(conductor.Options{
+		Log:    d.voter,
+		Keeper: d.jobs.keeper,
+		Courier: courier.Options{
+			Local:        d.jobs.local,
+			Caller:       caller,
+			Hosts:        caller.hosts,
+			DelegateFrom: delegateFrom,
+			Name:         d.self.GetName(),
+			Clock:        d.clock,
+			Logger:       d.opts.Logger,
+		},
+		Provider:   noProvider{},
+		Adviser:    noAdviser{},
+		Clock:      d.clock,
+		Logger:     d.opts.Logger,
+		Registerer: d.meter.Registerer(),
+		Settings: jobscheduler.Settings{
+			Lease:       jobLease,
+			HolderLease: jobLease,
+		},
+	})
+	d.jobs.configurer = jobconfigurer.New(jobconfigurer.Options{
+		State:   d.leaderState,
+		InForce: d.jobs.inForce,
+		Control: d.jobs.conductor,
+		Clock:   d.clock,
+		Logger:  d.opts.Logger,
+	})
+	return nil
+}
+
+// leaderState returns the control state; false while it may be old.
+func (d *Daemon) leaderState() (controller.State, bool) {
+	view := d.follower.View()
+	return view.State, view.Live(d.clock.Now())
+}
+
+// inForce returns what operators have set for jobs.
+func (j *jobs) inForce() (cfg *jobwire.Configuration, out func(dataCentre string) bool) {
+	outOfService := make(map[string]bool)
+	j.keeper.View(func(s *jobkeeper.State) {
+		cfg = s.Configuration
+		for name := range s.Evacuated {
+			outOfService[name] = true
+		}
+	})
+	return cfg, func(dataCentre string) bool { return outOfService[dataCentre] }
+}
+
+// runJobs runs the parts of jobs until ctx ends.
+func (d *Daemon) runJobs(ctx context.Context) {
+	if d.jobs.conductor == nil {
+		return
+	}
+	d.spawn(func() { d.jobs.conductor.Run(ctx) })
+	d.spawn(func() { d.jobs.configurer.Run(ctx) })
+}
+
+func (j *jobs) close() {
+	if j.agent != nil {
+		j.agent.Close()
+		j.local.Close()
+	}
+}
+
+// jobCalls calls the services of jobs on other hosts, and the conductor of this
+// host without the network.
+type jobCalls struct {
+	daemon    *Daemon
+	addresses map[string]string
+}
+
+func newJobCalls(d *Daemon) *jobCalls {
+	c := &jobCalls{
+		daemon:    d,
+		addresses: make(map[string]string),
+	}
+	for _, m := range members(d.opts.Settings) {
+		c.addresses[m.GetName()] = m.GetPeerAddress()
+	}
+	return c
+}
+
+// hosts returns the names of all entry hosts of the settings.
+func (c *jobCalls) hosts() []string {
+	names := make([]string, 0, len(c.addresses))
+	for _, m := range members(c.daemon.opts.Settings) {
+		names = append(names, m.GetName())
+	}
+	return names
+}
+
+// Call implements jobgateway.Caller and courier.Caller.
+func (c *jobCalls) Call(ctx context.Context, host, method string, request, response proto.Message) error {
+	if host == c.daemon.self.GetName() && c.daemon.jobs.conductor != nil {
+		switch req := request.(type) {
+		case *jobwire.JobRequest:
+			proto.Merge(response, c.daemon.jobs.conductor.Job(ctx, req))
+			return nil
+		case *jobwire.ControlRequest:
+			proto.Merge(response, c.daemon.jobs.conductor.Control(ctx, req))
+			return nil
+		}
+	}
+	address, ok := c.addresses[host]
+	if !ok {
+		return errors.Errorf("daemon: no entry host is named %q", host)
+	}
+	return c.daemon.client.Call(ctx, address, method, request, response)
+}
+
+// noProvider is the provider of a deployment whose hosts nobody moves or
+// maintains for it.
+type noProvider struct{}
+
+// Hosts implements conductor.Provider.
+func (noProvider) Hosts(context.Context) ([]jobscheduler.Host, error) {
+	return []jobscheduler.Host{}, nil
+}
+
+// Maintain implements conductor.Provider.
+func (noProvider) Maintain(context.Context, uint64, jobscheduler.Maintain) jobscheduler.HostAnswer {
+	return jobscheduler.HostOrderInvalid
+}
+
+// Move implements conductor.Provider.
+func (noProvider) Move(context.Context, uint64, jobscheduler.MoveHost) jobscheduler.HostAnswer {
+	return jobscheduler.HostOrderInvalid
+}
+
+// noAdviser is the adviser where no queue asks for advice.
+type noAdviser struct{}
+
+// errNoAdviser is returned to a queue that asks for advice all the same.
+var errNoAdviser = errors.New("daemon: there is no placement adviser")
+
+// Advise implements conductor.Adviser.
+func (noAdviser) Advise(context.Context, jobscheduler.Advise) (map[string]string, time.Duration, error) {
+	return nil, 0, errNoAdviser
+}
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -41,6 +41,7 @@
 	d.spawn(func() { d.follower.Run(background) })
 	d.spawn(func() { d.recorder.Run(background) })
 	d.spawn(func() { d.tick(background) })
+	d.runJobs(background)
 	for _, m := range members(d.opts.Settings) {
 		if m.GetName() != d.self.GetName() {
 			d.spawn(func() { d.directory.Run(background, d.calls, m) })
@@ -153,6 +154,7 @@
 	if d.recorder != nil {
 		d.recorder.Close()
 	}
+	d.jobs.close()
 	if d.voter != nil {
 		_ = d.voter.Close()
 	}
--- a/internal/ingress/call.go
+++ b/internal/ingress/call.go
@@ -102,10 +102,7 @@
 	case !view.Live(now):
 		return nil, noLease()
 	}
-	work := "requests"
-	if kind == wire.QueueKind_QUEUE_KIND_TASKS {
-		work = "tasks"
-	}
+	work := strings.ToLower(strings.TrimPrefix(kind.String(), "QUEUE_KIND_"))
 	return nil, problem(http.StatusNotFound, "unknown-queue", "Queue is not known",
 		"there is no queue of "+work+" named "+strconv.Quote(name))
 }
--- a/internal/ingress/config.go
+++ b/internal/ingress/config.go
@@ -7,6 +7,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/heathermux/heathermux/internal/follower"
+	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/wire"
 	"github.com/heathermux/heathermux/pkg/timer"
 )
@@ -34,6 +35,11 @@
 	Cancel(ctx context.Context, r *wire.TaskRequest) *wire.TaskResponse
 }
 
+// Jobs passes calls of submitters of jobs on to the leader.
+type Jobs interface {
+	Job(ctx context.Context, req *jobwire.JobRequest) *jobwire.JobResponse
+}
+
 // Allotments returns what this entry host may use of a team's request limits.
 // The values are valid as long as the authority lease.
 type Allotments interface {
@@ -42,8 +48,8 @@
 }
 
 // Config holds what an Ingress works with. All fields are required except
-// Tasks, without which the task endpoints answer that there is no scheduler,
-// and Tracer, without which no spans are made.
+// Tasks and Jobs, without which their endpoints answer that there is no
+// scheduler, and Tracer, without which no spans are made.
 type Config struct {
 	// Self names this entry host and its data centre.
 	Self       *wire.Member
@@ -54,6 +60,7 @@
 	Registry   Registry
 	Directory  Directory
 	Tasks      Tasks
+	Jobs       Jobs
 	Allotments Allotments
 	// Limits bound requests and tasks; zero fields mean the defaults.
 	Limits Limits
--- a/internal/ingress/fakes_test.go
+++ b/internal/ingress/fakes_test.go
@@ -19,6 +19,7 @@
 	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/follower"
 	"github.com/heathermux/heathermux/internal/ingress"
+	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/wire"
 	"github.com/heathermux/heathermux/pkg/timer"
 )
@@ -116,12 +117,24 @@
 }
 
 // site is one entry host with its fakes, served on loopback.
+// jobs is a leader that answers each call alike and keeps the calls.
+type jobs struct {
+	calls  []*jobwire.JobRequest
+	answer jobwire.JobResponse
+}
+
+func (j *jobs) Job(_ context.Context, req *jobwire.JobRequest) *jobwire.JobResponse {
+	j.calls = append(j.calls, req)
+	return &j.answer
+}
+
 type site struct {
 	t testing.TB
 	*ingress.Ingress
 	server   *httptest.Server
 	registry *registry
 	tasks    *tasks
+	jobs     *jobs
 	view     atomic.Pointer[follower.View]
 	// The text handler locks each write; it is read when no request is under way.
 	log bytes.Buffer
@@ -161,7 +174,7 @@
 func controlState() controller.State {
 	state := controller.State{}
 	for team, queues := range map[string][]string{
-		"feeds": {"switch", "tasks"},
+		"feeds": {"switch", "tasks", "jobs"},
 		"signs": {"notice"},
 		// The key of this team is withdrawn in tests.
 		"withdrawn": {"switch"},
@@ -182,6 +195,7 @@
 		"notice": wire.QueueKind_QUEUE_KIND_REQUESTS,
 		"open":   wire.QueueKind_QUEUE_KIND_REQUESTS,
 		"tasks":  wire.QueueKind_QUEUE_KIND_TASKS,
+		"jobs":   wire.QueueKind_QUEUE_KIND_JOBS,
 	} {
 		state = state.WithQueue(&wire.Queue{
 			Name: name,
@@ -225,6 +239,7 @@
 			entries: make(map[string]*wire.RegistryEntry),
 		},
 		tasks: &tasks{},
+		jobs:  &jobs{},
 	}
 	s.setView(controlState(), time.Hour)
 	var err error
@@ -239,6 +254,7 @@
 		Registry:   s.registry,
 		Directory:  s,
 		Tasks:      s.tasks,
+		Jobs:       s.jobs,
 		Allotments: s,
 		Limits:     limits,
 	})
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -1,5 +1,5 @@
 // Package ingress is the HTTP endpoint for callers: requests to upstreams
-// under /q/ and tasks under /v1/tasks.
+// under /q/, tasks under /v1/tasks and jobs under /v1/jobs.
 package ingress
 
 import (
@@ -79,6 +79,7 @@
 const (
 	requestPrefix = "/q/"
 	tasksPath     = "/v1/tasks"
+	jobsPath      = "/v1/jobs"
 )
 
 // Handles reports whether a URL path belongs to Handler. The caller asks it
@@ -86,10 +87,13 @@
 // requests whose path has dots or double slashes, although the path belongs to
 // the upstream and a redirect is no final answer.
 func Handles(path string) bool {
-	return strings.HasPrefix(path, requestPrefix) || path == tasksPath || strings.HasPrefix(path, tasksPath+"/")
+	return strings.HasPrefix(path, requestPrefix) || under(path, tasksPath) || under(path, jobsPath)
 }
 
-// Handler returns the handler of /q/{queue}/{path...} and /v1/tasks. A server
+// under reports whether a path is the given one or below it.
+func under(path, of string) bool { return path == of || strings.HasPrefix(path, of+"/") }
+
+// Handler returns the handler of /q/{queue}/{path...}, /v1/tasks and /v1/jobs. A server
 // that runs it should allow a larger header than MaxHeader, so that callers
 // get problem details for one that is too large.
 func (g *Ingress) Handler() http.Handler {
@@ -104,6 +108,10 @@
 			g.serveRequest(w, r)
 			return
 		}
+		if under(r.URL.Path, jobsPath) {
+			g.serveJob(w, r)
+			return
+		}
 		g.serveTask(w, r)
 	})
 }
--- a/internal/ingress/taskfields.go
+++ b/internal/ingress/taskfields.go
@@ -17,9 +17,9 @@
 // taskFields holds how each field of a submitted task is read.
 var taskFields = map[string]func(t *wire.Task, value json.RawMessage) error{
 	"queue":        func(t *wire.Task, v json.RawMessage) error { return readJSON(v, &t.Queue, `a string`) },
-	"processors":   readProcessors,
-	"memory":       readMemory,
-	"accelerators": readAccelerators,
+	"processors":   func(t *wire.Task, v json.RawMessage) error { return readProcessors(v, t.Size) },
+	"memory":       func(t *wire.Task, v json.RawMessage) error { return readMemory(v, t.Size) },
+	"accelerators": func(t *wire.Task, v json.RawMessage) error { return readAccelerators(v, t.Size) },
 	"deadline":     func(t *wire.Task, v json.RawMessage) error { return readTime(v, &t.DeadlineNanos) },
 	"run-time":     func(t *wire.Task, v json.RawMessage) error { return readTime(v, &t.RunTimeNanos) },
 	"idempotent":   func(t *wire.Task, v json.RawMessage) error { return readJSON(v, &t.Idempotent, `true or false`) },
@@ -33,25 +33,11 @@
 // parseTask reads a task; the error names the first field that is wrong and
 // what is allowed. The payload is kept as JSON.
 func parseTask(body []byte) (*wire.Task, error) {
-	var fields map[string]json.RawMessage
-	dec := json.NewDecoder(bytes.NewReader(body))
-	if err := dec.Decode(&fields); err != nil || fields == nil {
-		return nil, errors.New("the body must be one JSON object")
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return nil, errors.New("the body must hold nothing after the JSON object")
-	}
 	t := &wire.Task{
 		Size: &wire.Resources{},
 	}
-	for _, name := range sortedNames(fields) {
-		read, ok := taskFields[name]
-		if !ok {
-			return nil, errors.Errorf("field %q is not known; allowed are %s", name, strings.Join(sortedNames(taskFields), ", "))
-		}
-		if err := read(t, fields[name]); err != nil {
-			return nil, errors.WithMessagef(err, "field %q", name)
-		}
+	if err := readFields(body, taskFields, t); err != nil {
+		return nil, err
 	}
 	switch {
 	case t.GetQueue() == "":
@@ -62,6 +48,28 @@
 	return t, nil
 }
 
+// readFields reads a JSON object with the given fields only.
+func readFields[T any](body []byte, known map[string]func(t T, value json.RawMessage) error, into T) error {
+	var fields map[string]json.RawMessage
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if err := dec.Decode(&fields); err != nil || fields == nil {
+		return errors.New("the body must be one JSON object")
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return errors.New("the body must hold nothing after the JSON object")
+	}
+	for _, name := range sortedNames(fields) {
+		read, ok := known[name]
+		if !ok {
+			return errors.Errorf("field %q is not known; allowed are %s", name, strings.Join(sortedNames(known), ", "))
+		}
+		if err := read(into, fields[name]); err != nil {
+			return errors.WithMessagef(err, "field %q", name)
+		}
+	}
+	return nil
+}
+
 func sortedNames[V any](m map[string]V) []string {
 	names := make([]string, 0, len(m))
 	for name := range m {
@@ -96,7 +104,7 @@
 const maxCores = 1 << 20
 
 // readProcessors reads a number of cores, or the form that settings use.
-func readProcessors(t *wire.Task, value json.RawMessage) error {
+func readProcessors(value json.RawMessage, to *wire.Resources) error {
 	const allowed = `a number of cores such as 2 or 0.5, or "16 cores" or "500 millicores"`
 	var text string
 	if json.Unmarshal(value, &text) == nil && text != "" {
@@ -104,7 +112,7 @@
 		if err != nil {
 			return errors.Errorf("must be %s", allowed)
 		}
-		t.Size.MilliCores = int64(n)
+		to.MilliCores = int64(n)
 		return nil
 	}
 	var cores float64
@@ -114,22 +122,22 @@
 	if cores < 0 || cores > maxCores {
 		return errors.Errorf("must be %s", allowed)
 	}
-	t.Size.MilliCores = int64(math.Ceil(cores * 1000))
+	to.MilliCores = int64(math.Ceil(cores * 1000))
 	return nil
 }
 
-func readAccelerators(t *wire.Task, value json.RawMessage) error {
+func readAccelerators(value json.RawMessage, to *wire.Resources) error {
 	const allowed = `a whole number that is not negative`
-	if err := readJSON(value, &t.Size.Accelerators, allowed); err != nil {
+	if err := readJSON(value, &to.Accelerators, allowed); err != nil {
 		return err
 	}
-	if t.Size.Accelerators < 0 {
+	if to.Accelerators < 0 {
 		return errors.Errorf("must be %s", allowed)
 	}
 	return nil
 }
 
-func readMemory(t *wire.Task, value json.RawMessage) error {
+func readMemory(value json.RawMessage, to *wire.Resources) error {
 	const allowed = `a whole number with the unit B, KiB, MiB, GiB or TiB, such as "64GiB"`
 	var text string
 	if err := readJSON(value, &text, allowed); err != nil {
@@ -139,6 +147,6 @@
 	if err != nil {
 		return errors.Errorf("must be %s", allowed)
 	}
-	t.Size.MemoryBytes = int64(n)
+	to.MemoryBytes = int64(n)
 	return nil
 }
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -8,7 +8,8 @@
 
 // Job is an accepted job and its progress.
 type Job struct {
-	// Invariant: never changes; of an ended job only the id is kept.
+	// Invariant: never changes while the job is open; of an ended one id, queue,
+	// account and time of acceptance are kept.
 	Spec *jobwire.Job
 	// Ended is unspecified while the job is open.
 	Ended jobwire.JobState
@@ -96,6 +97,22 @@
 	return o.steps[t.GetStep()].tasks[t.GetIndex()]
 }
 
+// Progress returns the number of tasks of all occurrences, and of those that
+// are done.
+func (j *Job) Progress() (tasks, done int64) {
+	each := int64(0)
+	for _, s := range j.Spec.GetSteps() {
+		each += int64(s.GetTasks())
+	}
+	done = each * int64(j.firstOpen+int32(len(j.done)))
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			done += int64(s.done)
+		}
+	}
+	return each * int64(j.Occurrences()), done
+}
+
 // Started reports whether the end of any task is recorded.
 func (j *Job) Started() bool { return j.firstOpen > 0 || len(j.occurrences) > 0 || len(j.done) > 0 }
 
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -188,8 +188,10 @@
 		k.observer.JobEnded(j)
 	}
 	j.Spec = &jobwire.Job{
-		Id:    j.Spec.GetId(),
-		Queue: j.Spec.GetQueue(),
+		Id:                  j.Spec.GetId(),
+		Queue:               j.Spec.GetQueue(),
+		Account:             j.Spec.GetAccount(),
+		AcceptedAtUnixNanos: j.Spec.GetAcceptedAtUnixNanos(),
 	}
 	j.occurrences, j.done = nil, nil
 }
--- a/internal/loader/deployment.go
+++ b/internal/loader/deployment.go
@@ -35,7 +35,7 @@
 // Queue is where work of one service enters.
 type Queue struct {
 	Name string `json:"name" validate:"name" allow:"1 to 63 lower-case letters, digits, dots and hyphens"`
-	Kind string `json:"kind" validate:"oneof=requests tasks" allow:"requests or tasks"`
+	Kind string `json:"kind" validate:"oneof=requests tasks jobs" allow:"requests, tasks or jobs"`
 	Pool string `json:"pool" validate:"name" allow:"the name of a pool"`
 	// Open queues take work without a key.
 	Open bool `json:"open" allow:"true or false"`
--- a/internal/loader/snapshot.go
+++ b/internal/loader/snapshot.go
@@ -49,14 +49,16 @@
 	}
 }
 
+var queueKinds = map[string]wire.QueueKind{
+	"requests": wire.QueueKind_QUEUE_KIND_REQUESTS,
+	"tasks":    wire.QueueKind_QUEUE_KIND_TASKS,
+	"jobs":     wire.QueueKind_QUEUE_KIND_JOBS,
+}
+
 func (q Queue) wire() *wire.Queue {
-	kind := wire.QueueKind_QUEUE_KIND_REQUESTS
-	if q.Kind == "tasks" {
-		kind = wire.QueueKind_QUEUE_KIND_TASKS
-	}
 	return &wire.Queue{
 		Name: q.Name,
-		Kind: kind,
+		Kind: queueKinds[q.Kind],
 		Pool: q.Pool,
 		Open: q.Open,
 	}
--- a/internal/measurer/poll.go
+++ b/internal/measurer/poll.go
@@ -68,7 +68,7 @@
 }
 
 func measureJSONPoll(_ context.Context, n int) ([]float64, error) {
-	handler := announcer.NewHandler(nil, steadyWorkers{})
+	handler := announcer.NewHandler(nil, steadyWorkers{}, nil)
 	poll := newSite(here(targetPools), n).pollOf(0)
 	path := "/v1/workers/" + poll.GetWorker() + "/poll"
 	body, err := json.Marshal(announcer.PollOf(poll))
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -54,6 +54,9 @@
 	}, value))
 }
 
+// Registerer takes the metrics of parts that make their own.
+func (m *Meter) Registerer() prometheus.Registerer { return m.registry }
+
 // Handler serves the metrics.
 func (m *Meter) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
@@ -86,6 +89,14 @@
 			prefix: "/v1/tasks",
 			name:   "tasks",
 		},
+		{
+			prefix: "/v1/jobs",
+			name:   "jobs",
+		},
+		{
+			prefix: "/v1/job-workers",
+			name:   "job-workers",
+		},
 		{
 			prefix: "/v1/upstreams",
 			name:   "upstreams",
