internal/dispatcher: the first scheduler of a data centre does not wait for a former one; jobs in the demo

In a new deployment there is none.

Change: the scheduler of epoch 1 of a data centre does not wait for workers' leases; it still waits until its assignment is in force. A worker that comes from an earlier control state reports a higher epoch and outranks the scheduler, as before.

The demo also submits jobs of two steps and follows them to their end; it fails when an accepted one is not completed or a task runs twice. Both example deployments have a queue of jobs, and the stand-in hosts job workers.

--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -17,10 +17,12 @@
 	"github.com/heathermux/heathermux/internal/operator"
 )
 
-// serviceTime and taskTime are the mean times of a request and of a task.
+// serviceTime and taskTime are the mean times of a request and of a task, and
+// jobTaskTime is that of a task of a job.
 const (
 	serviceTime = 5 * time.Millisecond
 	taskTime    = 300 * time.Millisecond
+	jobTaskTime = 150 * time.Millisecond
 )
 
 // Options sets up a run. All fields are needed.
@@ -59,6 +61,7 @@
 	hosts     *emulator.Hosts
 	ledger    *emulator.Ledger
 	starts    *emulator.Starts
+	jobRuns   *jobRuns
 	operators *operators
 }
 
@@ -76,6 +79,10 @@
 		keys:   make(map[string]string),
 		ledger: &emulator.Ledger{},
 		starts: &emulator.Starts{},
+		jobRuns: &jobRuns{
+			live: make(map[string]int),
+			done: make(map[string]int),
+		},
 	}
 	operatorKey := s.grantKeys(&d)
 	s.deployment = d
@@ -90,6 +97,8 @@
 		RunTime:    taskTime,
 		Ledger:     s.ledger,
 		Starts:     s.starts,
+		JobTime:    jobTaskTime,
+		JobLedger:  s.jobRuns,
 	})
 	if err != nil {
 		s.close()
@@ -146,11 +155,13 @@
 		deployment: s.deployment,
 		tally:      newTally(),
 		submitted:  newSubmissions(),
+		jobs:       newJobCounts(),
+		jobRuns:    s.jobRuns,
 		begin:      time.Now(),
 		end:        time.Now().Add(length),
 	}
 	showProgress(load, s.opts.Progress, length)
-	ended := make(chan struct{}, 2)
+	ended := make(chan struct{}, 3)
 	go func() {
 		newCallers(s.deployment, s.keys, s.fleet, r.tally).run(load)
 		ended <- struct{}{}
@@ -159,10 +170,15 @@
 		newSubmitters(s.deployment, s.keys, s.fleet, r.submitted).run(load)
 		ended <- struct{}{}
 	}()
+	go func() {
+		newJobSubmitters(s.deployment, s.keys, s.fleet, r.jobs).run(load)
+		ended <- struct{}{}
+	}()
 	r.zone, r.zoneErr = s.changeZone(load, length)
 	r.key, r.keyErr = s.withdrawKey(load)
 	<-ended
 	<-ended
+	<-ended
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(err, "demonstrator: interrupted")
 	}
--- a/internal/demonstrator/report.go
+++ b/internal/demonstrator/report.go
@@ -20,6 +20,8 @@
 	deployment loader.Deployment
 	tally      *tally
 	submitted  *submissions
+	jobs       *jobCounts
+	jobRuns    *jobRuns
 	starts     []emulator.Start
 	// begin and end are those of the load.
 	begin, end time.Time
@@ -96,6 +98,9 @@
 	require(r.stopErr == nil, "planned stop: %v", r.stopErr)
 	require(r.tally.answered > 0, "no request was answered")
 	require(len(r.starts) > 0, "no task was started")
+	require(len(r.jobs.accepted) > 0, "no job was accepted")
+	require(r.jobs.completed == len(r.jobs.accepted), "%d accepted jobs were not completed", len(r.jobs.accepted)-r.jobs.completed)
+	require(r.jobRuns.twice == 0, "%d tasks of jobs ran twice", r.jobRuns.twice)
 	require(r.runTwice == 0, "%d operations ran twice", r.runTwice)
 	require(r.falseNotRun == 0, "%d operations ran although the caller was told that they did not", r.falseNotRun)
 	require(r.tally.wrongAnswer == 0, "%d callers got the answer to another request", r.tally.wrongAnswer)
@@ -126,6 +131,9 @@
 	row("answers of another request (must be 0)", r.tally.wrongAnswer)
 	row("tasks accepted", len(r.submitted.accepted))
 	row("tasks started", len(r.starts))
+	row("jobs accepted, completed", fmt.Sprintf("%d, %d", len(r.jobs.accepted), r.jobs.completed))
+	row("tasks of jobs done", len(r.jobRuns.done))
+	row("tasks of jobs run twice (must be 0)", r.jobRuns.twice)
 	started, slowest := r.urgentStarts()
 	row("urgent tasks accepted, started", fmt.Sprintf("%d, %d", len(r.submitted.urgent), started))
 	row("slowest urgent start", seconds(slowest))
@@ -139,6 +147,7 @@
 	r.writeShares(row)
 	writeCounts(row, "refusals of requests", r.tally.refusals)
 	writeCounts(row, "refusals of tasks", r.submitted.refused)
+	writeCounts(row, "refusals of jobs", r.jobs.refused)
 	_ = t.Flush()
 }
 
--- a/internal/dispatcher/lead.go
+++ b/internal/dispatcher/lead.go
@@ -118,6 +118,10 @@
 	})
 }
 
+// isFirst reports whether no host has scheduled this data centre before, so that
+// no worker can run anything.
+func (l *lead) isFirst() bool { return l.at.epoch == 1 }
+
 // mayStart reports whether tasks may be started now. d.mu is held.
 func (d *Dispatcher) mayStart(now time.Time, view follower.View) bool {
 	l := d.lead
--- a/internal/dispatcher/rebuild.go
+++ b/internal/dispatcher/rebuild.go
@@ -118,7 +118,7 @@
 	known, previous := newestKnown(l.answers)
 	held := newestHeld(l.answers)
 	stale := held.less(known)
-	l.cautious = held == (position{}) || stale || len(l.missing) > 0
+	l.cautious = !l.isFirst() && (held == (position{}) || stale || len(l.missing) > 0)
 	for _, name := range answerOrder(l.answers, previous) {
 		resp := l.answers[name]
 		if heldBy(resp) != held || held == (position{}) {
--- a/internal/dispatcher/takeover_test.go
+++ b/internal/dispatcher/takeover_test.go
@@ -35,6 +35,33 @@
 	is.Equal(w.hosts["a1"].d.Report(), (*wire.SchedulerReport)(nil)) // and only there
 }
 
+// Guards against a new deployment in which nothing starts for the lease of the
+// workers, although no former scheduler can have started anything: a worker that
+// is not there yet and a host that is down must not hold up the others.
+func TestFirstSchedulerStartsSoon(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	w.workers["w3"].up = false
+	w.hosts["b1"].up = false
+	assignedAt := w.clock.Now()
+	var startedAt time.Time
+	w.step = func(name, _ string) {
+		if name == "start order" && startedAt.IsZero() {
+			startedAt = w.clock.Now()
+		}
+	}
+	for range 40 {
+		w.advance(250 * time.Millisecond)
+		w.submit("a1", &wire.Task{
+			Size:         cores(1000),
+			RunTimeNanos: int64(time.Second),
+		})
+	}
+	is.True(!startedAt.IsZero())
+	is.True(startedAt.Sub(assignedAt) >= follower.ForceBound)
+	is.True(startedAt.Sub(assignedAt) < 10*time.Second)
+}
+
 // Guards upper-limit, zone-out and at-most-once in long faults on a full fleet,
 // which the cells of the matrix are too short for.
 func TestLongFaults(t *testing.T) {
--- a/internal/emulator/hosts.go
+++ b/internal/emulator/hosts.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/announcer"
 	"github.com/heathermux/heathermux/internal/loader"
 	"github.com/heathermux/heathermux/pkg/timer"
 )
@@ -12,6 +13,8 @@
 	// upstreamsPerQueue and upstreamSlots are those of the users today.
 	upstreamsPerQueue = 10
 	upstreamSlots     = 8
+	// jobWorkersPerPool is the number of job workers of a pool with jobs.
+	jobWorkersPerPool = 3
 )
 
 // HostsOptions sets up the stand-ins of one deployment. All fields are needed.
@@ -26,19 +29,31 @@
 	// Ledger counts the runs of requests, Starts the starts of tasks.
 	Ledger *Ledger
 	Starts *Starts
+	// JobTime is the time of a task of a job; JobLedger learns of its runs, and
+	// may be nil.
+	JobTime   time.Duration
+	JobLedger JobLedger
 }
 
 // Hosts are the upstreams and workers of one deployment.
 type Hosts struct {
 	upstreams []*Upstream
 	workers   []*Worker
+	jobs      []*JobWorker
 }
 
-// NewHosts starts ten upstreams for each queue of requests, spread over the
-// data centres in turn, and a worker for each host.
+// NewHosts starts ten upstreams for each queue of requests and three job workers
+// for each queue of jobs, spread over the data centres in turn, and a worker for
+// each host.
 func NewHosts(opts HostsOptions) (*Hosts, error) {
 	h := &Hosts{}
 	for _, q := range opts.Deployment.Queues {
+		if q.Kind == "jobs" {
+			if err := h.addJobWorkers(opts, q); err != nil {
+				h.Kill()
+				return nil, err
+			}
+		}
 		if q.Kind != "requests" {
 			continue
 		}
@@ -87,11 +102,37 @@
 	return nil
 }
 
+func (h *Hosts) addJobWorkers(opts HostsOptions, q loader.Queue) error {
+	for i := range jobWorkersPerPool {
+		dataCentre := opts.Deployment.DataCentres[i%len(opts.Deployment.DataCentres)].Name
+		w, err := NewJobWorker(JobWorkerOptions{
+			ID:         fmt.Sprintf("j-%s-%d", q.Name, i+1),
+			Pool:       q.Pool,
+			DataCentre: dataCentre,
+			Capacity: announcer.Resources{
+				MilliCores:  16_000,
+				MemoryBytes: 32 << 30,
+			},
+			TaskTime:   opts.JobTime,
+			EntryHosts: opts.EntryHosts(dataCentre),
+			Ledger:     opts.JobLedger,
+		})
+		if err != nil {
+			return err
+		}
+		h.jobs = append(h.jobs, w)
+	}
+	return nil
+}
+
 // Kill stops all stand-ins at once, without a word to the entry hosts.
 func (h *Hosts) Kill() {
 	for _, w := range h.workers {
 		w.Kill()
 	}
+	for _, w := range h.jobs {
+		w.Kill()
+	}
 	for _, u := range h.upstreams {
 		u.Kill()
 	}
--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -19,6 +19,18 @@
 	Noted(task string, run uint64, how JobEnding)
 }
 
+// noLedger learns nothing.
+type noLedger struct{}
+
+// Started implements JobLedger.
+func (noLedger) Started(string, uint64) {}
+
+// Ended implements JobLedger.
+func (noLedger) Ended(string, uint64, JobEnding) {}
+
+// Noted implements JobLedger.
+func (noLedger) Noted(string, uint64, JobEnding) {}
+
 // JobEnding is how a run has ended.
 type JobEnding int
 
@@ -86,7 +98,11 @@
 }
 
 // NewJobRuns returns a worker's runs, none at first; call Run to let them end.
+// The ledger may be nil.
 func NewJobRuns(taskTime time.Duration, ledger JobLedger) *JobRuns {
+	if ledger == nil {
+		ledger = noLedger{}
+	}
 	return &JobRuns{
 		taskTime: taskTime,
 		ledger:   ledger,
