--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -18,18 +18,11 @@
 type Settings struct {
 	// Lease is how long a worker may run tasks without hearing from the leader.
 	Lease time.Duration
-	// GangTimeout is how long the members of a gang wait for each other.
-	GangTimeout time.Duration
-	// NoticeTime is the time before and after planned work in which a lasting
-	// task counts as away.
-	NoticeTime time.Duration
 	// HolderLease is how long a leader waits before it orders work on hosts, so
 	// that its orders do not mix with those of the former one.
 	HolderLease time.Duration
 	// Waited is told how long each job waited for its first start; nil is not.
 	Waited func(time.Duration)
-	// RemoteSlowdown is how many times as long a task takes away from its data.
-	RemoteSlowdown float64
 }
 
 // Scheduler is the scheduler of one term of a leader. It is not safe for
