internal/jobkeeper: workers are found by their address

Cause: each heartbeat compared its worker's address with those of all known ones, which grows with the square of the fleet: at 6,600 workers that is 87 million comparisons a second.

Change: the state keeps the workers of each address.

--- a/internal/conductor/control.go
+++ b/internal/conductor/control.go
@@ -166,8 +166,8 @@
 		return nil
 	}
 	var commands []*jobwire.Command
-	for _, other := range s.Workers {
-		if other.GetId() == w.GetId() || other.GetAddress() != w.GetAddress() {
+	for _, other := range s.WorkersAt(w.GetAddress()) {
+		if other.GetId() == w.GetId() {
 			continue
 		}
 		if other.GetBorn() > w.GetBorn() {
--- a/internal/jobkeeper/keeper.go
+++ b/internal/jobkeeper/keeper.go
@@ -65,6 +65,9 @@
 	// hint, which snapshots lack.
 	Arrivals []Arrival
 
+	// byAddress holds the ids of the workers at each address. Invariant: follows
+	// from Workers.
+	byAddress map[string][]string
 	// queues holds the queues of the configuration by name.
 	queues map[string]*jobwire.Queue
 	// ended holds the ids of ended jobs in the order of their ends.
@@ -84,6 +87,7 @@
 		Jobs:      make(map[string]*Job),
 		Workers:   make(map[string]*jobwire.Worker),
 		Waves:     make(map[string]*jobwire.Wave),
+		byAddress: make(map[string][]string),
 	}
 }
 
@@ -284,7 +288,7 @@
 	if known, ok := k.state.Workers[w.GetId()]; ok && known.GetBorn() > w.GetBorn() {
 		return nil
 	}
-	k.state.Workers[w.GetId()] = w
+	k.state.setWorker(w)
 	if k.observer != nil {
 		k.observer.WorkerChanged(w)
 	}
@@ -296,13 +300,40 @@
 	if !ok || w.GetBorn() != f.GetBorn() {
 		return nil
 	}
-	delete(k.state.Workers, f.GetId())
+	k.state.removeWorker(w)
 	if k.observer != nil {
 		k.observer.WorkerForgotten(w)
 	}
 	return nil
 }
 
+// WorkersAt returns the workers at an address.
+func (s *State) WorkersAt(address string) []*jobwire.Worker {
+	list := make([]*jobwire.Worker, 0, len(s.byAddress[address]))
+	for _, id := range s.byAddress[address] {
+		list = append(list, s.Workers[id])
+	}
+	return list
+}
+
+func (s *State) setWorker(w *jobwire.Worker) {
+	if former, ok := s.Workers[w.GetId()]; ok {
+		s.removeWorker(former)
+	}
+	s.Workers[w.GetId()] = w
+	s.byAddress[w.GetAddress()] = append(s.byAddress[w.GetAddress()], w.GetId())
+}
+
+func (s *State) removeWorker(w *jobwire.Worker) {
+	delete(s.Workers, w.GetId())
+	rest := slices.DeleteFunc(s.byAddress[w.GetAddress()], func(id string) bool { return id == w.GetId() })
+	if len(rest) == 0 {
+		delete(s.byAddress, w.GetAddress())
+		return
+	}
+	s.byAddress[w.GetAddress()] = rest
+}
+
 func (k *Keeper) fleetChanged() {
 	if k.observer != nil {
 		k.observer.FleetChanged()
--- a/internal/jobkeeper/keeper_test.go
+++ b/internal/jobkeeper/keeper_test.go
@@ -328,3 +328,60 @@
 		})
 	}
 }
+
+// The workers at an address must follow every change and survive a snapshot, or
+// a later life would not take the place of a former one there.
+func TestWorkersAtAddress(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := jobkeeper.New()
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			born := rapid.Int64Range(1, 3).Draw(t, "born")
+			cmd := &jobwire.Command{
+				Change: &jobwire.Command_Worker{
+					Worker: &jobwire.Worker{
+						Id:      id,
+						Born:    born,
+						Address: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "address"),
+					},
+				},
+			}
+			if rapid.Bool().Draw(t, "forget") {
+				cmd.Change = &jobwire.Command_ForgetWorker{
+					ForgetWorker: &jobwire.ForgetWorker{
+						Id:   id,
+						Born: born,
+					},
+				}
+			}
+			data, err := proto.Marshal(cmd)
+			if err != nil {
+				t.Fatal(err)
+			}
+			k.Apply(data)
+		}
+		snapshot, err := k.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		restored := jobkeeper.New()
+		if err := restored.Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+		for _, each := range []*jobkeeper.Keeper{k, restored} {
+			each.View(func(s *jobkeeper.State) {
+				for _, address := range []string{"x", "y"} {
+					found := make(map[string]bool)
+					for _, w := range s.WorkersAt(address) {
+						found[w.GetId()] = true
+					}
+					for id, w := range s.Workers {
+						if found[id] != (w.GetAddress() == address) {
+							t.Fatalf("worker %s at %s: found %v at %s", id, w.GetAddress(), found[id], address)
+						}
+					}
+				}
+			})
+		}
+	})
+}
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -64,7 +64,7 @@
 		}
 	}
 	for _, w := range m.GetWorkers() {
-		s.Workers[w.GetId()] = w
+		s.setWorker(w)
 	}
 	for _, w := range m.GetWaves() {
 		s.Waves[w.GetId()] = w
