--- a/internal/commander/exit.go
+++ b/internal/commander/exit.go
@@ -25,7 +25,8 @@
 	ExitConflict = 4
 	// ExitRejected means that the change is not possible.
 	ExitRejected = 5
-	// ExitNotAllowed means that the key is missing, unknown or no operator key.
+	// ExitNotAllowed means that the key is missing, unknown, or of the wrong role
+	// or team.
 	ExitNotAllowed = 6
 	// ExitUnknown means that the change may have been made; repeat the command
 	// with the printed operation ID to find out.
