internal/invoker: outcomes of orders to job workers, by status, reason and body

The protocol of job workers was covered by the process tests only. The tables guard against a refusal that is taken for another one, an ending that is misread, and an answer of another worker or life.

--- /dev/null
+++ b/internal/invoker/invoker_test.go
@@ -0,0 +1,251 @@
+package invoker_test
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/heathermux/heathermux/internal/invoker"
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+var task = &jobwire.Task{
+	Job:        "job",
+	Occurrence: 1,
+	Step:       2,
+	Index:      3,
+}
+
+// worker answers each order alike and keeps the last one.
+type worker struct {
+	status int
+	body   string
+
+	path, id string
+	order    invoker.Order
+}
+
+func (w *worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	w.path, w.id = r.URL.Path, r.Header.Get(invoker.WorkerHeader)
+	if err := json.NewDecoder(r.Body).Decode(&w.order); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	rw.WriteHeader(w.status)
+	_, _ = rw.Write([]byte(w.body))
+}
+
+func (w *worker) start(t *testing.T) jobscheduler.Target {
+	t.Helper()
+	server := httptest.NewServer(w)
+	t.Cleanup(server.Close)
+	return jobscheduler.Target{
+		ID:      "j-1",
+		Born:    5,
+		Address: server.Listener.Addr().String(),
+	}
+}
+
+func timeout(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// A refusal that is taken for another one starts a task twice or never: only an
+// answer that proves that nothing runs may count as a refusal.
+func TestStartOutcomes(t *testing.T) {
+	cases := map[string]struct {
+		status int
+		body   string
+		want   jobscheduler.StartAnswer
+		clock  int64
+	}{
+		"accepted": {
+			status: http.StatusOK,
+			body:   `{"clock-millis": 9, "born": 5}`,
+			want:   jobscheduler.StartAccepted,
+			clock:  9,
+		},
+		"fenced": {
+			status: http.StatusConflict,
+			body:   `{"clock-millis": 9, "born": 5, "reason": "fenced"}`,
+			want:   jobscheduler.StartFenced,
+			clock:  9,
+		},
+		"outdated": {
+			status: http.StatusConflict,
+			body:   `{"born": 5, "reason": "outdated"}`,
+			want:   jobscheduler.StartOutdated,
+		},
+		"late": {
+			status: http.StatusConflict,
+			body:   `{"born": 5, "reason": "late"}`,
+			want:   jobscheduler.StartLate,
+		},
+		"no room": {
+			status: http.StatusConflict,
+			body:   `{"born": 5, "reason": "no-room"}`,
+			want:   jobscheduler.StartNoRoom,
+		},
+		"unknown reason": {
+			status: http.StatusConflict,
+			body:   `{"born": 5, "reason": "busy"}`,
+			want:   jobscheduler.StartUnknown,
+		},
+		"not readable": {
+			status: http.StatusBadRequest,
+			want:   jobscheduler.StartInvalid,
+		},
+		"has done nothing": {
+			status: http.StatusServiceUnavailable,
+			want:   jobscheduler.StartRefused,
+		},
+		"answer of a gateway": {
+			status: http.StatusBadGateway,
+			want:   jobscheduler.StartUnknown,
+		},
+		"answer that is cut": {
+			status: http.StatusOK,
+			body:   `{"clock-mil`,
+			want:   jobscheduler.StartUnknown,
+		},
+		"another worker": {
+			status: http.StatusMisdirectedRequest,
+			want:   jobscheduler.StartGone,
+		},
+		"another life": {
+			status: http.StatusOK,
+			body:   `{"clock-millis": 9, "born": 6}`,
+			want:   jobscheduler.StartGone,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := &worker{
+				status: c.status,
+				body:   c.body,
+			}
+			got, clock := invoker.New().Start(timeout(t), 7, jobscheduler.Start{
+				Target:     w.start(t),
+				Task:       task,
+				Run:        4,
+				Payload:    "p",
+				Checkpoint: "c",
+				Deadline:   11,
+			})
+			is.Equal(got, c.want)
+			is.Equal(clock, c.clock)
+			is.Equal(w.path, invoker.StartPath)
+			is.Equal(w.id, "j-1")
+			is.Equal(w.order, invoker.Order{
+				Fence:          7,
+				DeadlineMillis: 11,
+				Task: &invoker.Task{
+					Job:        "job",
+					Occurrence: 1,
+					Step:       2,
+					Index:      3,
+				},
+				Run:        4,
+				Payload:    "p",
+				Checkpoint: "c",
+			})
+		})
+	}
+}
+
+// A look that can't be read must count as none: an end that is misread would
+// lose a task or run it again.
+func TestLookAnswers(t *testing.T) {
+	const whole = `{"clock-millis": 9, "born": 5, "running": [{"task": {"job": "a", "index": 2}, "run": 3, "checkpoint": "c", "percent": 40}],
+		"ended": [{"number": 8, "task": {"job": "b", "step": 1}, "run": 2, "ending": "failed"}]}`
+	cases := map[string]struct {
+		status                int
+		body                  string
+		failed, gone, fenced  bool
+		running, ended, clock int
+	}{
+		"whole": {
+			status:  http.StatusOK,
+			body:    whole,
+			running: 1,
+			ended:   1,
+			clock:   9,
+		},
+		"cut": {
+			status: http.StatusOK,
+			body:   whole[:40],
+			failed: true,
+		},
+		"unknown ending": {
+			status: http.StatusOK,
+			body:   `{"born": 5, "ended": [{"number": 1, "task": {"job": "b"}, "run": 1, "ending": "exploded"}]}`,
+			failed: true,
+		},
+		"fenced": {
+			status: http.StatusConflict,
+			body:   `{"clock-millis": 9, "born": 5, "reason": "fenced"}`,
+			failed: true,
+			fenced: true,
+			clock:  9,
+		},
+		"another worker": {
+			status: http.StatusMisdirectedRequest,
+			gone:   true,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := &worker{
+				status: c.status,
+				body:   c.body,
+			}
+			got := invoker.New().Look(timeout(t), 7, jobscheduler.Look{
+				Target: w.start(t),
+				Seen:   6,
+				Wait:   20 * time.Millisecond,
+			})
+			is.Equal(got.Failed, c.failed)
+			is.Equal(got.Gone, c.gone)
+			is.Equal(got.Fenced, c.fenced)
+			is.Equal(int(got.Clock), c.clock)
+			is.Equal(len(got.Running), c.running)
+			is.Equal(len(got.Ended), c.ended)
+			is.Equal(w.order.Seen, uint64(6))
+			is.Equal(w.order.WaitMillis, int64(20))
+			if c.ended > 0 {
+				is.Equal(got.Running[0].Task.GetIndex(), int32(2))
+				is.Equal(got.Running[0].Run, uint64(3))
+				is.Equal(got.Ended[0].Number, uint64(8))
+				is.Equal(got.Ended[0].End.GetEnding(), jobwire.Ending_ENDING_FAILED)
+			}
+		})
+	}
+}
+
+// Where nothing listens, a leaving worker has ended; a silent one may still run.
+func TestRefusedConnectionIsTold(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	target := jobscheduler.Target{
+		ID:      "j-1",
+		Address: listener.Addr().String(),
+	}
+	is.NoErr(listener.Close())
+	got := invoker.New().Look(timeout(t), 7, jobscheduler.Look{
+		Target: target,
+	})
+	is.True(got.Failed && got.Refused)
+}
