internal/ingress: share the span and the JSON answer of tasks and jobs

Cause: serveJob repeated serveTask: the start of the server span and the writing of a JSON answer with its length and location stood in both, and the start of the span in serveRequest as well.

Ruled out: one function for the reservation of a body and the team of a key too.

Change: startSpan and writeJSON serve all of them. Status, headers, bodies and spans stay as they are.

No behaviour changed.

--- a/internal/ingress/jobs.go
+++ b/internal/ingress/jobs.go
@@ -11,8 +11,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/wire"
@@ -46,8 +44,7 @@
 }
 
 func (g *Ingress) serveJob(w http.ResponseWriter, r *http.Request) {
-	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := g.tracer.Start(ctx, "job", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := g.startSpan(r, "job")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
@@ -61,14 +58,11 @@
 		problem(http.StatusInternalServerError, "answer-unreadable", "Answer can't be written", err.Error()).ran(Unknown, Unknown).write(w)
 		return
 	}
-	h := w.Header()
-	h["Content-Type"] = []string{"application/json"}
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	location := ""
 	if accepted, ok := answer.(*jobAnswer); ok && status == http.StatusAccepted {
-		h["Location"] = []string{jobsPath + "/" + accepted.ID}
+		location = jobsPath + "/" + accepted.ID
 	}
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	writeJSON(w, status, location, body)
 }
 
 func (g *Ingress) job(ctx context.Context, w http.ResponseWriter, r *http.Request) (int, any, *Problem) {
--- a/internal/ingress/requests.go
+++ b/internal/ingress/requests.go
@@ -17,9 +17,14 @@
 // traceContext is the W3C form in which spans are passed on.
 var traceContext = propagation.TraceContext{}
 
-func (g *Ingress) serveRequest(w http.ResponseWriter, r *http.Request) {
+// startSpan starts the span of a request below the span that its header names.
+func (g *Ingress) startSpan(r *http.Request, name string) (context.Context, trace.Span) {
 	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := g.tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer))
+	return g.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
+}
+
+func (g *Ingress) serveRequest(w http.ResponseWriter, r *http.Request) {
+	ctx, span := g.startSpan(r, "request")
 	defer span.End()
 	answer, refusal := g.request(ctx, w, r)
 	if span.IsRecording() {
--- a/internal/ingress/tasks.go
+++ b/internal/ingress/tasks.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/google/uuid"
-	"go.opentelemetry.io/otel/propagation"
-	"go.opentelemetry.io/otel/trace"
 
 	"github.com/heathermux/heathermux/internal/wire"
 )
@@ -36,8 +34,7 @@
 }
 
 func (g *Ingress) serveTask(w http.ResponseWriter, r *http.Request) {
-	ctx := traceContext.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
-	ctx, span := g.tracer.Start(ctx, "task", trace.WithSpanKind(trace.SpanKindServer))
+	ctx, span := g.startSpan(r, "task")
 	defer span.End()
 	ctx, cancel := context.WithTimeout(ctx, taskTimeout)
 	defer cancel()
@@ -46,18 +43,14 @@
 		refusal.seenKey(r.Header).write(w)
 		return
 	}
-	body := answer.encode()
-	h := w.Header()
 	if answer.replayed {
-		h[replayedHeader] = []string{"true"}
+		w.Header()[replayedHeader] = []string{"true"}
 	}
-	h["Content-Type"] = []string{"application/json"}
-	h["Content-Length"] = []string{strconv.Itoa(len(body))}
+	location := ""
 	if status == http.StatusAccepted {
-		h["Location"] = []string{tasksPath + "/" + answer.ID}
+		location = tasksPath + "/" + answer.ID
 	}
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
+	writeJSON(w, status, location, answer.encode())
 }
 
 func (g *Ingress) task(ctx context.Context, w http.ResponseWriter, r *http.Request) (int, *taskAnswer, *Problem) {
