--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -22,6 +22,9 @@
 	// jobWorkerLease is how long a job worker may run tasks without contact with
 	// the leader: long enough for an election and the first polls of a new leader.
 	jobWorkerLease = 3 * time.Second
+	// jobWorkerMaxLease is the longest lease that job workers accept; see
+	// docs/jobs.md.
+	jobWorkerMaxLease = 10 * time.Second
 	// delegationMinWorkers is the number of job workers from which on the leader
 	// delegates the delivery of its orders to other entry hosts.
 	delegationMinWorkers = 100
@@ -77,6 +80,7 @@
 		Registerer: d.meter.Registerer(),
 		Settings: jobscheduler.Settings{
 			Lease:              jobWorkerLease,
+			MaxLease:           jobWorkerMaxLease,
 			ProviderOrderDelay: jobWorkerLease,
 		},
 	})
--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -182,6 +182,9 @@
 	j.ledger.Ended(task, w.run, how)
 }
 
+// maxJobLease is the longest lease that a job worker accepts.
+const maxJobLease = 10 * time.Second
+
 // acceptOrder adopts the fencing token of an order and extends the lease. It
 // returns false if the token is lower than an earlier one. j.mu must be held.
 func (j *JobRuns) acceptOrder(fence uint64, deadline int64) bool {
@@ -189,7 +192,7 @@
 		return false
 	}
 	j.fence = fence
-	j.leaseDeadline = max(j.leaseDeadline, deadline)
+	j.leaseDeadline = max(j.leaseDeadline, min(deadline, j.Clock()+maxJobLease.Milliseconds()))
 	return true
 }
 
@@ -204,7 +207,7 @@
 	switch {
 	case active && w.run == run:
 		return JobAccepted
-	case deadline <= j.Clock():
+	case j.leaseDeadline <= j.Clock():
 		return JobLate
 	case active || run <= j.highestRun[task]:
 		return JobOld
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -104,9 +104,12 @@
 }
 
 var (
-	// errWrongIncarnation means that the target no longer runs: another worker,
-	// or a later incarnation of the same one, answers at its address.
-	errWrongIncarnation = errors.New("invoker: the address belongs to another worker or incarnation")
+	// errOtherWorker means that the target has ended: another worker answers at
+	// its address and has not executed the order.
+	errOtherWorker = errors.New("invoker: the address belongs to another worker")
+	// errRestarted means that a later incarnation of the target answers. It may
+	// have executed the order.
+	errRestarted = errors.New("invoker: the worker has restarted")
 	// errOrderRefused means that the worker answered with a status other than 200.
 	errOrderRefused = errors.New("invoker: the worker refused the order")
 )
@@ -123,13 +126,13 @@
 		return status, answer, err
 	}
 	if status == http.StatusMisdirectedRequest {
-		return status, answer, errWrongIncarnation
+		return status, answer, errOtherWorker
 	}
 	if err := json.Unmarshal(text, &answer); err != nil && status == http.StatusOK {
 		return status, answer, errors.Wrap(err, "invoker: decode answer")
 	}
 	if answer.Born != 0 && t.Born != 0 && answer.Born != t.Born {
-		return status, answer, errWrongIncarnation
+		return status, answer, errRestarted
 	}
 	return status, answer, nil
 }
@@ -156,9 +159,10 @@
 		Ticket:         a.Ticket,
 	})
 	switch {
-	case errors.Is(err, errWrongIncarnation):
-		return jobscheduler.StartWrongIncarnation, 0
+	case errors.Is(err, errOtherWorker):
+		return jobscheduler.StartGone, 0
 	case err != nil:
+		// A later incarnation may have executed the order, too.
 		return jobscheduler.StartUnknown, 0
 	}
 	switch status {
@@ -213,15 +217,16 @@
 		err = errOrderRefused
 	}
 	answer := jobscheduler.PollAnswer{
-		WrongIncarnation: errors.Is(err, errWrongIncarnation),
-		Refused:          errors.Is(err, syscall.ECONNREFUSED),
-		Fenced:           reply.Reason == "fenced",
-		Clock:            reply.ClockMillis,
+		Gone:      errors.Is(err, errOtherWorker),
+		Restarted: errors.Is(err, errRestarted),
+		Refused:   errors.Is(err, syscall.ECONNREFUSED),
+		Fenced:    reply.Reason == "fenced",
+		Clock:     reply.ClockMillis,
 	}
 	if err == nil {
 		err = reply.appendRuns(&answer)
 	}
-	answer.Failed = err != nil && !answer.WrongIncarnation
+	answer.Failed = err != nil && !answer.Gone && !answer.Restarted
 	return answer
 }
 
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -121,12 +121,12 @@
 		},
 		"another worker": {
 			status: http.StatusMisdirectedRequest,
-			want:   jobscheduler.StartWrongIncarnation,
+			want:   jobscheduler.StartGone,
 		},
-		"another incarnation": {
+		"later incarnation, which may have executed the order": {
 			status: http.StatusOK,
 			body:   `{"clock-millis": 9, "born": 6}`,
-			want:   jobscheduler.StartWrongIncarnation,
+			want:   jobscheduler.StartUnknown,
 		},
 	}
 	for name, c := range cases {
@@ -174,6 +174,7 @@
 		status                int
 		body                  string
 		failed, gone, fenced  bool
+		restarted             bool
 		running, ended, clock int
 	}{
 		"complete": {
@@ -204,6 +205,12 @@
 			status: http.StatusMisdirectedRequest,
 			gone:   true,
 		},
+		"later incarnation": {
+			status:    http.StatusOK,
+			body:      `{"clock-millis": 9, "born": 6}`,
+			restarted: true,
+			clock:     9,
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -218,7 +225,8 @@
 				Wait:            20 * time.Millisecond,
 			})
 			is.Equal(got.Failed, c.failed)
-			is.Equal(got.WrongIncarnation, c.gone)
+			is.Equal(got.Gone, c.gone)
+			is.Equal(got.Restarted, c.restarted)
 			is.Equal(got.Fenced, c.fenced)
 			is.Equal(int(got.Clock), c.clock)
 			is.Equal(len(got.Running), c.running)
--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
@@ -28,6 +30,7 @@
 func (c *Controller) dispatch(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, actions []jobscheduler.Action) {
 	var orders []jobscheduler.Action
 	var records []jobscheduler.RecordEnds
+	var marks []jobscheduler.MarkLapsed
 	for _, action := range actions {
 		if _, ok := ordersender.TargetOf(action); ok {
 			orders = append(orders, action)
@@ -37,11 +40,18 @@
 			records = append(records, r)
 			continue
 		}
+		if m, ok := action.(jobscheduler.MarkLapsed); ok {
+			marks = append(marks, m)
+			continue
+		}
 		c.pool.Go(func() { c.execute(ctx, sched, fence, action) })
 	}
 	if len(records) > 0 {
 		c.pool.Go(func() { c.recordEnds(ctx, sched, records) })
 	}
+	if len(marks) > 0 {
+		c.pool.Go(func() { c.markLapsed(ctx, sched, marks) })
+	}
 	if len(orders) > 0 {
 		c.sender.Send(orders, c.workerCount)
 	}
@@ -91,12 +101,6 @@
 				},
 			},
 		})
-	case jobscheduler.RecordWorker:
-		c.submitBestEffort(ctx, &jobwire.Command{
-			Change: &jobwire.Command_Worker{
-				Worker: a.Worker,
-			},
-		})
 	case jobscheduler.RemoveWorker:
 		c.submitBestEffort(ctx, forgetCommand(a.ID, a.Born))
 	}
@@ -152,17 +156,46 @@
 			Ends: ends,
 		},
 	}
+	c.record(ctx, sched, cmd, func() {
+		for _, r := range records {
+			sched.EndsRecorded(r)
+		}
+	})
+}
+
+// markLapsed writes the lapsed marks of one pass to the log. It has to learn that
+// they are there, because the scheduler gives those workers no lease before.
+func (c *Controller) markLapsed(ctx context.Context, sched *jobscheduler.Scheduler, marks []jobscheduler.MarkLapsed) {
+	list := &jobwire.LapsedMarks{}
+	for _, m := range marks {
+		list.Marks = append(list.Marks, &jobwire.LapsedMark{
+			Id:     m.ID,
+			Born:   m.Born,
+			Lapsed: m.Lapsed,
+		})
+	}
+	cmd := &jobwire.Command{
+		Change: &jobwire.Command_LapsedMarks{
+			LapsedMarks: list,
+		},
+	}
+	c.record(ctx, sched, cmd, func() {
+		for _, m := range marks {
+			sched.LapsedMarked(m)
+		}
+	})
+}
+
+// record writes a command to the log, retries until it is there or this host stops
+// leading, and reports it with recorded.
+func (c *Controller) record(ctx context.Context, sched *jobscheduler.Scheduler, cmd *jobwire.Command, recorded func()) {
 	for ctx.Err() == nil && c.isCurrent(sched) {
 		err := c.recordOnce(ctx, cmd)
 		if err == nil {
-			c.withScheduler(sched, func() {
-				for _, r := range records {
-					sched.EndsRecorded(r)
-				}
-			})
+			c.withScheduler(sched, recorded)
 			return
 		}
-		c.opts.Logger.Info("conductor: recording task ends in the log failed; retrying while this host leads", "workers", len(records), "ends", len(ends.GetEnds()), "error", err)
+		c.opts.Logger.Info("conductor: write to the log failed; retrying while this host leads", "bytes", proto.Size(cmd), "error", err)
 		retry := c.opts.Clock.NewTimer(recordRetryDelay)
 		<-retry.C()
 	}
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -155,6 +155,8 @@
 		return m.updateWorker(c.Worker)
 	case *jobwire.Command_ForgetWorker:
 		return m.forgetWorker(c.ForgetWorker)
+	case *jobwire.Command_LapsedMarks:
+		return m.markLapsed(c.LapsedMarks.GetMarks())
 	}
 	return errors.New("jobkeeper: log entry has an unknown command")
 }
@@ -294,11 +296,18 @@
 	return nil
 }
 
-// updateWorker stores a worker unless a later incarnation of it is known.
+// updateWorker stores a worker unless a later incarnation of it is known. An
+// incarnation that drains never stops draining, and only markLapsed marks it as
+// lapsed: the command may have been formed before the last change.
 func (m *StateMachine) updateWorker(w *jobwire.Worker) any {
-	if current, ok := m.state.Workers[w.GetId()]; ok && current.GetBorn() > w.GetBorn() {
+	current, ok := m.state.Workers[w.GetId()]
+	if ok && current.GetBorn() > w.GetBorn() {
 		return nil
 	}
+	if ok && current.GetBorn() == w.GetBorn() {
+		w.Draining = w.GetDraining() || current.GetDraining()
+		w.Lapsed = w.GetLapsed() && current.GetLapsed()
+	}
 	m.state.setWorker(w)
 	if m.observer != nil {
 		m.observer.WorkerChanged(w)
@@ -306,6 +315,23 @@
 	return nil
 }
 
+// markLapsed sets or clears the marks of known incarnations of workers.
+func (m *StateMachine) markLapsed(marks []*jobwire.LapsedMark) any {
+	for _, mark := range marks {
+		current, ok := m.state.Workers[mark.GetId()]
+		if !ok || current.GetBorn() != mark.GetBorn() || current.GetLapsed() == mark.GetLapsed() {
+			continue
+		}
+		w := proto.CloneOf(current)
+		w.Lapsed = mark.GetLapsed()
+		m.state.setWorker(w)
+		if m.observer != nil {
+			m.observer.WorkerChanged(w)
+		}
+	}
+	return nil
+}
+
 // forgetWorker removes a worker if the given incarnation is the current one.
 func (m *StateMachine) forgetWorker(f *jobwire.ForgetWorker) any {
 	w, ok := m.state.Workers[f.GetId()]
--- a/internal/jobkeeper/statemachine_test.go
+++ b/internal/jobkeeper/statemachine_test.go
@@ -396,3 +396,91 @@
 		}
 	})
 }
+
+// A worker command is formed before it is applied. It must not take back that the
+// worker drains, nor set a lapsed mark that was cleared meanwhile: a new leader would
+// not wait for the worker. A mark must not bring back a worker that has left.
+func TestWorkerChangesInAnyOrder(t *testing.T) {
+	worker := func(born int64, draining, lapsed bool) *jobwire.Command {
+		return &jobwire.Command{
+			Change: &jobwire.Command_Worker{
+				Worker: &jobwire.Worker{
+					Id:       "w",
+					Born:     born,
+					Draining: draining,
+					Lapsed:   lapsed,
+				},
+			},
+		}
+	}
+	mark := func(born int64, lapsed bool) *jobwire.Command {
+		return &jobwire.Command{
+			Change: &jobwire.Command_LapsedMarks{
+				LapsedMarks: &jobwire.LapsedMarks{
+					Marks: []*jobwire.LapsedMark{
+						{
+							Id:     "w",
+							Born:   born,
+							Lapsed: lapsed,
+						},
+					},
+				},
+			},
+		}
+	}
+	forget := &jobwire.Command{
+		Change: &jobwire.Command_ForgetWorker{
+			ForgetWorker: &jobwire.ForgetWorker{
+				Id:   "w",
+				Born: 1,
+			},
+		},
+	}
+	cases := map[string]struct {
+		commands         []*jobwire.Command
+		known            bool
+		draining, lapsed bool
+	}{
+		"stale command after draining": {
+			commands: []*jobwire.Command{worker(1, true, false), worker(1, false, false)},
+			known:    true,
+			draining: true,
+		},
+		"next incarnation does not drain": {
+			commands: []*jobwire.Command{worker(1, true, false), worker(2, false, false)},
+			known:    true,
+		},
+		"marked": {
+			commands: []*jobwire.Command{worker(1, true, false), mark(1, true)},
+			known:    true,
+			draining: true,
+			lapsed:   true,
+		},
+		"stale command after the mark was cleared": {
+			commands: []*jobwire.Command{worker(1, false, false), mark(1, true), mark(1, false), worker(1, false, true)},
+			known:    true,
+		},
+		"mark of a former incarnation": {
+			commands: []*jobwire.Command{worker(1, false, false), worker(2, false, false), mark(1, true)},
+			known:    true,
+		},
+		"mark of a worker that has left": {
+			commands: []*jobwire.Command{worker(1, false, false), forget, mark(1, false)},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			m := jobkeeper.New()
+			for _, cmd := range c.commands {
+				apply(t, m, time.Unix(1, 0), cmd)
+			}
+			m.View(func(s *jobkeeper.State) {
+				w, ok := s.Workers["w"]
+				is.Equal(ok, c.known)
+				is.Equal(w.GetDraining(), c.draining)
+				is.Equal(w.GetLapsed(), c.lapsed)
+			})
+		})
+	}
+}
--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -71,10 +71,12 @@
 	UpTo uint64
 }
 
-// RecordWorker requests a log entry that changes the worker in the replicated
-// state.
-type RecordWorker struct {
-	Worker *jobwire.Worker
+// MarkLapsed requests a log entry that sets or clears the lapsed mark of a worker;
+// the outcome goes to LapsedMarked.
+type MarkLapsed struct {
+	ID     string
+	Born   int64
+	Lapsed bool
 }
 
 // RemoveWorker requests a log entry that removes the worker from the replicated
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -15,7 +15,10 @@
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
-const lease = 4 * time.Second
+const (
+	lease    = 4 * time.Second
+	maxLease = 10 * time.Second
+)
 
 // harness drives one scheduler step by step: the test stands in for the log, the
 // workers and the clock.
@@ -29,6 +32,8 @@
 	// orderSenders is the number of hosts that send orders to workers; 0 means
 	// one.
 	orderSenders int
+	// logger is that of the scheduler.
+	logger *slog.Logger
 	// actions holds the actions of all passes that the test has not taken yet.
 	actions []jobscheduler.Action
 }
@@ -38,6 +43,7 @@
 		t:       t,
 		is:      is.New(t),
 		machine: jobkeeper.New(),
+		logger:  slog.New(slog.DiscardHandler),
 		now:     time.Unix(1_000_000, 0),
 	}
 	h.apply(&jobwire.Command{
@@ -90,8 +96,9 @@
 	h.actions = nil
 	h.machine.Observe(nil, func(s *jobkeeper.State) {
 		h.sched = jobscheduler.New(h.now, h.now, h.term, s, jobscheduler.Settings{
-			Lease: lease,
-		}, slog.New(slog.DiscardHandler))
+			Lease:    lease,
+			MaxLease: maxLease,
+		}, h.logger)
 	})
 	h.machine.Observe(h.sched, func(*jobkeeper.State) {})
 }
--- /dev/null
+++ b/internal/jobscheduler/interleaving_test.go
@@ -0,0 +1,531 @@
+package jobscheduler_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+	"github.com/heathermux/heathermux/internal/wire"
+)
+
+const (
+	// modelTick is the resolution of the model's time.
+	modelTick = 5 * time.Millisecond
+	// modelOrderTimeout is when an order without an answer counts as unanswered.
+	modelOrderTimeout = 500 * time.Millisecond
+	// modelStopTime is how long a worker takes to end a run.
+	modelStopTime = 200 * time.Millisecond
+)
+
+// modelRun is a run in progress on a modelWorker.
+type modelRun struct {
+	task   *jobwire.Task
+	number uint64
+	endsAt time.Time
+	ending jobwire.Ending
+}
+
+// modelWorker executes orders as a worker does: it obeys the highest fence, runs
+// tasks until its longest lease has ended, and rejects runs that it has ended or
+// stopped.
+type modelWorker struct {
+	id string
+	// born is when this incarnation began; its clock counts from there and is slow
+	// by the factor rate.
+	born  time.Time
+	rate  float64
+	fence uint64
+	// deadline is the end of the longest lease, on the worker's clock in
+	// milliseconds.
+	deadline int64
+	runs     map[string]*modelRun
+	// closed holds the highest run number by task that was stopped or has ended.
+	closed  map[string]uint64
+	ended   []jobscheduler.EndedTask
+	lastEnd uint64
+	// mode is what happens to orders until modeEndsAt.
+	mode       orderFate
+	modeEndsAt time.Time
+}
+
+// orderFate is what happens to an order.
+type orderFate int
+
+const (
+	answered orderFate = iota
+	// answerLost orders are executed, and their answer is lost.
+	answerLost
+	// neverExecuted orders are lost.
+	neverExecuted
+	// executedLate orders get no answer and are executed seconds later.
+	executedLate
+)
+
+// model plays a scheduler against workers whose orders are lost, delayed or
+// executed seconds after the scheduler has given up on them.
+type model struct {
+	*harness
+
+	rng     *rand.Rand
+	start   time.Time
+	workers []*modelWorker
+	events  []modelEvent
+	jobs    int
+	// faults is the share of orders that are not answered.
+	faults float64
+	// twice describes the first double run; empty while there was none.
+	twice string
+	// history holds what happened, for the message of a failure: the order in which
+	// the scheduler walks its maps differs between runs of one seed.
+	history []string
+}
+
+// note adds a line to the history.
+func (m *model) note(format string, a ...any) {
+	m.history = append(m.history, fmt.Sprintf("%9v ", m.now.Sub(m.start))+fmt.Sprintf(format, a...))
+}
+
+// historyOf returns the lines of the history that contain one of the texts.
+func (m *model) historyOf(texts ...string) string {
+	var lines []string
+	for _, line := range m.history {
+		if slices.ContainsFunc(texts, func(text string) bool { return strings.Contains(line, text) }) {
+			lines = append(lines, line)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+type modelEvent struct {
+	at time.Time
+	do func()
+}
+
+func (m *model) after(d time.Duration, f func()) {
+	m.events = append(m.events, modelEvent{
+		at: m.now.Add(d),
+		do: f,
+	})
+}
+
+// between returns a random duration.
+func (m *model) between(from, to time.Duration) time.Duration {
+	return from + time.Duration(m.rng.Int64N(int64(to-from)))
+}
+
+func taskText(t *jobwire.Task) string {
+	return fmt.Sprintf("%s.%d.%d", t.GetJob(), t.GetStep(), t.GetIndex())
+}
+
+// tick advances the model by modelTick.
+func (m *model) tick() {
+	m.now = m.now.Add(modelTick)
+	var due []modelEvent
+	m.events = slices.DeleteFunc(m.events, func(e modelEvent) bool {
+		if e.at.After(m.now) {
+			return false
+		}
+		due = append(due, e)
+		return true
+	})
+	slices.SortStableFunc(due, func(a, b modelEvent) int { return a.at.Compare(b.at) })
+	for _, w := range m.workers {
+		m.progress(w)
+	}
+	for _, e := range due {
+		e.do()
+	}
+}
+
+// progress ends the runs of a worker that are done, stopped or without a lease.
+func (m *model) progress(w *modelWorker) {
+	names := make([]string, 0, len(w.runs))
+	for name := range w.runs {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		r := w.runs[name]
+		if m.clockOf(w) > w.deadline {
+			r.ending = jobwire.Ending_ENDING_LAPSED
+		} else if m.now.Before(r.endsAt) {
+			continue
+		}
+		delete(w.runs, name)
+		m.note("%s run %d ends on %s: %v", name, r.number, w.id, r.ending)
+		w.closed[name] = max(w.closed[name], r.number)
+		w.lastEnd++
+		w.ended = append(w.ended, endedTask(w.lastEnd, r.task, r.number, r.ending))
+	}
+}
+
+// fate decides what happens to an order to a worker.
+func (m *model) fate(w *modelWorker) orderFate {
+	if m.now.After(w.modeEndsAt) && m.rng.Float64() < m.faults/20 {
+		w.mode = orderFate(m.rng.IntN(4))
+		w.modeEndsAt = m.now.Add(m.between(time.Second/2, 6*time.Second))
+	}
+	if m.now.Before(w.modeEndsAt) {
+		return w.mode
+	}
+	if m.rng.Float64() < m.faults {
+		return orderFate(1 + m.rng.IntN(3))
+	}
+	return answered
+}
+
+// send executes an order now or later and reports its answer, or that there was
+// none, to the scheduler of the term in which it was sent.
+// A later incarnation of the worker executes the order, too; the answer is then that
+// the worker has restarted.
+func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, restarted func()) {
+	w := m.worker(target.ID)
+	sched := m.sched
+	report := func(f func()) {
+		if m.sched == sched {
+			m.withScheduler(f)
+		}
+	}
+	born := w.born
+	fate := m.fate(w)
+	delay := m.between(time.Millisecond, 20*time.Millisecond)
+	switch fate {
+	case answered:
+		m.after(delay, func() {
+			if w.born != born {
+				report(unanswered)
+				return
+			}
+			answer := execute()
+			if w.born.UnixMilli() != target.Born {
+				answer = restarted
+			}
+			m.after(m.between(time.Millisecond, 30*time.Millisecond), func() { report(answer) })
+		})
+		return
+	case answerLost:
+		m.after(delay, func() { executeIf(w.born == born, execute) })
+	case executedLate:
+		m.after(m.between(2*time.Second, 12*time.Second), func() { executeIf(w.born == born, execute) })
+	}
+	m.after(timeout+m.between(0, 300*time.Millisecond), func() { report(unanswered) })
+}
+
+// clockOf returns a worker's clock in milliseconds.
+func (m *model) clockOf(w *modelWorker) int64 {
+	return 1000 + int64(m.now.Sub(w.born).Seconds()*w.rate*1000)
+}
+
+// executeIf executes an order unless its worker has restarted.
+func executeIf(alive bool, execute func() func()) {
+	if alive {
+		execute()
+	}
+}
+
+func (m *model) extend(w *modelWorker, deadline int64) {
+	w.deadline = max(w.deadline, min(deadline, m.clockOf(w)+maxLease.Milliseconds()))
+}
+
+func (m *model) startRun(w *modelWorker, term uint64, a jobscheduler.Start) jobscheduler.StartAnswer {
+	if term < w.fence {
+		return jobscheduler.StartFenced
+	}
+	w.fence = term
+	m.extend(w, a.Deadline)
+	name := taskText(a.Task)
+	if r, ok := w.runs[name]; ok && r.number == a.Run {
+		return jobscheduler.StartAccepted
+	}
+	if a.Run <= w.closed[name] {
+		return jobscheduler.StartOutdated
+	}
+	if m.clockOf(w) > w.deadline {
+		return jobscheduler.StartLeaseExpired
+	}
+	for _, other := range m.workers {
+		if r, ok := other.runs[name]; ok && m.twice == "" {
+			m.twice = fmt.Sprintf("after %v: run %d of %s starts on %s while run %d is at work on %s\n%s", m.now.Sub(m.start), a.Run, name, w.id, r.number, other.id,
+				m.historyOf(name+" ", "leader"))
+		}
+	}
+	ending := jobwire.Ending_ENDING_DONE
+	if m.rng.Float64() < 0.02 {
+		ending = jobwire.Ending_ENDING_FAILED
+	}
+	m.note("%s run %d begins on %s", name, a.Run, w.id)
+	w.runs[name] = &modelRun{
+		task:   a.Task,
+		number: a.Run,
+		endsAt: m.now.Add(m.between(100*time.Millisecond, 4*time.Second)),
+		ending: ending,
+	}
+	return jobscheduler.StartAccepted
+}
+
+func (m *model) stopRun(w *modelWorker, term uint64, a jobscheduler.Stop) bool {
+	if term < w.fence {
+		return false
+	}
+	w.fence = term
+	name := taskText(a.Task)
+	if r, ok := w.runs[name]; ok && r.number == a.Run {
+		r.ending = jobwire.Ending_ENDING_STOPPED
+		if at := m.now.Add(modelStopTime); at.Before(r.endsAt) {
+			r.endsAt = at
+		}
+		return true
+	}
+	w.closed[name] = max(w.closed[name], a.Run)
+	return true
+}
+
+func (m *model) poll(w *modelWorker, term uint64, a jobscheduler.Poll) jobscheduler.PollAnswer {
+	if term < w.fence {
+		return jobscheduler.PollAnswer{
+			Failed: true,
+		}
+	}
+	w.fence = term
+	m.extend(w, a.Deadline)
+	w.ended = slices.DeleteFunc(w.ended, func(e jobscheduler.EndedTask) bool { return e.Number <= a.LastRecordedEnd })
+	answer := jobscheduler.PollAnswer{
+		Clock: m.clockOf(w),
+		Ended: slices.Clone(w.ended),
+	}
+	for _, r := range w.runs {
+		answer.Running = append(answer.Running, runningTask(r.task, r.number))
+	}
+	slices.SortFunc(answer.Running, func(a, b jobscheduler.RunningTask) int { return cmp.Compare(taskText(a.Task), taskText(b.Task)) })
+	return answer
+}
+
+// carryOut sends the orders of a pass and applies its log writes.
+func (m *model) carryOut() {
+	actions := m.actions
+	m.actions = nil
+	term := m.term
+	sched := m.sched
+	for _, action := range actions {
+		switch a := action.(type) {
+		case jobscheduler.Start:
+			w := m.worker(a.Target.ID)
+			m.note("%s run %d start ordered on %s until %d, clock %d", taskText(a.Task), a.Run, w.id, a.Deadline, m.clockOf(w))
+			answer := func(outcome jobscheduler.StartAnswer, clock int64) func() {
+				return func() {
+					m.note("%s run %d start answered by %s: %d", taskText(a.Task), a.Run, w.id, outcome)
+					sched.StartAnswered(a, outcome, clock)
+				}
+			}
+			m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, term, a), m.clockOf(w)) },
+				answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartUnknown, 0))
+		case jobscheduler.Stop:
+			w := m.worker(a.Target.ID)
+			m.note("%s run %d stop ordered on %s", taskText(a.Task), a.Run, w.id)
+			unconfirmed := func() { sched.StopAnswered(a, false, 0) }
+			m.send(a.Target, modelOrderTimeout, func() func() {
+				confirmed, clock := m.stopRun(w, term, a), m.clockOf(w)
+				return func() {
+					m.note("%s run %d stop answered by %s: %v", taskText(a.Task), a.Run, w.id, confirmed)
+					sched.StopAnswered(a, confirmed, clock)
+				}
+			}, unconfirmed, unconfirmed)
+		case jobscheduler.Poll:
+			w := m.worker(a.Target.ID)
+			sentAt := m.now
+			m.send(a.Target, modelOrderTimeout+a.Wait, func() func() {
+				answer := m.poll(w, term, a)
+				answer.SentAt = sentAt
+				for _, r := range answer.Running {
+					m.note("%s run %d listed by %s", taskText(r.Task), r.Run, w.id)
+				}
+				return func() { sched.PollAnswered(a, answer) }
+			}, func() {
+				sched.PollAnswered(a, jobscheduler.PollAnswer{
+					Failed: true,
+				})
+			}, func() {
+				sched.PollAnswered(a, jobscheduler.PollAnswer{
+					Restarted: true,
+				})
+			})
+		case jobscheduler.RecordEnds:
+			m.after(20*time.Millisecond, func() {
+				if m.sched != sched {
+					return
+				}
+				m.apply(&jobwire.Command{
+					Change: &jobwire.Command_Ends{
+						Ends: &jobwire.Ends{
+							Ends: a.Ends,
+						},
+					},
+				})
+				m.withScheduler(func() { sched.EndsRecorded(a) })
+			})
+		case jobscheduler.MarkLapsed:
+			m.after(m.between(20*time.Millisecond, 3*time.Second), func() {
+				// What a former leader had appended is applied before the next one
+				// begins, or never.
+				if m.sched != sched {
+					return
+				}
+				m.apply(&jobwire.Command{
+					Change: &jobwire.Command_LapsedMarks{
+						LapsedMarks: &jobwire.LapsedMarks{
+							Marks: []*jobwire.LapsedMark{
+								{
+									Id:     a.ID,
+									Born:   a.Born,
+									Lapsed: a.Lapsed,
+								},
+							},
+						},
+					},
+				})
+				m.withScheduler(func() { sched.LapsedMarked(a) })
+			})
+		}
+	}
+}
+
+func (m *model) worker(id string) *modelWorker {
+	for _, w := range m.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	m.t.Fatalf("order to the unknown worker %q", id)
+	return nil
+}
+
+// completed returns the number of jobs that have completed.
+func (m *model) completed() int {
+	n := 0
+	m.machine.View(func(s *jobkeeper.State) {
+		for _, j := range s.Jobs {
+			if j.EndState == jobwire.JobState_JOB_STATE_COMPLETED {
+				n++
+			}
+		}
+	})
+	return n
+}
+
+// submitSome submits jobs at random times.
+func (m *model) submitSome() {
+	m.jobs++
+	m.submit(fmt.Sprintf("job%d", m.jobs), tasks(1+m.rng.Int32N(4), 500+m.rng.Int64N(3000)))
+	m.after(m.between(20*time.Millisecond, 600*time.Millisecond), m.submitSome)
+}
+
+// changeLeader begins new terms at random times.
+func (m *model) changeLeader() {
+	m.startTerm()
+	m.note("a leader begins term %d", m.term)
+	m.after(m.between(6*time.Second, 25*time.Second), m.changeLeader)
+}
+
+// restartSome restarts workers at random times.
+func (m *model) restartSome() {
+	w := m.workers[m.rng.IntN(len(m.workers))]
+	m.note("%s restarts (the leader goes on)", w.id)
+	m.startWorker(w)
+	m.after(m.between(2*time.Second, 20*time.Second), m.restartSome)
+}
+
+// startWorker begins an incarnation of a worker.
+func (m *model) startWorker(w *modelWorker) {
+	*w = modelWorker{
+		id:     w.id,
+		born:   m.now,
+		rate:   0.98 + 0.02*m.rng.Float64(),
+		runs:   make(map[string]*modelRun),
+		closed: make(map[string]uint64),
+	}
+	m.after(m.between(0, 2*time.Second), func() { m.register(w) })
+}
+
+// register passes the heartbeat of a worker to the leader.
+func (m *model) register(w *modelWorker) {
+	m.apply(&jobwire.Command{
+		Change: &jobwire.Command_Worker{
+			Worker: &jobwire.Worker{
+				Id:         w.id,
+				Born:       w.born.UnixMilli(),
+				Pool:       "p",
+				Address:    w.id + ":1",
+				DataCentre: "dc",
+				Capacity: &wire.Resources{
+					MilliCores:  8000,
+					MemoryBytes: 1 << 30,
+				},
+			},
+		},
+	})
+}
+
+// play runs the model for the given time and returns the first double run, or an
+// empty string.
+func (m *model) play(d time.Duration) string {
+	m.start = m.now
+	m.changeLeader()
+	m.submitSome()
+	m.after(m.between(2*time.Second, 20*time.Second), m.restartSome)
+	for n := 0; m.now.Sub(m.start) < d && m.twice == ""; n++ {
+		m.tick()
+		if n%5 != 0 {
+			continue
+		}
+		for _, w := range m.workers {
+			if n%300 == 0 {
+				m.withScheduler(func() { m.sched.HeartbeatReceived(w.id, w.born.UnixMilli(), m.clockOf(w)) })
+			}
+		}
+		m.advance(0)
+		m.carryOut()
+	}
+	return m.twice
+}
+
+func newModel(t *testing.T, seed uint64) *model {
+	m := &model{
+		harness: newHarness(t),
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+	}
+	m.faults = []float64{0.01, 0.05, 0.2}[seed%3]
+	for i := range 5 {
+		w := &modelWorker{
+			id: fmt.Sprint("w", i),
+		}
+		m.startWorker(w)
+		m.register(w)
+		m.workers = append(m.workers, w)
+	}
+	return m
+}
+
+// A task may have one run at a time, whatever happens to the orders: lost answers,
+// lost orders, orders that a worker executes seconds after the leader has given up
+// on them, workers that are silent for longer than their lease, and new leaders.
+func TestOneRunAtATime(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			m := newModel(t, seed)
+			if twice := m.play(60 * time.Second); twice != "" {
+				t.Error(twice)
+			}
+			if done := m.completed(); done < m.jobs/4 {
+				t.Errorf("only %d of %d jobs completed: the model hardly starts tasks", done, m.jobs)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/jobscheduler/lateorder_test.go
@@ -0,0 +1,152 @@
+package jobscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// failPolls answers the polls of one worker as failed and those of the others.
+func (h *harness) failPolls(id string) {
+	for _, poll := range takeAll[jobscheduler.Poll](h) {
+		answer := jobscheduler.PollAnswer{
+			Failed: poll.Target.ID == id,
+			Clock:  h.clock(),
+			SentAt: h.now,
+		}
+		h.withScheduler(func() { h.sched.PollAnswered(poll, answer) })
+	}
+}
+
+// applyMarks applies the pending log writes of lapsed marks.
+func (h *harness) applyMarks(marks []jobscheduler.MarkLapsed) {
+	for _, mark := range marks {
+		h.apply(&jobwire.Command{
+			Change: &jobwire.Command_LapsedMarks{
+				LapsedMarks: &jobwire.LapsedMarks{
+					Marks: []*jobwire.LapsedMark{
+						{
+							Id:     mark.ID,
+							Born:   mark.Born,
+							Lapsed: mark.Lapsed,
+						},
+					},
+				},
+			},
+		})
+		h.withScheduler(func() { h.sched.LapsedMarked(mark) })
+	}
+}
+
+// A worker that was silent until its lease ended may still hold a start that it
+// never answered, and would execute it under its next lease, while the task runs
+// elsewhere. It must reject that start before it gets a lease again.
+func TestSilentWorkerRejectsOldStartBeforeNextLease(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.addWorker("b")
+	for range 60 {
+		h.advance(100 * time.Millisecond)
+		h.failPolls("a")
+	}
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@b ")
+	h.applyMarks(takeAll[jobscheduler.MarkLapsed](h))
+
+	h.withScheduler(func() { h.sched.HeartbeatReceived("a", 1, h.clock()) })
+	h.submit("more", tasks(16, 1000))
+	h.advance(time.Millisecond)
+	h.answerPolls(nil)
+	h.advance(time.Second)
+	h.applyMarks(takeAll[jobscheduler.MarkLapsed](h))
+	h.advance(time.Millisecond)
+	for _, s := range takeAll[jobscheduler.Start](h) {
+		h.is.True(s.Target.ID != "a") // may still execute the old start
+	}
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Run, start.Run)
+	h.withScheduler(func() { h.sched.StopAnswered(stops[0], true, h.clock()) })
+	h.advance(time.Millisecond)
+	h.is.True(len(takeAll[jobscheduler.Start](h)) > 0) // a takes tasks again
+}
+
+// A new leader doesn't wait for workers that are marked as lapsed. A worker that
+// answers again while the mark is being written must get no lease before the mark
+// is cleared.
+func TestWorkerGetsNoLeaseWhileItIsBeingMarked(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	h.acceptStarts()
+	for range 60 {
+		h.advance(100 * time.Millisecond)
+		h.failPolls("a")
+	}
+	marks := takeAll[jobscheduler.MarkLapsed](h)
+	h.is.Equal(len(marks), 1)
+	h.advance(time.Second)
+	h.answerPolls(nil)
+	h.advance(time.Second)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	h.applyMarks(marks)
+	cleared := takeAll[jobscheduler.MarkLapsed](h)
+	h.advance(0)
+	cleared = append(cleared, takeAll[jobscheduler.MarkLapsed](h)...)
+	h.is.Equal(len(cleared), 1)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	h.applyMarks(cleared)
+	h.advance(time.Second)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@a ")
+}
+
+// A worker that restarts under its id may execute a start that was sent to its
+// former incarnation. The task must not start elsewhere before that run is stopped.
+func TestStartForFormerIncarnationIsStopped(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.addWorker("b")
+	h.advance(time.Second)
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Worker{
+			Worker: &jobwire.Worker{
+				Id:      "a",
+				Born:    2,
+				Pool:    "p",
+				Address: "a:1",
+			},
+		},
+	})
+	h.advance(time.Second)
+	for _, poll := range takeAll[jobscheduler.Poll](h) {
+		answer := jobscheduler.PollAnswer{
+			Clock:  h.clock(),
+			SentAt: h.now,
+		}
+		if poll.Target.ID == "a" {
+			answer.Running = []jobscheduler.RunningTask{runningTask(start.Task, start.Run)}
+		}
+		h.withScheduler(func() { h.sched.PollAnswered(poll, answer) })
+	}
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.True(len(stops) > 0)
+	h.is.Equal(stops[0].Target.Born, int64(2))
+	h.withScheduler(func() { h.sched.StopAnswered(stops[0], true, h.clock()) })
+	h.advance(time.Second)
+	h.answerPolls(nil)
+	h.advance(time.Millisecond)
+	h.is.Equal(len(takeAll[jobscheduler.Start](h)), 1)
+}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -45,10 +45,11 @@
 	return s.takeActions()
 }
 
-// updateRuns repeats unconfirmed orders to stop, and stops long-running tasks on
-// workers that drain.
+// updateRuns repeats unconfirmed orders to stop, also of starts that were given
+// up, and stops long-running tasks on workers that drain.
 func (s *Scheduler) updateRuns() {
 	for _, w := range s.workers {
+		s.stopAbandonedStarts(w)
 		for _, r := range w.runs {
 			if w.info.GetDraining() && r.state == running && r.step != nil && r.step.spec.GetLasting() {
 				s.stop(r)
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -4,8 +4,6 @@
 	"strconv"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
@@ -32,8 +30,11 @@
 	// Refused is true when the connection was refused: nothing listens at the
 	// worker's address.
 	Refused bool
-	// WrongIncarnation is true when another incarnation of the worker answered.
-	WrongIncarnation bool
+	// Gone is true when another worker answered: the target has ended.
+	Gone bool
+	// Restarted is true when a later incarnation of the worker answered, under the
+	// same id. It may have executed orders that were meant for the target.
+	Restarted bool
 	// Fenced is true when a later leader sends orders to the worker. The scheduler
 	// does not read it; such an answer also sets Failed.
 	Fenced bool
@@ -81,9 +82,12 @@
 	}
 	w.pollInFlight = false
 	switch {
-	case answer.WrongIncarnation:
+	case answer.Gone:
 		s.forgetWorker(w)
 		return
+	case answer.Restarted:
+		s.workerRestarted(w)
+		return
 	case answer.Refused && w.shuttingDown:
 		s.forgetWorker(w)
 		return
@@ -98,14 +102,16 @@
 	if !w.reconciled {
 		w.reconciled = true
 		// The runs that it reports may be under a lease of the former leader.
-		if end := s.termStart.Add(s.formerLeaseBound()); end.After(w.leaseEnd) {
-			w.leaseEnd = end
+		for _, end := range []time.Time{s.termStart.Add(s.formerLeaseBound()), w.reconcileBy} {
+			if end.After(w.leaseEnd) {
+				w.leaseEnd = end
+			}
 		}
 		delete(s.unreconciled, w.info.GetId())
 		s.markPoolDirty(w.info.GetPool())
 	}
 	if w.info.GetLapsed() {
-		s.recordLapsed(w, false)
+		s.markLapsed(w, false)
 	}
 	s.schedulePoll(w)
 }
@@ -240,6 +246,7 @@
 	if t.Checkpoint != "" {
 		r.checkpoint = t.Checkpoint
 	}
+	r.begun = true
 	r.reportedFigure, r.progressPercent = t.Figure, t.Percent
 	if r.state == starting {
 		r.state, r.confirmedAt = running, s.now
@@ -268,17 +275,34 @@
 	return r
 }
 
-// recordLapsed requests a log entry that sets or clears the worker's lapsed mark.
+// markLapsed requests a log entry that sets or clears the worker's lapsed mark.
 // The mark says that the worker did not answer polls and all its leases have ended,
-// so that a new leader need not wait for its runs.
-func (s *Scheduler) recordLapsed(w *worker, lapsed bool) {
-	worker := proto.CloneOf(w.info)
-	worker.Lapsed = lapsed
-	s.emit(RecordWorker{
-		Worker: worker,
+// so that a new leader need not wait for its runs. Therefore the worker gets no
+// lease while it is marked, nor while a write that sets the mark is in flight.
+func (s *Scheduler) markLapsed(w *worker, lapsed bool) {
+	if lapsed {
+		w.lapsedWrites++
+	}
+	s.emit(MarkLapsed{
+		ID:     w.info.GetId(),
+		Born:   w.info.GetBorn(),
+		Lapsed: lapsed,
 	})
 }
 
+// LapsedMarked handles the outcome of a MarkLapsed: the mark is in the log.
+func (s *Scheduler) LapsedMarked(a MarkLapsed) {
+	w, ok := s.workers[a.ID]
+	if !ok || w.info.GetBorn() != a.Born || !a.Lapsed {
+		return
+	}
+	w.lapsedWrites--
+	if !w.unresponsive && w.lapsedWrites == 0 && w.info.GetLapsed() {
+		// The worker has answered while the mark was being written.
+		s.markLapsed(w, false)
+	}
+}
+
 // updateWorkers sends the polls that are due, counts the runs of unresponsive
 // workers as lost once their leases have ended, and stops waiting for unreconciled
 // workers once the leases of the former leader have ended.
@@ -297,11 +321,11 @@
 		}
 		s.sendPoll(w, contact)
 	}
-	if s.now.Sub(s.termStart) > s.formerLeaseBound() {
-		for _, w := range s.unreconciled {
-			s.recordLapsed(w, true)
+	for id, w := range s.unreconciled {
+		if s.now.After(w.reconcileBy) {
+			s.markLapsed(w, true)
+			delete(s.unreconciled, id)
 		}
-		clear(s.unreconciled)
 	}
 	if len(s.unreconciled) == 0 && !s.allReconciled {
 		s.allReconciled = true
@@ -314,8 +338,12 @@
 // formerLeaseBound returns the time since the beginning of this term after which
 // nothing runs under a lease of a former leader. Such leases count from its last
 // confirmation of leadership, which was before the term.
-func (s *Scheduler) formerLeaseBound() time.Duration {
-	return time.Duration(float64(s.settings.Lease)*maxClockSlowdown) + 2*leaseEndMargin
+func (s *Scheduler) formerLeaseBound() time.Duration { return s.leaseBound(s.settings.Lease) }
+
+// leaseBound returns the time after which a lease of the given length has ended on
+// a worker whose clock is slow.
+func (s *Scheduler) leaseBound(lease time.Duration) time.Duration {
+	return time.Duration(float64(lease)*maxClockSlowdown) + 2*leaseEndMargin
 }
 
 // firstPollsInFlight returns the number of first polls that may be answered any
@@ -334,8 +362,9 @@
 // ended.
 func (s *Scheduler) expireLease(w *worker) {
 	if w.unresponsive && len(w.runs) > 0 && s.now.After(w.leaseEnd) {
+		w.abandonStarts()
 		s.markAllRunsLost(w, "the worker does not answer and its lease has ended")
-		s.recordLapsed(w, true)
+		s.markLapsed(w, true)
 	}
 }
 
@@ -346,7 +375,7 @@
 	}
 	// The worker may receive a poll whose answer is lost, so an unresponsive worker
 	// gets no further lease: its runs count as lost when the last lease ends.
-	if len(w.runs) > 0 && w.reconciled && !w.unresponsive {
+	if len(w.runs) > 0 && w.reconciled && !w.unresponsive && w.mayHoldLease() {
 		poll.Wait = maxPollWait
 		poll.Deadline = w.leaseDeadline(contact, s.settings.Lease)
 		if poll.Deadline > 0 {
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -36,7 +36,9 @@
 	request     controller.Amount
 	reservation controller.Amount
 
-	state         runState
+	state runState
+	// begun is true once the worker has accepted the start or reported the run.
+	begun         bool
 	startAttempts int
 	orderedAt     time.Time
 	// confirmedAt is when the worker first confirmed the run, also by an answer
@@ -172,8 +174,8 @@
 	StartFenced
 	// StartNoTicket means that the ticket of the placement adviser was not valid.
 	StartNoTicket
-	// StartWrongIncarnation means that this incarnation of the worker has ended.
-	StartWrongIncarnation
+	// StartGone means that the worker has ended and another one has its address.
+	StartGone
 )
 
 // StartAnswered handles the outcome of a Start. The clock is that of the worker
@@ -184,7 +186,7 @@
 		w.setClock(clock, s.now)
 		w.lastAnswerAt, w.unresponsive = s.now, false
 	}
-	if answer == StartWrongIncarnation && w != nil {
+	if answer == StartGone && w != nil {
 		s.forgetWorker(w)
 		return
 	}
@@ -193,6 +195,7 @@
 	}
 	switch answer {
 	case StartAccepted:
+		r.begun = true
 		if r.state == starting {
 			r.state, r.confirmedAt = running, s.now
 		}
@@ -226,6 +229,7 @@
 	w := r.worker
 	if answer == StartOutdated {
 		// The run has ended there; the next poll reports how.
+		r.begun = true
 		r.state, r.confirmedAt = running, s.now
 		s.pollSoon(w)
 		return
@@ -266,7 +270,14 @@
 	if clock > 0 {
 		w.setClock(clock, s.now)
 	}
-	if r == nil || !confirmed {
+	if !confirmed {
+		return
+	}
+	s.settleAbandonedStart(w, runKey{
+		taskKey: keyOf(a.Task),
+		number:  a.Run,
+	})
+	if r == nil {
 		return
 	}
 	r.confirmedAt = s.now
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -22,6 +22,8 @@
 	// Lease is the worker lease: how long a worker may run tasks without hearing
 	// from the leader.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker accepts, whatever an order says.
+	MaxLease time.Duration
 	// ProviderOrderDelay is how long a new leader waits before it sends orders to
 	// the provider, so that they do not mix with those of the former leader.
 	ProviderOrderDelay time.Duration
@@ -162,6 +164,7 @@
 	for _, w := range state.Workers {
 		s.WorkerChanged(w)
 		if !w.GetLapsed() {
+			s.workers[w.GetId()].reconcileBy = now.Add(s.formerLeaseBound())
 			s.unreconciled[w.GetId()] = s.workers[w.GetId()]
 		}
 	}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -44,9 +44,19 @@
 	capacity controller.Amount
 	used     controller.Amount
 	runs     map[runKey]*run
+	// abandonedStarts holds, with the time of the last order to stop each, the
+	// unanswered starts whose runs were given up when the lease ended. The worker
+	// may execute such an order as soon as it holds a lease again, so it gets
+	// none before it has confirmed that it rejects each of these runs.
+	abandonedStarts map[runKey]time.Time
+	// lapsedWrites counts the log writes in flight that set the lapsed mark.
+	lapsedWrites int
 
 	// reconciled is true once the worker has reported its runs to this leader.
 	reconciled bool
+	// reconcileBy is when no run under a lease of a former leader can be in progress
+	// any more on a worker that has not reported its runs.
+	reconcileBy time.Time
 	// clockMillis is the worker's clock as of clockAt, a local time.
 	clockMillis int64
 	clockAt     time.Time
@@ -142,19 +152,66 @@
 		s.markPoolDirty(info.GetPool())
 		return
 	}
-	if ok {
-		s.removeWorker(w, "the worker has restarted")
-	}
+	former := w
 	w = &worker{
-		info:       info,
-		capacity:   controller.AmountOf(info.GetCapacity()),
-		runs:       make(map[runKey]*run),
-		nextPollAt: s.now,
+		info:            info,
+		capacity:        controller.AmountOf(info.GetCapacity()),
+		runs:            make(map[runKey]*run),
+		abandonedStarts: make(map[runKey]time.Time),
+		nextPollAt:      s.now,
+	}
+	if ok {
+		s.carryOver(former, w)
+		unreconciled := s.unreconciled[info.GetId()] == former
+		s.removeWorker(former, "the worker has restarted")
+		if unreconciled {
+			// It may have executed orders of the former leader as well.
+			w.reconcileBy = s.now.Add(s.leaseBound(s.settings.MaxLease))
+			s.unreconciled[info.GetId()] = w
+		}
 	}
 	s.workers[info.GetId()] = w
 	s.markPoolDirty(info.GetPool())
 }
 
+// mayBeginAfterRestart reports whether an order to start the run may still be
+// executed by a later incarnation of its worker, which has the same id.
+func (r *run) mayBeginAfterRestart() bool { return !r.begun || r.startAttempts > 0 }
+
+// carryOver moves the runs that the next incarnation of a worker may begin to it.
+// They are stopped there; their tasks wait until that is confirmed.
+func (s *Scheduler) carryOver(from, to *worker) {
+	to.abandonedStarts = from.abandonedStarts
+	for key, r := range from.runs {
+		if !r.mayBeginAfterRestart() {
+			continue
+		}
+		s.dropRun(r)
+		s.addRun(to, r.step, key, stopping)
+		to.leaseEnd = s.now.Add(s.leaseBound(s.settings.MaxLease))
+	}
+}
+
+// workerRestarted handles the news that a worker runs in a later incarnation, whose
+// heartbeat will follow. It is not polled before: a poll of the former incarnation
+// would acknowledge ends of the later one.
+func (s *Scheduler) workerRestarted(w *worker) {
+	s.logger.Info("scheduler: another incarnation of a worker has answered; its runs are lost, and orders that it may still execute are stopped after its heartbeat",
+		"worker", w.info.GetId(), "runs", len(w.runs))
+	w.unresponsive = true
+	w.nextPollAt = s.now.Add(untilEventPollDelay)
+	for _, r := range w.runs {
+		if !r.mayBeginAfterRestart() {
+			s.markRunLost(r, "the worker has restarted")
+		}
+	}
+	bound := s.now.Add(s.leaseBound(s.settings.MaxLease))
+	w.reconcileBy = bound
+	if len(w.runs) > 0 {
+		w.leaseEnd = bound
+	}
+}
+
 func (s *Scheduler) markPoolDirty(name string) { s.pool(name).dirty = true }
 
 // WorkerForgotten implements jobkeeper.Observer.
@@ -183,7 +240,7 @@
 // finishRemoved handles the last poll of an incarnation that has ended.
 func (s *Scheduler) finishRemoved(w *worker, answer PollAnswer) {
 	delete(s.removedWhilePolled, w.incarnation())
-	if !answer.Failed && !answer.WrongIncarnation {
+	if !answer.Failed && !answer.Gone && !answer.Restarted {
 		s.handleEnds(w, answer.Ended)
 	}
 	s.markAllRunsLost(w, "this incarnation of the worker has ended")
@@ -217,9 +274,56 @@
 	w.nextPollAt = s.now.Add(failedPollRetryDelay)
 }
 
+// abandonStarts notes the starts that the worker is not known to have executed,
+// before their runs are dropped.
+func (w *worker) abandonStarts() {
+	for key, r := range w.runs {
+		if !r.begun {
+			w.abandonedStarts[key] = time.Time{}
+		}
+	}
+}
+
+// stopAbandonedStarts orders a worker that answers to reject its abandoned starts.
+func (s *Scheduler) stopAbandonedStarts(w *worker) {
+	if w.unresponsive || !w.reconciled {
+		return
+	}
+	for key, sentAt := range w.abandonedStarts {
+		if s.now.Sub(sentAt) <= stopRetryInterval {
+			continue
+		}
+		w.abandonedStarts[key] = s.now
+		s.counters.Stops++
+		s.emit(Stop{
+			Target: w.target(),
+			Task:   key.task(),
+			Run:    key.number,
+		})
+	}
+}
+
+// settleAbandonedStart handles the confirmation that the worker rejects a run.
+func (s *Scheduler) settleAbandonedStart(w *worker, key runKey) {
+	if _, ok := w.abandonedStarts[key]; !ok {
+		return
+	}
+	delete(w.abandonedStarts, key)
+	if len(w.abandonedStarts) == 0 {
+		s.logger.Info("scheduler: worker rejects all starts that were given up; tasks may start there again", "worker", w.info.GetId())
+		s.markPoolDirty(w.info.GetPool())
+	}
+}
+
+// mayHoldLease reports whether the worker may be given a lease: it rejects all
+// starts that were given up, and a new leader would wait for it.
+func (w *worker) mayHoldLease() bool {
+	return len(w.abandonedStarts) == 0 && w.lapsedWrites == 0 && !w.info.GetLapsed()
+}
+
 // schedulable reports whether tasks may start on the worker.
 func (s *Scheduler) schedulable(w *worker) bool {
-	return w.reconciled && !w.unresponsive && !w.cordoned && !w.shuttingDown && !w.info.GetDraining() && !w.info.GetLapsed() &&
+	return w.reconciled && w.mayHoldLease() && !w.unresponsive && !w.cordoned && !w.shuttingDown && !w.info.GetDraining() &&
 		!s.state.Evacuated[w.info.GetDataCentre()] &&
 		!s.now.Before(w.quarantinedUntil) && !s.now.Before(w.startsPausedUntil)
 }
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -114,10 +114,11 @@
 	}
 	message.ClockMillis = a.Poll.Clock
 	message.Look = &jobwire.LookResult{
-		Failed:  a.Poll.Failed,
-		Refused: a.Poll.Refused,
-		Gone:    a.Poll.WrongIncarnation,
-		Fenced:  a.Poll.Fenced,
+		Failed:    a.Poll.Failed,
+		Refused:   a.Poll.Refused,
+		Gone:      a.Poll.Gone,
+		Fenced:    a.Poll.Fenced,
+		Restarted: a.Poll.Restarted,
 	}
 	for _, t := range a.Poll.Running {
 		message.Look.Running = append(message.Look.Running, &jobwire.RunningTask{
@@ -150,12 +151,13 @@
 	}
 	look := message.GetLook()
 	a.Poll = jobscheduler.PollAnswer{
-		Failed:           look == nil || look.GetFailed(),
-		Refused:          look.GetRefused(),
-		WrongIncarnation: look.GetGone(),
-		Fenced:           look.GetFenced(),
-		Clock:            message.GetClockMillis(),
-		SentAt:           sentAt,
+		Failed:    look == nil || look.GetFailed(),
+		Refused:   look.GetRefused(),
+		Gone:      look.GetGone(),
+		Restarted: look.GetRestarted(),
+		Fenced:    look.GetFenced(),
+		Clock:     message.GetClockMillis(),
+		SentAt:    sentAt,
 	}
 	for _, t := range look.GetRunning() {
 		a.Poll.Running = append(a.Poll.Running, jobscheduler.RunningTask{
