internal/permitter: no order to the provider after the lead has ended

Change. internal/permitter checks a permission when the body of the request is written; the provider's client uses it, and the controller gives it the proof of the lead, by the boot clock. A new leader waits maxAuthorityAge longer before its first order, since the former one may still act that long after its last confirmation: without it the two could be 2.6 s apart where 3 s are asked.

Ruled out: a retry by the client (it has none), a connection that delivers late (given-up orders reset it).

Orders to workers carry the term as fence and need no such check.

A process that is stopped between the check and the write of a few microseconds later could still send; only fences at the provider close that.

--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -4,12 +4,14 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/ordersender"
+	"github.com/heathermux/heathermux/internal/permitter"
 )
 
 const (
@@ -19,9 +21,8 @@
 	// listHostsTimeout bounds one listing of the provider's hosts, which may be
 	// slow.
 	listHostsTimeout = 3 * time.Second
-	// providerTimeout bounds one order to the provider. Together with
-	// maxAuthorityAge it is shorter than the time that a new leader waits
-	// before its first order.
+	// providerTimeout bounds one order to the provider, which is only sent while
+	// this host can prove that it leads.
 	providerTimeout = 1500 * time.Millisecond
 )
 
@@ -109,16 +110,27 @@
 // sendHostOrder sends an order to the provider, which may not check fencing
 // tokens. The order is therefore dropped if this host can no longer prove that
 // it leads the term, for example after its process was suspended: another
-// leader may be sending orders by then.
+// leader may be sending orders by then. The proof is checked again when the
+// order is written to its connection.
 func (c *Controller) sendHostOrder(ctx context.Context, fence uint64, order func(context.Context) jobscheduler.HostAnswer) jobscheduler.HostAnswer {
-	if a, ok := c.authority(c.opts.Clock.Now()); !ok || a.Term != fence {
+	leads := func() error {
+		if a, ok := c.authority(c.opts.Clock.Now()); !ok || a.Term != fence {
+			return errNoAuthority
+		}
+		return nil
+	}
+	if leads() != nil {
 		return jobscheduler.HostOrderUnknown
 	}
-	ctx, cancel := context.WithTimeout(ctx, providerTimeout)
+	ctx, cancel := context.WithTimeout(permitter.With(ctx, leads), providerTimeout)
 	defer cancel()
 	return order(ctx)
 }
 
+// errNoAuthority is the error of an order that is not sent because this host can no
+// longer prove that it leads the term.
+var errNoAuthority = errors.New("conductor: this host may no longer lead the term")
+
 func (c *Controller) advise(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Advise) {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
--- a/internal/jobcontroller/controller.go
+++ b/internal/jobcontroller/controller.go
@@ -117,6 +117,9 @@
 // New returns a Controller that is idle until Run is called.
 func New(opts Options) *Controller {
 	m := newMetrics()
+	// The former leader may send its last order that long after a majority last
+	// confirmed it, which was before this host was elected.
+	opts.Settings.ProviderOrderDelay += maxAuthorityAge
 	opts.Settings.ObserveStartDelay = func(d time.Duration) { m.firstStartWait.Observe(d.Seconds()) }
 	c := &Controller{
 		opts:      opts,
