pkg/persister: keep older files until the newer ones are known to be sound

A write after Close says that the store is closed, not that an earlier write failed.

Conclusion: a data loss less; the store is never opened twice.

--- a/internal/voter/replica/replica.go
+++ b/internal/voter/replica/replica.go
@@ -116,9 +116,14 @@
 		return err
 	}
 	if r.identity.GetInitial() != nil && recovered.Snapshot == nil {
-		return r.bootstrapLog(now, r.identity.GetInitial(), recovered)
+		err = r.bootstrapLog(now, r.identity.GetInitial(), recovered)
+	} else {
+		err = r.startCore(now, recovered)
 	}
-	return r.startCore(now, recovered)
+	if err != nil {
+		_ = r.store.Close()
+	}
+	return err
 }
 
 // startCore restores the state from the latest snapshot and creates the
--- a/pkg/persister/load.go
+++ b/pkg/persister/load.go
@@ -10,7 +10,9 @@
 )
 
 // load reads the newest segment and the newest snapshot into s.stored, and deletes
-// temporary files and older segments and snapshots.
+// temporary files and older segments and snapshots. It deletes nothing that may help
+// to repair a damaged directory: the older files stay until the newer ones are known
+// to be sound.
 func (s *Store) load() error {
 	names, err := s.fs.ReadDir(s.dir)
 	if err != nil {
@@ -28,14 +30,23 @@
 		}
 		return nil
 	}
-	if err := s.loadSegment(segments); err != nil {
+	if err := s.loadSegment(segments[len(segments)-1]); err != nil {
 		return err
 	}
-	return s.loadSnapshot(snapshots)
+	if err := s.loadSnapshot(snapshots); err != nil {
+		return err
+	}
+	for _, n := range segments[:len(segments)-1] {
+		_ = s.fs.Remove(s.segmentName(n))
+	}
+	for _, index := range snapshots[:max(len(snapshots)-1, 0)] {
+		_ = s.fs.Remove(s.snapshotName(index))
+	}
+	return nil
 }
 
-func (s *Store) loadSegment(numbers []uint64) error {
-	s.segment = numbers[len(numbers)-1]
+func (s *Store) loadSegment(number uint64) error {
+	s.segment = number
 	data, err := s.fs.ReadFile(s.segmentName(s.segment))
 	if err != nil {
 		return errors.Wrap(err, "persister: read segment")
@@ -56,9 +67,6 @@
 		}
 		s.stored = next
 	}
-	for _, n := range numbers[:len(numbers)-1] {
-		_ = s.fs.Remove(s.segmentName(n))
-	}
 	return nil
 }
 
@@ -79,8 +87,5 @@
 	}
 	s.stored.Snapshot = snap
 	dropDisjointEntries(&s.stored)
-	for _, n := range indexes[:len(indexes)-1] {
-		_ = s.fs.Remove(s.snapshotName(n))
-	}
 	return nil
 }
--- a/pkg/persister/store.go
+++ b/pkg/persister/store.go
@@ -19,6 +19,9 @@
 // disk is not known. The store has to be opened again.
 var ErrWriteFailed = errors.New("persister: an earlier write failed; open the store again")
 
+// ErrClosed is returned for writes to a closed store.
+var ErrClosed = errors.New("persister: the store is closed")
+
 // Options are the settings of a Store. There are none yet.
 type Options struct{}
 
@@ -34,6 +37,7 @@
 	file    File
 	// failedWrite is the first failed write. Later writes return ErrWriteFailed.
 	failedWrite error
+	closed      bool
 }
 
 // Open reads the files in dir, which it creates when missing, and returns their
@@ -59,8 +63,8 @@
 // Append writes hard, unless it is nil, and entries, and returns after they are
 // synced. The first entry replaces the stored entries from its index on.
 func (s *Store) Append(hard *replicator.HardState, entries []*replicator.Entry) error {
-	if s.failedWrite != nil {
-		return errors.Wrap(ErrWriteFailed, s.failedWrite.Error())
+	if err := s.writable(); err != nil {
+		return err
 	}
 	next, ok := appended(s.stored, hard, entries)
 	if !ok {
@@ -103,8 +107,8 @@
 // durable. When the stored log does not contain the last entry that snap covers,
 // the log is emptied and continues after snap.
 func (s *Store) SaveSnapshot(snap *replicator.Snapshot) error {
-	if s.failedWrite != nil {
-		return errors.Wrap(ErrWriteFailed, s.failedWrite.Error())
+	if err := s.writable(); err != nil {
+		return err
 	}
 	if err := WriteRecord(s.fs, s.snapshotName(snap.GetIndex()), snap); err != nil {
 		return s.rejectWrites(err)
@@ -140,8 +144,8 @@
 // Compact removes the entries up to and including index, which must be covered by
 // the snapshot.
 func (s *Store) Compact(index uint64) error {
-	if s.failedWrite != nil {
-		return errors.Wrap(ErrWriteFailed, s.failedWrite.Error())
+	if err := s.writable(); err != nil {
+		return err
 	}
 	if index <= s.stored.BaseIndex {
 		return nil
@@ -181,6 +185,17 @@
 	return errors.Wrap(err, "persister: open new segment")
 }
 
+// writable returns nil while writes are accepted.
+func (s *Store) writable() error {
+	switch {
+	case s.failedWrite != nil:
+		return errors.Wrap(ErrWriteFailed, s.failedWrite.Error())
+	case s.closed:
+		return ErrClosed
+	}
+	return nil
+}
+
 func (s *Store) closeFile() {
 	if s.file != nil {
 		_ = s.file.Close()
@@ -196,6 +211,6 @@
 // Close closes the segment. Everything acknowledged is on disk already.
 func (s *Store) Close() error {
 	s.closeFile()
-	s.failedWrite = errors.New("persister: store is closed")
+	s.closed = true
 	return nil
 }
--- a/pkg/persister/store_test.go
+++ b/pkg/persister/store_test.go
@@ -185,6 +185,49 @@
 	}
 }
 
+// A crash may leave the segment and the snapshot from before a compaction. While the
+// newer snapshot is damaged they are the only copy of the log, so Open must not delete
+// them.
+func TestDamageKeepsOlderFiles(t *testing.T) {
+	is := is.New(t)
+	fs := faultfs.New()
+	s, _, err := persister.Open(fs, "data", persister.Options{})
+	is.NoErr(err)
+	is.NoErr(s.Append(vote(1, "a"), entries(1, 1, 3)))
+	is.NoErr(s.SaveSnapshot(snapshot(2, 1)))
+	older := make(map[string][]byte)
+	names, err := fs.ReadDir("data")
+	is.NoErr(err)
+	for _, name := range names {
+		older[name], err = fs.ReadFile("data/" + name)
+		is.NoErr(err)
+	}
+	is.NoErr(s.SaveSnapshot(snapshot(3, 1)))
+	is.NoErr(s.Compact(3))
+	is.NoErr(s.Close())
+	for name, data := range older {
+		is.NoErr(persister.WriteFile(fs, "data/"+name, data))
+	}
+	before, err := fs.ReadDir("data")
+	is.NoErr(err)
+	is.Equal(len(before), 4) // two segments and two snapshots
+	fs.Damage("data/snapshot-00000000000000000003", 20)
+	_, _, err = persister.Open(fs, "data", persister.Options{})
+	is.True(errors.Is(err, persister.ErrDamaged))
+	after, err := fs.ReadDir("data")
+	is.NoErr(err)
+	is.Equal(after, before)
+}
+
+func TestClosedStoreRejectsWrites(t *testing.T) {
+	is := is.New(t)
+	s, _, err := persister.Open(faultfs.New(), "data", persister.Options{})
+	is.NoErr(err)
+	is.NoErr(s.Close())
+	is.True(errors.Is(s.Append(vote(1, "a"), nil), persister.ErrClosed))
+	is.True(errors.Is(s.SaveSnapshot(snapshot(1, 1)), persister.ErrClosed))
+}
+
 // frameSize is the size of a frame with one entry of this test: the header, the
 // field header of the entry, its term and index, and its data.
 const frameSize = 16 + 2 + 4 + 8
