internal/jobcontroller: acknowledge only what has its effect

The number is noted when the changes are in the log, one for each worker, pruned with the workers. submit returns errNotApplied; writes that are repeated until they succeed give that one up. sleep ends with its context.

Measured: TestHeartbeatIsRepeatedAfterFailedWrite and TestEntryWithoutEffectIsNotAcknowledged fail without the change.

--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -207,9 +207,22 @@
 			c.withScheduler(sched, recorded)
 			return
 		}
+		if errors.Is(err, errNotApplied) {
+			c.opts.Logger.Error("conductor: a log entry of this host has no effect; it is not repeated", "error", err)
+			return
+		}
 		c.opts.Logger.Info("conductor: write to the log failed; retrying while this host leads", "bytes", proto.Size(cmd), "error", err)
-		retry := c.opts.Clock.NewTimer(recordRetryDelay)
-		<-retry.C()
+		c.sleep(ctx, recordRetryDelay)
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func (c *Controller) sleep(ctx context.Context, d time.Duration) {
+	t := c.opts.Clock.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C():
+	case <-ctx.Done():
 	}
 }
 
--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -126,6 +127,7 @@
 	if !c.isNewest(r) {
 		return okResponse()
 	}
+	// Until its changes are in the log, a repetition is no older heartbeat.
 	var commands []*jobwire.Command
 	c.opts.StateMachine.View(func(s *jobkeeper.State) { commands = c.workerChanges(s, r) })
 	for _, cmd := range commands {
@@ -133,7 +135,9 @@
 			return resp
 		}
 	}
-	c.opts.StateMachine.View(func(*jobkeeper.State) {
+	c.tookEffect(r)
+	c.opts.StateMachine.View(func(s *jobkeeper.State) {
+		c.pruneSequences(s)
 		if c.sched != nil {
 			c.sched.SetTime(c.opts.Clock.Now(), time.Now())
 			c.sched.HeartbeatReceived(r.GetWorker().GetId(), r.GetWorker().GetBorn(), r.GetClockMillis())
@@ -142,22 +146,46 @@
 	return okResponse()
 }
 
-// isNewest reports whether a heartbeat is newer than all earlier ones from the
-// same worker incarnation.
+func sequenceOf(r *jobwire.WorkerReport) heartbeatSequence {
+	return heartbeatSequence{
+		born:   r.GetWorker().GetBorn(),
+		number: r.GetSequence(),
+	}
+}
+
+// isNewest reports whether a heartbeat is newer than all from the same worker that
+// took effect.
 func (c *Controller) isNewest(r *jobwire.WorkerReport) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	key := workerIncarnation{
-		id:   r.GetWorker().GetId(),
-		born: r.GetWorker().GetBorn(),
+	last, ok := c.sequences[r.GetWorker().GetId()]
+	return !ok || sequenceOf(r).after(last)
+}
+
+// tookEffect notes that the changes of a heartbeat are in the log.
+func (c *Controller) tookEffect(r *jobwire.WorkerReport) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := r.GetWorker().GetId()
+	if sequenceOf(r).after(c.sequences[id]) {
+		c.sequences[id] = sequenceOf(r)
 	}
-	if last, ok := c.sequences[key]; ok && r.GetSequence() <= last {
-		return false
+}
+
+// pruneSequences drops the sequence numbers of workers that have left, once they
+// outnumber the known workers.
+func (c *Controller) pruneSequences(s *jobkeeper.State) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.sequences) <= 2*len(s.Workers)+minPrunedSequences {
+		return
 	}
-	c.sequences[key] = r.GetSequence()
-	return true
+	maps.DeleteFunc(c.sequences, func(id string, _ heartbeatSequence) bool { return s.Workers[id] == nil })
 }
 
+// minPrunedSequences keeps a small fleet from pruning at each heartbeat.
+const minPrunedSequences = 64
+
 // workerChanges returns the changes that a heartbeat makes to the known
 // workers. A delayed heartbeat makes none: a later incarnation already has its
 // ID or address.
--- a/internal/jobcontroller/controller.go
+++ b/internal/jobcontroller/controller.go
@@ -104,14 +104,20 @@
 
 	// mu guards sequences.
 	mu sync.Mutex
-	// sequences holds the highest heartbeat sequence number of each worker
-	// incarnation.
-	sequences map[workerIncarnation]uint64
+	// sequences holds the sequence number of the newest heartbeat that took effect,
+	// by the ID of the worker, for its latest incarnation.
+	sequences map[string]heartbeatSequence
 }
 
-type workerIncarnation struct {
-	id   string
-	born int64
+// heartbeatSequence orders the heartbeats of one worker.
+type heartbeatSequence struct {
+	born   int64
+	number uint64
+}
+
+// after reports whether s is newer than other.
+func (s heartbeatSequence) after(other heartbeatSequence) bool {
+	return s.born > other.born || s.born == other.born && s.number > other.number
 }
 
 // New returns a Controller that is idle until Run is called.
@@ -126,7 +132,7 @@
 		metrics:   m,
 		pool:      pond.NewPool(maxConcurrentActions),
 		wakeups:   make(chan struct{}, 1),
-		sequences: make(map[workerIncarnation]uint64),
+		sequences: make(map[string]heartbeatSequence),
 	}
 	c.register()
 	return c
@@ -143,8 +149,7 @@
 			c.pool.Stop()
 			return
 		case <-c.wakeups:
-			delay := c.opts.Clock.NewTimer(c.passInterval())
-			<-delay.C()
+			c.sleep(ctx, c.passInterval())
 		case <-t.C():
 		}
 		t.Stop()
@@ -273,12 +278,21 @@
 	c.wake()
 }
 
-// submit writes a command to the log and returns the result of applying it.
+// errNotApplied means that a log entry was written and could not be executed. A
+// repetition would fail in the same way.
+var errNotApplied = errors.New("conductor: the log entry could not be executed")
+
+// submit writes a command to the log and returns the result of applying it. The
+// error is errNotApplied if the entry has no effect.
 func (c *Controller) submit(ctx context.Context, cmd *jobwire.Command) (any, error) {
 	cmd.ProposedAtUnixNanos = time.Now().UnixNano()
 	data, err := proto.Marshal(cmd)
 	if err != nil {
 		return nil, errors.Wrap(err, "conductor: encode command")
 	}
-	return c.opts.Log.Submit(ctx, data)
+	result, err := c.opts.Log.Submit(ctx, data)
+	if applyErr, ok := result.(error); err == nil && ok {
+		return nil, errors.Wrap(errNotApplied, applyErr.Error())
+	}
+	return result, err
 }
--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/heathermux/heathermux/internal/jobcontroller"
 	"github.com/heathermux/heathermux/internal/jobkeeper"
@@ -29,6 +30,20 @@
 	outcomeUnknown bool
 	// staleLead makes the last confirmation of leadership 10 s old.
 	staleLead bool
+	// applyError is the result of each entry, which is not executed; nil for none.
+	applyError error
+}
+
+func (l *singleReplicaLog) setOutcomeUnknown(unknown bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.outcomeUnknown = unknown
+}
+
+func (l *singleReplicaLog) setApplyError(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.applyError = err
 }
 
 func (l *singleReplicaLog) Submit(_ context.Context, data []byte) (any, error) {
@@ -37,6 +52,9 @@
 	if l.outcomeUnknown {
 		return nil, voter.ErrOutcomeUnknown
 	}
+	if l.applyError != nil {
+		return l.applyError, nil
+	}
 	return l.machine.Apply(data), nil
 }
 
@@ -76,6 +94,13 @@
 	}
 }
 
+// setKeepRunning keeps tasks running from now on.
+func (c *fakeWorkers) setKeepRunning() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keepRunning = true
+}
+
 func (c *fakeWorkers) Start(_ context.Context, _ uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -342,7 +367,7 @@
 // cancelled.
 func TestCancelledJobIsStopped(t *testing.T) {
 	s := newHarness(t)
-	s.workers.keepRunning = true
+	s.workers.setKeepRunning()
 	s.is.Equal(s.call(path, "key", submitRequest()).GetOutcome(), jobwire.Outcome_OUTCOME_OK)
 	s.awaitState(path, jobwire.JobState_JOB_STATE_RUNNING)
 	s.is.Equal(s.call(path, "key", cancelRequest()).GetOutcome(), jobwire.Outcome_OUTCOME_OK)
@@ -479,3 +504,31 @@
 		s.is.True(state.Workers["other"] != nil)
 	})
 }
+
+// A heartbeat that tells of a change may fail because its log write does. The worker
+// repeats it, and a forwarding host may do so under the same sequence number: it must
+// not count as an old one, or the change is acknowledged without effect.
+func TestHeartbeatIsRepeatedAfterFailedWrite(t *testing.T) {
+	s := newHarness(t)
+	s.log.setOutcomeUnknown(true)
+	s.is.Equal(s.heartbeat("w2", "10.0.0.2:1", 1, 7), jobwire.Outcome_OUTCOME_UNKNOWN)
+	s.log.setOutcomeUnknown(false)
+	s.is.Equal(s.heartbeat("w2", "10.0.0.2:1", 1, 7), jobwire.Outcome_OUTCOME_OK)
+	known := func(id string) (ok bool) {
+		s.log.machine.View(func(state *jobkeeper.State) { _, ok = state.Workers[id] })
+		return ok
+	}
+	s.is.True(known("w2"))
+	// An older one, also of a former incarnation, still changes nothing.
+	s.is.Equal(s.heartbeat("w2", "10.0.0.3:1", 1, 6), jobwire.Outcome_OUTCOME_OK)
+	s.is.Equal(s.heartbeat("w2", "10.0.0.3:1", 0, 9), jobwire.Outcome_OUTCOME_OK)
+	s.log.machine.View(func(state *jobkeeper.State) { s.is.Equal(state.Workers["w2"].GetAddress(), "10.0.0.2:1") })
+}
+
+// An entry that is in the log and can't be executed must not be acknowledged.
+func TestEntryWithoutEffectIsNotAcknowledged(t *testing.T) {
+	s := newHarness(t)
+	s.log.setApplyError(errors.New("unreadable"))
+	s.is.Equal(s.configure(configuration(2)), jobwire.Outcome_OUTCOME_UNKNOWN)
+	s.is.Equal(s.call(path, "key", submitRequest()).GetOutcome(), jobwire.Outcome_OUTCOME_UNKNOWN)
+}
