--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -34,7 +34,8 @@
 }
 
 // Step passes one message to the local voter.
-func (s *replicationService) Step(r *messenger.Request[wire.Envelope], _ *wire.Empty) error {
+func (s *replicationService) Step(r *messenger.Request[wire.Envelope], _ *wire.Empty) (err error) {
+	defer messenger.RecoverHandler(&err)
 	if s.voter == nil {
 		return errNotVoter
 	}
@@ -58,7 +59,8 @@
 }
 
 // Propose proposes a change to the replicated log and answers with its result.
-func (s *controlService) Propose(r *messenger.Request[wire.ProposeRequest], answer *wire.ProposeResponse) error {
+func (s *controlService) Propose(r *messenger.Request[wire.ProposeRequest], answer *wire.ProposeResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	if s.voter == nil {
 		return errNotVoter
 	}
@@ -90,7 +92,8 @@
 }
 
 // Follow answers a follower with changes of the control state and a lease.
-func (s *controlService) Follow(r *messenger.Request[wire.FollowRequest], answer *wire.FollowResponse) error {
+func (s *controlService) Follow(r *messenger.Request[wire.FollowRequest], answer *wire.FollowResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	if s.voter == nil {
 		return errNotVoter
 	}
@@ -105,7 +108,8 @@
 }
 
 // Pull answers with the directory changes since a sequence number.
-func (s *directoryService) Pull(r *messenger.Request[wire.PullRequest], answer *wire.PullResponse) error {
+func (s *directoryService) Pull(r *messenger.Request[wire.PullRequest], answer *wire.PullResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.directory.ServePull(r.Message), nil)
 }
 
@@ -115,22 +119,26 @@
 }
 
 // Begin records that a request with an idempotency key starts.
-func (s *registryService) Begin(r *messenger.Request[wire.BeginRequest], answer *wire.BeginResponse) error {
+func (s *registryService) Begin(r *messenger.Request[wire.BeginRequest], answer *wire.BeginResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.recorder.ServeBegin(r.Context(), r.Message), nil)
 }
 
 // Finish records the outcome of a request with an idempotency key.
-func (s *registryService) Finish(r *messenger.Request[wire.FinishRequest], answer *wire.FinishResponse) error {
+func (s *registryService) Finish(r *messenger.Request[wire.FinishRequest], answer *wire.FinishResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.recorder.ServeFinish(r.Context(), r.Message), nil)
 }
 
 // Copy stores replicas of entries for the owner of their slot.
-func (s *registryService) Copy(r *messenger.Request[wire.CopyRequest], answer *wire.CopyResponse) error {
+func (s *registryService) Copy(r *messenger.Request[wire.CopyRequest], answer *wire.CopyResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.recorder.ServeCopy(r.Context(), r.Message), nil)
 }
 
 // Fetch returns the entries of a slot to its new owner.
-func (s *registryService) Fetch(r *messenger.Request[wire.FetchRequest], answer *wire.FetchResponse) error {
+func (s *registryService) Fetch(r *messenger.Request[wire.FetchRequest], answer *wire.FetchResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.recorder.ServeFetch(r.Context(), r.Message), nil)
 }
 
@@ -141,31 +149,37 @@
 }
 
 // Submit accepts a task.
-func (s *taskService) Submit(r *messenger.Request[wire.SubmitRequest], answer *wire.SubmitResponse) error {
+func (s *taskService) Submit(r *messenger.Request[wire.SubmitRequest], answer *wire.SubmitResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.dispatcher.ServeSubmit(r.Context(), r.Message), nil)
 }
 
 // Get returns the status of a task.
-func (s *taskService) Get(r *messenger.Request[wire.TaskRequest], answer *wire.TaskResponse) error {
+func (s *taskService) Get(r *messenger.Request[wire.TaskRequest], answer *wire.TaskResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.dispatcher.ServeGet(r.Context(), r.Message), nil)
 }
 
 // Cancel cancels a task.
-func (s *taskService) Cancel(r *messenger.Request[wire.TaskRequest], answer *wire.TaskResponse) error {
+func (s *taskService) Cancel(r *messenger.Request[wire.TaskRequest], answer *wire.TaskResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.dispatcher.ServeCancel(r.Context(), r.Message), nil)
 }
 
 // Poll processes the report of a worker and answers with its orders.
-func (s *taskService) Poll(r *messenger.Request[wire.WorkerPoll], answer *wire.WorkerOrders) error {
+func (s *taskService) Poll(r *messenger.Request[wire.WorkerPoll], answer *wire.WorkerOrders) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.dispatcher.ServePoll(r.Context(), r.Message), nil)
 }
 
 // Copy stores copies of tasks for their scheduler.
-func (s *taskService) Copy(r *messenger.Request[wire.CopyTasksRequest], answer *wire.CopyTasksResponse) error {
+func (s *taskService) Copy(r *messenger.Request[wire.CopyTasksRequest], answer *wire.CopyTasksResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.dispatcher.ServeCopyTasks(r.Context(), r.Message), nil)
 }
 
 // Fetch returns copies of tasks to a new scheduler.
-func (s *taskService) Fetch(r *messenger.Request[wire.FetchTasksRequest], answer *wire.FetchTasksResponse) error {
+func (s *taskService) Fetch(r *messenger.Request[wire.FetchTasksRequest], answer *wire.FetchTasksResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return mergeAnswer(answer, s.dispatcher.ServeFetchTasks(r.Context(), r.Message), nil)
 }
--- a/internal/jobserver/jobserver.go
+++ b/internal/jobserver/jobserver.go
@@ -28,13 +28,15 @@
 type jobsService struct{ controller *jobcontroller.Controller }
 
 // Job handles a call of a submitter.
-func (s *jobsService) Job(req *messenger.Request[jobwire.JobRequest], resp *jobwire.JobResponse) error {
+func (s *jobsService) Job(req *messenger.Request[jobwire.JobRequest], resp *jobwire.JobResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	proto.Merge(resp, s.controller.Job(req.Context(), req.Message))
 	return nil
 }
 
 // Control handles a call of a worker or an operator.
-func (s *jobsService) Control(req *messenger.Request[jobwire.ControlRequest], resp *jobwire.ControlResponse) error {
+func (s *jobsService) Control(req *messenger.Request[jobwire.ControlRequest], resp *jobwire.ControlResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	proto.Merge(resp, s.controller.Control(req.Context(), req.Message))
 	return nil
 }
@@ -44,12 +46,14 @@
 type relayService struct{ relay *ordersender.Relay }
 
 // Carry accepts orders for workers and returns before they are delivered.
-func (s *relayService) Carry(req *messenger.Request[jobwire.CarryRequest], _ *jobwire.CarryResponse) error {
+func (s *relayService) Carry(req *messenger.Request[jobwire.CarryRequest], _ *jobwire.CarryResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	return s.relay.Carry(req.Message)
 }
 
 // Collect waits for outcomes of orders and returns them.
-func (s *relayService) Collect(req *messenger.Request[jobwire.CollectRequest], resp *jobwire.CollectResponse) error {
+func (s *relayService) Collect(req *messenger.Request[jobwire.CollectRequest], resp *jobwire.CollectResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
 	answer, err := s.relay.Collect(req.Context(), req.Message)
 	if err != nil {
 		return err
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -50,6 +50,30 @@
 	return errors.New("no such slot")
 }
 
+func (testRegistry) Copy(*messenger.Request[wire.CopyRequest], *wire.CopyResponse) (err error) {
+	defer messenger.RecoverHandler(&err)
+	panic("unexpected message")
+}
+
+// A message that makes its handler panic must fail its call only: the process and
+// the other calls of the connection go on.
+func TestPanicOfHandlerFailsItsCall(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, testRegistry{})
+	client := messenger.NewClient(messenger.ClientOptions{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	err := client.Call(ctx, address, "Registry.Copy", &wire.CopyRequest{}, &wire.CopyResponse{})
+	is.True(err != nil)
+	is.Equal(err.Error(), messenger.ErrHandlerPanicked.Error())
+	resp := &wire.BeginResponse{}
+	is.NoErr(client.Call(ctx, address, "Registry.Begin", &wire.BeginRequest{
+		Key: "k",
+	}, resp))
+	is.Equal(resp.GetReason(), "k")
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/ordersender/local.go
+++ b/internal/ordersender/local.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"log/slog"
+	"runtime/debug"
 	"time"
 
 	"github.com/alitto/pond/v2"
@@ -124,10 +125,19 @@
 	})
 }
 
-func (l *LocalSender) execute(ctx context.Context, fence uint64, order jobscheduler.Action) Answer {
+// execute executes an order. A panic, for example over an answer that nothing
+// expects, leaves the outcome unknown: without one, the worker would count as being
+// polled for ever.
+func (l *LocalSender) execute(ctx context.Context, fence uint64, order jobscheduler.Action) (answer Answer) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.logger.Error("courier: sending an order panicked; its outcome is unknown", "panic", p, "stack", string(debug.Stack()))
+			answer = unanswered(order)
+		}
+	}()
 	ctx, cancel := context.WithTimeout(ctx, timeoutOf(order))
 	defer cancel()
-	answer := Answer{
+	answer = Answer{
 		Order: order,
 	}
 	switch o := order.(type) {
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -65,6 +65,9 @@
 }
 
 func (m workersFrom) Poll(ctx context.Context, fence uint64, a jobscheduler.Poll) jobscheduler.PollAnswer {
+	if a.Target.ID == "malformed" {
+		panic("unexpected answer")
+	}
 	m.record(m.host, fmt.Sprint("look ", fence, " ", a.Target.ID, " ", a.Deadline, " ", a.LastRecordedEnd, " ", a.Wait))
 	m.mu.Lock()
 	released := m.unblockPolls
@@ -598,3 +601,20 @@
 	g.awaitRelays(s, "b")
 	g.is.True(time.Since(begun) < 100*time.Millisecond)
 }
+
+// An answer that nothing expects must end neither the process nor the polls of its
+// worker: the order counts as unanswered, here and through a relay.
+func TestPanicLeavesOutcomeUnknown(t *testing.T) {
+	g := newCluster(t, map[string]string{
+		"leader": "a",
+		"near":   "b",
+	})
+	s, got := g.newLeader(1)
+	direct := newPoll("malformed", "a")
+	s.Send([]jobscheduler.Action{direct}, 1)
+	g.is.True(got.awaitAnswer(t, direct).Poll.Failed)
+	g.awaitRelays(s, "b")
+	relayed := newPoll("malformed", "b")
+	s.Send([]jobscheduler.Action{relayed}, 10)
+	g.is.True(got.awaitAnswer(t, relayed).Poll.Failed)
+}
