internal/jobgateway: a submission that may be accepted is not refused

A front sends a submission to a leader, gets no answer, and sends it again. The second leader, or the same one while the first entry is still in its log, may answer 429, 401, 404 or 400, and the caller was told so: "not accepted, never runs". The first entry then commits and the job runs. Only "unavailable" was held back.

After an attempt that may have been executed, a submission gets an acceptance or an unknown outcome, at once.

Measured: the two new cases of TestOutcomes got TOO_MANY and UNAUTHORIZED before and get UNKNOWN now; a first attempt that is turned away still gets 429.

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -177,6 +177,11 @@
 			// passed on.
 			g.confirmLeader(host)
 			g.sleep(ctx, probeInterval)
+		case sent && isSubmission(req) && resp.GetOutcome() != jobwire.Outcome_OUTCOME_OK:
+			// The same holds for a refusal that does not pass soon. The earlier
+			// attempt may still be on its way through the log.
+			g.confirmLeader(host)
+			return nil, true
 		default:
 			g.confirmLeader(host)
 			return resp, true
@@ -184,6 +189,12 @@
 	}
 }
 
+// isSubmission reports whether a call submits a job.
+func isSubmission(req proto.Message) bool {
+	call, ok := req.(*jobwire.JobRequest)
+	return ok && call.GetSubmit() != nil
+}
+
 // attempt calls a host once.
 func attempt[R any, PR interface {
 	*R
--- a/internal/jobgateway/gateway_test.go
+++ b/internal/jobgateway/gateway_test.go
@@ -36,6 +36,10 @@
 	down
 	// unconfigured is a leader without a configuration.
 	unconfigured
+	// full is a leader that turns submissions away.
+	full
+	// withdrawn is a leader that no longer knows the key.
+	withdrawn
 	// losesLeadership is a leader that loses leadership before the log entry of a
 	// call is committed.
 	losesLeadership
@@ -71,6 +75,10 @@
 		return errors.Wrap(messenger.ErrUnreachable, host)
 	case unconfigured:
 		outcome = jobwire.Outcome_OUTCOME_UNAVAILABLE
+	case full:
+		outcome = jobwire.Outcome_OUTCOME_TOO_MANY
+	case withdrawn:
+		outcome = jobwire.Outcome_OUTCOME_UNAUTHORIZED
 	case losesLeadership:
 		outcome = jobwire.Outcome_OUTCOME_UNKNOWN
 	case follows:
@@ -146,6 +154,23 @@
 			outcome: jobwire.Outcome_OUTCOME_UNKNOWN,
 			within:  1700 * time.Millisecond,
 		},
+		"what may be accepted is not turned away by the next leader": {
+			before:  map[string]behaviour{"a": leads, "b": follows, "c": follows},
+			after:   map[string]behaviour{"a": losesLeadership, "b": full},
+			outcome: jobwire.Outcome_OUTCOME_UNKNOWN,
+			within:  promptLimit,
+		},
+		"what may be accepted is not refused for its key by the next leader": {
+			before:  map[string]behaviour{"a": leads, "b": follows, "c": follows},
+			after:   map[string]behaviour{"a": losesLeadership, "b": withdrawn},
+			outcome: jobwire.Outcome_OUTCOME_UNKNOWN,
+			within:  promptLimit,
+		},
+		"what was not sent before is turned away": {
+			before:  map[string]behaviour{"a": full, "b": follows, "c": follows},
+			outcome: jobwire.Outcome_OUTCOME_TOO_MANY,
+			within:  promptLimit,
+		},
 		"a leader without a configuration refuses": {
 			before:  map[string]behaviour{"a": unconfigured, "b": follows},
 			outcome: jobwire.Outcome_OUTCOME_UNAVAILABLE,
@@ -169,7 +194,11 @@
 				}
 			}
 			start := time.Now()
-			resp := g.Job(context.Background(), &jobwire.JobRequest{})
+			resp := g.Job(context.Background(), &jobwire.JobRequest{
+				Call: &jobwire.JobRequest_Submit{
+					Submit: &jobwire.Job{},
+				},
+			})
 			is.Equal(resp.GetOutcome(), c.outcome)
 			is.True(time.Since(start) < c.within)
 		})
