--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -124,9 +124,11 @@
 	// worker is the worker that was on the host; nil when there was none.
 	worker         *worker
 	preparingSince time.Time
-	// orderInFlight is true while an order is unanswered; orderAccepted is true
+	// orderInFlight is true while an order is unanswered; orderUnknown is true while
+	// one whose outcome is unknown may have been executed; orderAccepted is true
 	// once the provider has accepted one.
 	orderInFlight bool
+	orderUnknown  bool
 	orderAccepted bool
 	acceptedAt    time.Time
 	retryAt       time.Time
@@ -163,6 +165,7 @@
 		return
 	}
 	m.orderInFlight = false
+	m.orderUnknown = answer == HostOrderUnknown
 	m.retryAt = s.now.Add(hostOrderRetryDelay)
 	switch answer {
 	case HostOrderDone:
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -244,7 +244,7 @@
 		return false
 	}
 	for _, m := range s.hosts.maintenances {
-		if m.worker == r.worker && m.orderInFlight {
+		if m.worker == r.worker && (m.orderInFlight || m.orderUnknown) {
 			return false
 		}
 	}
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -112,3 +112,49 @@
 	h.is.True(noted > 0)
 	h.is.True(h.now.Sub(time.Unix(1_000_000, 0)) > 8*time.Second)
 }
+
+// An order to maintain a host whose answer is lost may have ended the tasks there. If
+// they still counted as healthy, a second host of the step would go into maintenance.
+func TestUnansweredMaintenanceCountsAsUnavailable(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.addWorker("b")
+	step := tasks(2, 1000)
+	step.Lasting, step.MayMiss, step.MostPerWorker = true, 1, 1
+	h.submit("job", step)
+	h.startTerm()
+	h.reconcileWorkers()
+	running := make(map[string]jobscheduler.PollAnswer)
+	for _, start := range h.acceptStarts() {
+		running[start.Target.ID] = jobscheduler.PollAnswer{
+			Running: []jobscheduler.RunningTask{runningTask(start.Task, start.Run)},
+		}
+	}
+	h.is.Equal(len(running), 2)
+	for _, id := range []string{"c", "d", "e", "f", "g", "h"} {
+		// In a larger pool two hosts may be prepared at once.
+		h.addWorker(id)
+	}
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Wave{
+			Wave: &jobwire.Wave{
+				Id:               "1",
+				Hosts:            []string{"host-a", "host-b"},
+				Ceiling:          2,
+				DurationNanos:    int64(20 * time.Second),
+				StartedUnixNanos: h.now.UnixNano(),
+			},
+		},
+	})
+	ordered := make(map[string]bool)
+	for range 100 {
+		h.advance(100 * time.Millisecond)
+		answerHostLists(h)
+		h.answerPolls(running)
+		for _, m := range takeAll[jobscheduler.Maintain](h) {
+			ordered[m.Host] = true
+			h.withScheduler(func() { h.sched.Maintained(m, jobscheduler.HostOrderUnknown) })
+		}
+	}
+	h.is.Equal(len(ordered), 1)
+}
