internal/commander: a frozen entry host costs 1.5 s, not the whole wait

Each request had a limit of 8 s, so one host that was frozen held a command for 8 s at a time although the next one was up (16.5 s with a repetition).

With several servers, the first request to each has 1.5 s; later rounds have the full limit, which a change under trouble may need. Later calls of one command begin with the server that answered last. A change is resent with its operation ID, so it is made once.

Measured: TestFrozenServerIsLeftSoon, read and change beside a frozen server: 1.5 s each; it fails with the limit of 8 s.

--- a/internal/commander/call.go
+++ b/internal/commander/call.go
@@ -32,8 +32,10 @@
 	delay := initialRetryDelay
 	outcomeUnknown := false
 	for n := 0; ; n++ {
-		a := c.send(method, c.servers[n%len(c.servers)]+path, body, result)
+		server := (c.preferred + n) % len(c.servers)
+		a := c.send(method, c.servers[server]+path, body, result, c.requestTimeout(n))
 		if a.succeeded {
+			c.preferred = server
 			return nil
 		}
 		outcomeUnknown = outcomeUnknown || a.outcomeUnknown && operation != ""
@@ -47,6 +49,14 @@
 	}
 }
 
+// requestTimeout returns the time limit of the nth attempt of a call.
+func (c *client) requestTimeout(n int) time.Duration {
+	if len(c.servers) > 1 && n < len(c.servers) {
+		return firstRoundTimeout
+	}
+	return requestTimeout
+}
+
 // sleep waits for d and returns true, or returns false as soon as the context of
 // the session ends.
 func (c *client) sleep(d time.Duration) bool {
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"context"
 	"crypto/tls"
 	"errors"
 	"net"
@@ -20,6 +21,10 @@
 	// requestTimeout exceeds the time that an entry host waits for the result of a
 	// change (5 s) and for its own view to include it (1 s).
 	requestTimeout = 8 * time.Second
+	// firstRoundTimeout bounds the first request to each of several servers: a host
+	// that is frozen must not hold a command while others are up. A change that
+	// takes longer is resent with the same operation ID.
+	firstRoundTimeout = 1500 * time.Millisecond
 	// initialRetryDelay and maxRetryDelay bound the delay between resends.
 	initialRetryDelay = 200 * time.Millisecond
 	maxRetryDelay     = 2 * time.Second
@@ -30,6 +35,8 @@
 	session *session
 	resty   *resty.Client
 	servers []string
+	// preferred is the index of the server that answered last.
+	preferred int
 	// repeatOption is the command-line option that identifies the operation when
 	// the user repeats a command.
 	repeatOption string
@@ -118,10 +125,12 @@
 }
 
 // send sends one request and decodes a successful answer into result.
-func (c *client) send(method, url string, body, result any) attempt {
+func (c *client) send(method, url string, body, result any, timeout time.Duration) attempt {
+	ctx, cancel := context.WithTimeout(c.session.ctx, timeout)
+	defer cancel()
 	var problem operator.Problem
 	request := c.resty.R().
-		SetContext(c.session.ctx).
+		SetContext(ctx).
 		SetResult(result).
 		SetError(&problem)
 	if body != nil {
