--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -51,7 +51,7 @@
 			hostOrders = append(hostOrders, action)
 			continue
 		}
-		c.pool.Go(func() { c.execute(ctx, sched, fence, action) })
+		c.pool.Go(func() { c.execute(ctx, sched, action) })
 	}
 	if len(records) > 0 {
 		c.pool.Go(func() { c.recordEnds(ctx, sched, records) })
@@ -87,7 +87,7 @@
 	})
 }
 
-func (c *Controller) execute(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, action jobscheduler.Action) {
+func (c *Controller) execute(ctx context.Context, sched *jobscheduler.Scheduler, action jobscheduler.Action) {
 	switch a := action.(type) {
 	case jobscheduler.ListHosts:
 		c.listHosts(ctx, sched)
--- a/internal/jobscheduler/confine_test.go
+++ b/internal/jobscheduler/confine_test.go
@@ -189,7 +189,7 @@
 	h.startTerm()
 	h.reconcileWorkers()
 	for name, step := range steps {
-		t.Run(name, func(t *testing.T) {
+		t.Run(name, func(*testing.T) {
 			h.withScheduler(func() {
 				h.is.Equal(len(h.sched.Home(&jobwire.Queue{
 					Pool: "p",
