internal/jobscheduler: a refused order for a host waits for the next listing

Each order is a call to the provider and, since orders are announced, a write to the log.

After a refusal the state of the host is unknown until the next listing; the same for moves.

--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -122,12 +122,12 @@
 }
 
 // report handles a worker's heartbeat. It is acknowledged only once the changes
-// that it reports are in the log, so that a draining worker gets no new task.
+// that it reports are in the log, so that a draining worker gets no new task. Until
+// then it does not count as seen, and a repetition is handled again.
 func (c *Controller) report(ctx context.Context, r *jobwire.WorkerReport) *jobwire.ControlResponse {
 	if !c.isNewest(r) {
 		return okResponse()
 	}
-	// Until its changes are in the log, a repetition is no older heartbeat.
 	var commands []*jobwire.Command
 	c.opts.StateMachine.View(func(s *jobkeeper.State) { commands = c.workerChanges(s, r) })
 	for _, cmd := range commands {
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -331,6 +331,7 @@
 		}
 	case HostOrderBusy, HostOrderInvalid:
 		s.endMove(a.Host, m)
+		s.distrustListing(a.Host)
 	}
 }
 
--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -180,6 +180,16 @@
 		})
 	case HostOrderInvalid, HostOrderBusy:
 		s.cancelMaintenance(m)
+		s.distrustListing(a.Host)
+	}
+}
+
+// distrustListing marks the state of a host as unknown until the next listing: the
+// provider has refused an order, so the host is not in the state that was listed.
+func (s *Scheduler) distrustListing(name string) {
+	if h, ok := s.hosts.known[name]; ok {
+		h.State = HostUnknown
+		s.hosts.known[name] = h
 	}
 }
 
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -158,3 +158,28 @@
 	}
 	h.is.Equal(len(ordered), 1)
 }
+
+// A host that the provider refuses to maintain is not up, whatever the last listing
+// says. If it were ordered again at once, a wave would send an order with each pass.
+func TestRefusedMaintenanceWaitsForNextListing(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("b")
+	h.startTerm()
+	h.reconcileWorkers()
+	startWave(h)
+	h.advance(time.Millisecond)
+	answerHostLists(h)
+	orders := 0
+	for range 20 {
+		h.advance(20 * time.Millisecond)
+		for _, m := range takeAll[jobscheduler.Maintain](h) {
+			orders++
+			h.withScheduler(func() { h.sched.Maintained(m, jobscheduler.HostOrderBusy) })
+		}
+	}
+	h.is.Equal(orders, 1)
+	h.advance(time.Second)
+	answerHostLists(h)
+	h.advance(time.Millisecond)
+	h.is.Equal(len(takeAll[jobscheduler.Maintain](h)), 1)
+}
