internal/jobscheduler: a worker that crashed idle is found and marked

A worker without runs whose heartbeats stop for two intervals and 0.5 s is polled; if it doesn't answer it is marked as lapsed. A heartbeat brings it back. A lapsed worker that stays silent for a minute is removed from the log. One missed poll marks nothing. The unread field lastAnswerAt and the unused constant workerSilenceTimeout, which stood for this, are gone.

--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -25,6 +25,8 @@
 	// jobWorkerMaxLease is the longest lease that job workers accept; see
 	// docs/jobs.md.
 	jobWorkerMaxLease = 10 * time.Second
+	// jobWorkerHeartbeat is the time between two announcements of a job worker.
+	jobWorkerHeartbeat = 500 * time.Millisecond
 	// delegationMinWorkers is the number of job workers from which on the leader
 	// delegates the delivery of its orders to other entry hosts.
 	delegationMinWorkers = 100
@@ -81,6 +83,7 @@
 		Settings: jobscheduler.Settings{
 			Lease:              jobWorkerLease,
 			MaxLease:           jobWorkerMaxLease,
+			Heartbeat:          jobWorkerHeartbeat,
 			ProviderOrderDelay: jobWorkerLease,
 		},
 	})
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -33,7 +33,8 @@
 	// orderSenders is the number of hosts that send orders to workers; 0 means
 	// one.
 	orderSenders int
-	// providerOrderDelay is that of the scheduler's settings.
+	// heartbeat and providerOrderDelay are those of the scheduler's settings.
+	heartbeat          time.Duration
 	providerOrderDelay time.Duration
 	// logger is that of the scheduler.
 	logger *slog.Logger
@@ -113,6 +114,7 @@
 			Lease:    lease,
 			MaxLease: maxLease,
 
+			Heartbeat:          h.heartbeat,
 			ProviderOrderDelay: h.providerOrderDelay,
 		}, h.logger)
 	})
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -220,3 +220,70 @@
 		})
 	}
 }
+
+// A worker that crashes while it runs nothing is not polled. If it were not found to
+// be silent, each new leader would wait for its leases with all open jobs, and tasks
+// would be placed on it.
+func TestNewLeaderDoesNotWaitForWorkerThatCrashedIdle(t *testing.T) {
+	h := newHarness(t)
+	h.heartbeat = 1500 * time.Millisecond
+	h.addWorker("a")
+	h.addWorker("b")
+	h.startTerm()
+	h.reconcileWorkers()
+	for range 60 {
+		h.advance(100 * time.Millisecond)
+		h.withScheduler(func() { h.sched.HeartbeatReceived("b", 1, h.clock()) })
+		h.failPolls("a")
+		h.applyMarks(takeAll[jobscheduler.MarkLapsed](h))
+	}
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.advance(0)
+	h.failPolls("a")
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@b ")
+
+	// Its heartbeat brings it back.
+	h.withScheduler(func() { h.sched.HeartbeatReceived("a", 1, h.clock()) })
+	h.advance(time.Millisecond)
+	h.answerPolls(nil)
+	h.advance(time.Millisecond)
+	h.applyMarks(takeAll[jobscheduler.MarkLapsed](h))
+	h.submit("more", tasks(16, 1000))
+	h.advance(time.Millisecond)
+	placed := make(map[string]int)
+	for _, start := range takeAll[jobscheduler.Start](h) {
+		placed[start.Target.ID]++
+	}
+	h.is.True(placed["a"] > 0)
+
+	// A lapsed worker that stays silent is removed.
+	h.startTerm()
+	for range 700 {
+		h.advance(100 * time.Millisecond)
+		h.withScheduler(func() { h.sched.HeartbeatReceived("b", 1, h.clock()) })
+		h.failPolls("a")
+		h.applyMarks(takeAll[jobscheduler.MarkLapsed](h))
+	}
+	removed := takeAll[jobscheduler.RemoveWorker](h)
+	h.is.Equal(len(removed), 1)
+	h.is.Equal(removed[0].ID, "a")
+}
+
+// A worker without runs that misses one poll is used again with its next answer; only
+// one that is silent for several heartbeats is marked in the log.
+func TestIdleWorkerThatMissesOnePollIsNotMarked(t *testing.T) {
+	h := newHarness(t)
+	h.heartbeat = 1500 * time.Millisecond
+	h.addWorker("a")
+	h.startTerm()
+	h.advance(0)
+	h.failPolls("a")
+	h.advance(time.Second)
+	h.answerPolls(nil)
+	h.submit("job", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	h.is.Equal(len(takeAll[jobscheduler.MarkLapsed](h)), 0)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@a ")
+}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -96,7 +96,7 @@
 		return
 	}
 	w.setClock(answer.Clock, s.now)
-	w.lastAnswerAt, w.unresponsive = s.now, false
+	w.heardAt, w.unresponsive = s.now, false
 	s.handleEnds(w, answer.Ended)
 	s.reconcile(w, answer)
 	if !w.reconciled {
@@ -310,6 +310,7 @@
 	firstPolls := s.firstPollsInFlight()
 	for _, w := range s.workers {
 		s.expireLease(w)
+		s.checkSilence(w)
 		if w.pollInFlight || w.recordInFlight || s.now.Before(w.nextPollAt) {
 			continue
 		}
@@ -359,12 +360,38 @@
 }
 
 // expireLease counts the runs of an unresponsive worker as lost if its leases have
-// ended.
+// ended, and marks it as lapsed.
 func (s *Scheduler) expireLease(w *worker) {
-	if w.unresponsive && len(w.runs) > 0 && s.now.After(w.leaseEnd) {
+	if !w.unresponsive || !s.now.After(w.leaseEnd) || s.unreconciled[w.info.GetId()] == w {
+		return
+	}
+	if len(w.runs) > 0 {
 		w.abandonStarts()
 		s.markAllRunsLost(w, "the worker does not answer and its lease has ended")
 		s.markLapsed(w, true)
+		return
+	}
+	if s.silent(w) && !w.info.GetLapsed() && w.lapsedWrites == 0 {
+		s.markLapsed(w, true)
+	}
+}
+
+// silent reports whether neither answers nor heartbeats of a worker have arrived for
+// several heartbeats.
+func (s *Scheduler) silent(w *worker) bool {
+	return s.settings.Heartbeat > 0 && s.now.Sub(w.heardAt) > missedHeartbeats*s.settings.Heartbeat+silenceMargin
+}
+
+// checkSilence polls a worker without runs whose heartbeats do not arrive. If it does
+// not answer it is marked as lapsed, so that a new leader doesn't wait for it, and
+// removed if it stays silent.
+func (s *Scheduler) checkSilence(w *worker) {
+	switch {
+	case len(w.runs) > 0 || !s.silent(w):
+	case !w.info.GetLapsed() && w.nextPollAt.After(s.now.Add(failedPollRetryDelay)):
+		w.nextPollAt = s.now
+	case w.info.GetLapsed() && s.now.Sub(w.heardAt) > lapsedWorkerRetention && len(w.abandonedStarts) == 0:
+		s.forgetWorker(w)
 	}
 }
 
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -184,7 +184,7 @@
 	w, r := s.findRun(a.Target, a.Task, a.Run)
 	if w != nil && clock > 0 {
 		w.setClock(clock, s.now)
-		w.lastAnswerAt, w.unresponsive = s.now, false
+		w.heardAt, w.unresponsive = s.now, false
 	}
 	if answer == StartGone && w != nil {
 		s.forgetWorker(w)
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -24,6 +24,8 @@
 	Lease time.Duration
 	// MaxLease is the longest lease that a worker accepts, whatever an order says.
 	MaxLease time.Duration
+	// Heartbeat is the time between two heartbeats of a worker; 0 if unknown.
+	Heartbeat time.Duration
 	// ProviderOrderDelay is how far apart the orders of two leaders for one host
 	// are. A new leader waits that long before the orders of a maintenance wave.
 	ProviderOrderDelay time.Duration
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -13,10 +13,13 @@
 	maxClockSlowdown = 1.02
 	// leaseEndMargin covers rounding to milliseconds and late timers.
 	leaseEndMargin = 100 * time.Millisecond
-	// workerSilenceTimeout is the time without an answer after which no task
-	// starts on a worker. It is unused at present: a failed poll stops starts at
-	// once.
-	workerSilenceTimeout = 1200 * time.Millisecond
+	// missedHeartbeats is how many heartbeats of a worker without runs may fail to
+	// appear before it is polled; silenceMargin covers their way to the leader.
+	missedHeartbeats = 2
+	silenceMargin    = 500 * time.Millisecond
+	// lapsedWorkerRetention is how long a lapsed worker that is not heard of stays
+	// in the replicated state.
+	lapsedWorkerRetention = time.Minute
 	// maxPollWait is how long a worker with runs may hold a poll open until a run
 	// ends.
 	maxPollWait = 700 * time.Millisecond
@@ -63,8 +66,9 @@
 	// leaseEnd is a local time by which all leases of the worker have certainly
 	// ended.
 	leaseEnd time.Time
-	// lastAnswerAt is set but not read at present.
-	lastAnswerAt time.Time
+	// heardAt is when the worker last answered or sent a heartbeat, or when this
+	// leader first knew of it.
+	heardAt      time.Time
 	unresponsive bool
 
 	// lastRecordedEnd is the number of the worker's last end that is in the log.
@@ -161,6 +165,7 @@
 		capacity:        controller.AmountOf(info.GetCapacity()),
 		runs:            make(map[runKey]*run),
 		abandonedStarts: make(map[runKey]time.Time),
+		heardAt:         s.now,
 		nextPollAt:      s.now,
 	}
 	if ok {
@@ -257,6 +262,7 @@
 		return
 	}
 	w.setClock(clock, s.now)
+	w.heardAt = s.now
 	if w.info.GetLapsed() && !w.pollInFlight && w.nextPollAt.After(s.now) {
 		w.nextPollAt = s.now
 	}
