internal/soaker: tell the processes how often workers send heartbeats

Without the setting the search for workers that crashed idle is off, so the soak did not play it. The stand-in's interval is exported for that; no program changes.

--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/heathermux/heathermux/platform/standin"
 )
 
 // process is a program of the system under test, run as a separate process. It is
@@ -77,6 +79,7 @@
 		"limits.memory_mb=280",
 		"fault_tolerance.machines=1",
 		"cloud.address=" + provider,
+		fmt.Sprintf("heartbeat_ms=%d", standin.HeartbeatInterval.Milliseconds()),
 		"bounds.max_hold_ms=10000",
 		"bounds.lease_ms=3000",
 		"bounds.grace_s=6",
