--- a/internal/jobscheduler/confine.go
+++ b/internal/jobscheduler/confine.go
@@ -121,13 +121,13 @@
 // job may run. A job of which no task can have run is confined to that one instead.
 func (s *Scheduler) widen(st *step, search *placeSearch) {
 	j := st.occurrence.job
-	if j.confining || search.confinements >= maxConfinementsPerPass || search.hopeless(st, everywhere) {
+	if j.confining || search.confinements >= maxConfinementsPerPass || search.unplaceable(st, everywhere) {
 		return
 	}
 	w := s.chooseWorker(st, st.pending[0], search.unclaimed(s.now), nil)
 	if w == nil {
 		if s.unconstrained(st) {
-			search.markHopeless(st, everywhere)
+			search.markUnplaceable(st, everywhere)
 		}
 		return
 	}
@@ -163,8 +163,8 @@
 	workers []*worker
 	// byDataCentre holds the workers by data centre.
 	byDataCentre map[string][]*worker
-	// hopelessAmounts holds by area the requests that found no place there.
-	hopelessAmounts map[string][]controller.Amount
+	// unplaceableAmounts holds by area the requests that found no place there.
+	unplaceableAmounts map[string][]controller.Amount
 	confinements    int
 }
 
@@ -172,7 +172,7 @@
 	search := &placeSearch{
 		workers:         workers,
 		byDataCentre:    make(map[string][]*worker),
-		hopelessAmounts: make(map[string][]controller.Amount),
+		unplaceableAmounts: make(map[string][]controller.Amount),
 	}
 	for _, w := range workers {
 		search.byDataCentre[w.info.GetDataCentre()] = append(search.byDataCentre[w.info.GetDataCentre()], w)
@@ -201,12 +201,12 @@
 	return slices.DeleteFunc(slices.Clone(p.workers), func(w *worker) bool { return now.Before(w.offeredUntil) })
 }
 
-// hopeless reports whether a request at most as large as the step's found no place in
+// unplaceable reports whether a request at most as large as the step's found no place in
 // the area.
-func (p *placeSearch) hopeless(st *step, area string) bool {
-	return atLeastAny(reservationOf(st), p.hopelessAmounts[area])
+func (p *placeSearch) unplaceable(st *step, area string) bool {
+	return atLeastAny(reservationOf(st), p.unplaceableAmounts[area])
 }
 
-func (p *placeSearch) markHopeless(st *step, area string) {
-	p.hopelessAmounts[area] = append(p.hopelessAmounts[area], reservationOf(st))
+func (p *placeSearch) markUnplaceable(st *step, area string) {
+	p.unplaceableAmounts[area] = append(p.unplaceableAmounts[area], reservationOf(st))
 }
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -71,7 +71,7 @@
 			return
 		}
 		j := st.occurrence.job
-		if s.mayRunOnUnreconciled(j) || j.relocating() || search.hopeless(st, everywhere) {
+		if s.mayRunOnUnreconciled(j) || j.relocating() || search.unplaceable(st, everywhere) {
 			continue
 		}
 		if st.spec.GetGang() {
@@ -79,12 +79,12 @@
 			continue
 		}
 		area := areaOf(j)
-		if !search.hopeless(st, area) {
+		if !search.unplaceable(st, area) {
 			if s.placeTasks(st, search.workersIn(area, j), contact) {
 				continue
 			}
 			if s.unconstrained(st) {
-				search.markHopeless(st, area)
+				search.markUnplaceable(st, area)
 			}
 		}
 		if area != everywhere {
