--- a/internal/jobscheduler/confine.go
+++ b/internal/jobscheduler/confine.go
@@ -165,13 +165,13 @@
 	byDataCentre map[string][]*worker
 	// unplaceableAmounts holds by area the requests that found no place there.
 	unplaceableAmounts map[string][]controller.Amount
-	confinements    int
+	confinements       int
 }
 
 func newPlaceSearch(workers []*worker) *placeSearch {
 	search := &placeSearch{
-		workers:         workers,
-		byDataCentre:    make(map[string][]*worker),
+		workers:            workers,
+		byDataCentre:       make(map[string][]*worker),
 		unplaceableAmounts: make(map[string][]controller.Amount),
 	}
 	for _, w := range workers {
