internal/jobscheduler: a wave orders no host whose worker it doesn't know

A wave took the worker of a host from the last listing. If no known worker had that id, the host was ordered without comparing anything with what a step may miss. A host that has just been moved comes back with a worker that the listing doesn't name, registers and gets tasks; a wave did not leave out hosts that move either.

A wave leaves out hosts that move. The worker of a host is looked up again right before the order; while it is not known, the order waits for a listing that was requested since.

Measured: TestMovingHostIsNotMaintained and TestMaintenanceWaitsForWorkerOfHost send an order before and none after; TestHostWithoutWorkerIsMaintained holds on both sides of the change for the host that really has none. TestRefusedMaintenanceWaitsForNextListing now has the worker registered that its listing names, as the order would wait for another reason otherwise; without its mechanism it still sends 20 orders.

Ruled out: stops of runs that a new leader does not want (their leases had ended at 5.1 s), two orders for hosts of one step in one pass (an order in flight counts).

--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -121,8 +121,10 @@
 type hostMaintenance struct {
 	host string
 	wave string
-	// worker is the worker that was on the host; nil when there was none.
-	worker         *worker
+	// worker is the worker on the host; nil while none is known.
+	worker *worker
+	// unknownSince is since when no known worker is on the host; zero while one is.
+	unknownSince   time.Time
 	preparingSince time.Time
 	// orderInFlight is true while an order is unanswered; orderUnknown is true while
 	// one whose outcome is unknown may have been executed; orderAccepted is true
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -37,7 +37,8 @@
 	var candidates []Host
 	for _, name := range wave.GetHosts() {
 		h, ok := s.hosts.known[name]
-		if begun[name] || s.hosts.maintenances[name] != nil {
+		if begun[name] || s.hosts.maintenances[name] != nil || s.hosts.moves[name] != nil {
+			// A host that moves comes back with a worker that no listing names yet.
 			continue
 		}
 		if !ok {
@@ -146,13 +147,30 @@
 		wave:           wave.GetId(),
 		preparingSince: s.now,
 	}
-	if worker, ok := s.workers[h.Worker]; ok {
-		m.worker = worker
-		worker.cordoned = true
-	}
+	s.findWorker(m)
 	s.hosts.maintenances[h.Name] = m
 }
 
+// findWorker finds the worker that is on a host now, by the last listing, and cordons
+// it.
+func (s *Scheduler) findWorker(m *hostMaintenance) {
+	w, ok := s.workers[s.hosts.known[m.host].Worker]
+	switch {
+	case ok:
+		m.worker, m.unknownSince = w, time.Time{}
+		w.cordoned = true
+	case m.unknownSince.IsZero():
+		m.unknownSince = s.now
+	}
+}
+
+// workerKnown reports whether the worker on a host is known, or whether a listing that
+// was requested since has shown that there is none. An order by an older listing could
+// end tasks of a worker that has just registered, unchecked.
+func (s *Scheduler) workerKnown(m *hostMaintenance) bool {
+	return m.unknownSince.IsZero() || s.hosts.listedAt.After(m.unknownSince)
+}
+
 // advanceMaintenance orders the maintenance of a prepared host once its runs may
 // be stopped.
 func (s *Scheduler) advanceMaintenance(m *hostMaintenance) {
@@ -164,7 +182,11 @@
 		s.cancelMaintenance(m)
 		return
 	}
-	if m.worker != nil && s.workers[m.worker.info.GetId()] == m.worker && !s.mayStopAll(m, s.elapsedWaveShare(wave)) {
+	s.findWorker(m)
+	if !s.workerKnown(m) {
+		return
+	}
+	if m.unknownSince.IsZero() && !s.mayStopAll(m, s.elapsedWaveShare(wave)) {
 		return
 	}
 	m.orderInFlight = true
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -163,7 +163,7 @@
 // says. If it were ordered again at once, a wave would send an order with each pass.
 func TestRefusedMaintenanceWaitsForNextListing(t *testing.T) {
 	h := newHarness(t)
-	h.addWorker("b")
+	h.addWorker("a")
 	h.startTerm()
 	h.reconcileWorkers()
 	startWave(h)
@@ -183,3 +183,132 @@
 	h.advance(time.Millisecond)
 	h.is.Equal(len(takeAll[jobscheduler.Maintain](h)), 1)
 }
+
+// listHost answers all pending host listings with one host.
+func listHost(h *harness, host jobscheduler.Host) {
+	for range takeAll[jobscheduler.ListHosts](h) {
+		h.withScheduler(func() { h.sched.HostsListed(h.now, []jobscheduler.Host{host}) })
+	}
+}
+
+// A listing may name a worker that has ended, while the next one on the host has
+// registered and serves. If the host were ordered into maintenance by that listing,
+// nothing would compare its tasks with what their step may miss.
+func TestMaintenanceWaitsForWorkerOfHost(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	step := tasks(2, 1000)
+	step.Lasting, step.MayMiss = true, 1
+	h.submit("job", step)
+	h.startTerm()
+	h.reconcileWorkers()
+	starts := h.acceptStarts()
+	h.is.Equal(len(starts), 2)
+	running := map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{
+				runningTask(starts[0].Task, starts[0].Run),
+				runningTask(starts[1].Task, starts[1].Run),
+			},
+		},
+	}
+	startWave(h)
+	host := jobscheduler.Host{
+		Name:   "host-a",
+		Pool:   "p",
+		State:  jobscheduler.HostUp,
+		Worker: "ended",
+	}
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		listHost(h, host)
+		h.answerPolls(running)
+		h.is.Equal(len(takeAll[jobscheduler.Maintain](h)), 0)
+		host.Worker = "a" // as the next listing has it
+	}
+}
+
+// A host without any worker is maintained all the same, once two listings say so.
+func TestHostWithoutWorkerIsMaintained(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("b")
+	h.startTerm()
+	h.reconcileWorkers()
+	startWave(h)
+	orders := 0
+	for range 30 {
+		h.advance(100 * time.Millisecond)
+		listHost(h, jobscheduler.Host{
+			Name:  "host-a",
+			Pool:  "p",
+			State: jobscheduler.HostUp,
+		})
+		h.answerPolls(nil)
+		for _, m := range takeAll[jobscheduler.Maintain](h) {
+			orders++
+			h.withScheduler(func() { h.sched.Maintained(m, jobscheduler.HostOrderDone) })
+		}
+		for _, begun := range takeAll[jobscheduler.RecordWaveHost](h) {
+			h.apply(&jobwire.Command{
+				Change: &jobwire.Command_WaveProgress{
+					WaveProgress: &jobwire.WaveProgress{
+						Id:    begun.Wave,
+						Begun: []string{begun.Host},
+					},
+				},
+			})
+		}
+	}
+	h.is.Equal(orders, 1)
+}
+
+// A host that moves comes back with a worker that the last listing does not name. A
+// wave must leave it alone until the move is over: its order would end what has
+// started there, unchecked.
+func TestMovingHostIsNotMaintained(t *testing.T) {
+	h := newHarness(t)
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Configure{
+			Configure: &jobwire.Configuration{
+				Version: 2,
+				Pools: []*jobwire.Pool{
+					{
+						Name: "p",
+					},
+					{
+						Name:    "reserve",
+						Standby: true,
+					},
+				},
+			},
+		},
+	})
+	h.startTerm()
+	host := jobscheduler.Host{
+		Name:  "host-a",
+		Pool:  "reserve",
+		State: jobscheduler.HostUp,
+	}
+	moved := false
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		listHost(h, host)
+		for _, m := range takeAll[jobscheduler.MoveHost](h) {
+			h.withScheduler(func() { h.sched.HostMoved(m, jobscheduler.HostOrderDone) })
+			if !moved {
+				startWave(h)
+			}
+			moved = true
+		}
+		h.is.Equal(len(takeAll[jobscheduler.Maintain](h)), 0)
+	}
+	h.is.True(moved)
+	host.Pool = "p" // the move is over
+	maintained := 0
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		listHost(h, host)
+		maintained += len(takeAll[jobscheduler.Maintain](h))
+	}
+	h.is.Equal(maintained, 1)
+}
