internal/jobscheduler, jobcontroller: an order for a host is decided again before it is sent

After the announcement the scheduler is asked again (MayOrder, which stops nothing); what it no longer wants is not sent, which is an outcome of its own. Tasks on draining workers count as unavailable. Stops for a drain wait while a maintenance order for the step is on its way. A host whose listing names an unknown worker is not idle, so it isn't moved either.

--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/heathermux/heathermux/internal/jobcontroller"
 	"github.com/heathermux/heathermux/internal/jobkeeper"
@@ -32,6 +33,9 @@
 	staleLead bool
 	// applyError is the result of each entry, which is not executed; nil for none.
 	applyError error
+	// onHostOrders, if not nil, is called after the announcement of orders to the
+	// provider has been applied.
+	onHostOrders func()
 }
 
 func (l *singleReplicaLog) setOutcomeUnknown(unknown bool) {
@@ -55,7 +59,12 @@
 	if l.applyError != nil {
 		return l.applyError, nil
 	}
-	return l.machine.Apply(data), nil
+	result := l.machine.Apply(data)
+	cmd := &jobwire.Command{}
+	if proto.Unmarshal(data, cmd) == nil && cmd.GetHostOrders() != nil && l.onHostOrders != nil {
+		l.onHostOrders()
+	}
+	return result, nil
 }
 
 func (l *singleReplicaLog) Authority() voter.Authority {
--- a/internal/jobcontroller/hostorders.go
+++ b/internal/jobcontroller/hostorders.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/permitter"
@@ -55,13 +56,14 @@
 	}
 }
 
-// sendHostOrder sends an announced order and reports its outcome.
+// sendHostOrder sends an announced order, if the scheduler still wants it, and reports
+// its outcome.
 func (c *Controller) sendHostOrder(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, order jobscheduler.Action, announcedAt time.Time, announced bool) {
-	answer := jobscheduler.HostOrderUnknown
+	answer := jobscheduler.HostOrderNotSent
 	permission := func() error { return c.mayOrderHosts(fence, announcedAt) }
 	ctx, cancel := context.WithTimeout(permitter.With(ctx, permission), providerTimeout)
 	defer cancel()
-	send := announced && permission() == nil
+	send := announced && permission() == nil && c.mayOrder(sched, order)
 	switch a := order.(type) {
 	case jobscheduler.Maintain:
 		if send {
@@ -78,6 +80,19 @@
 	}
 }
 
+// mayOrder reports whether the scheduler still wants an order that it had decided on
+// before the announcement.
+func (c *Controller) mayOrder(sched *jobscheduler.Scheduler, order jobscheduler.Action) bool {
+	may := false
+	c.opts.StateMachine.View(func(*jobkeeper.State) {
+		if c.sched == sched {
+			sched.SetTime(c.opts.Clock.Now(), time.Now())
+			may = sched.MayOrder(order)
+		}
+	})
+	return may
+}
+
 // errNoPermission is the error of an order that is not sent because this host can no
 // longer prove that it leads the term, or because its announcement is too old.
 var errNoPermission = errors.New("conductor: the permission to order the host has ended")
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -269,9 +269,11 @@
 				idle = append(idle, h)
 			}
 		case !known:
-			// The host is off, or its worker has not reported yet.
+			// The host is off, or its worker has not reported yet. A listing may name a
+			// worker that has ended while the next one serves, so only a host without
+			// any worker counts as idle.
 			view.Hosts++
-			if s.mayOrder(name) {
+			if s.mayOrder(name) && (h.Worker == "" || s.standby(p.name)) {
 				idle = append(idle, h)
 			}
 		}
@@ -282,6 +284,16 @@
 	}
 }
 
+// standby reports whether the hosts of a pool are off.
+func (s *Scheduler) standby(pool string) bool {
+	for _, p := range s.state.Configuration.GetPools() {
+		if p.GetName() == pool {
+			return p.GetStandby()
+		}
+	}
+	return false
+}
+
 // beginMove cordons the worker of a host and orders its move.
 func (s *Scheduler) beginMove(m rebalancer.Move, pools []rebalancer.Pool) {
 	h := s.hosts.known[m.Host]
@@ -329,6 +341,9 @@
 		if m.worker != nil && s.workers[m.worker.info.GetId()] == m.worker {
 			s.forgetWorker(m.worker)
 		}
+	case HostOrderNotSent:
+		// The rebalancer decides anew.
+		s.endMove(a.Host, m)
 	case HostOrderBusy, HostOrderInvalid:
 		s.endMove(a.Host, m)
 		s.distrustListing(a.Host)
--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -66,6 +66,8 @@
 	// HostOrderInvalid means that there is no such host, or that it is not part
 	// of the wave.
 	HostOrderInvalid
+	// HostOrderNotSent means that the order was not sent; it is decided on again.
+	HostOrderNotSent
 )
 
 // Timing of host listings, moves and maintenance.
@@ -167,7 +169,9 @@
 		return
 	}
 	m.orderInFlight = false
-	m.orderUnknown = answer == HostOrderUnknown
+	if answer != HostOrderNotSent {
+		m.orderUnknown = answer == HostOrderUnknown
+	}
 	m.retryAt = s.now.Add(hostOrderRetryDelay)
 	switch answer {
 	case HostOrderDone:
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -197,9 +197,14 @@
 }
 
 // mayStopAll reports whether maintenance may stop all runs on a host, and logs
-// the reason if not.
+// the reason if not. Where the runs of a step exceed what it may miss, it moves one
+// of them to another worker.
 func (s *Scheduler) mayStopAll(m *hostMaintenance, waveShare float64) bool {
-	if blocker := s.stopBlocker(m, waveShare); blocker != "" {
+	blocker, exceeded := s.stopBlocker(m, waveShare)
+	if exceeded != nil && s.unavailableTasks(exceeded, nil) < int(exceeded.spec.GetMayMiss()) {
+		s.moveOneTask(m.worker, exceeded)
+	}
+	if blocker != "" {
 		if s.now.Sub(m.blockerLoggedAt) > blockerLogInterval {
 			m.blockerLoggedAt = s.now
 			s.logger.Info("scheduler: maintenance of a host has to wait", "host", m.host, "worker", m.worker.info.GetId(), "cause", blocker)
@@ -213,10 +218,10 @@
 // not ready.
 const blockerLogInterval = time.Second
 
-// stopBlocker returns the reason why the runs on a host may not be stopped; empty
-// when they may. Where the runs of a step exceed what it may miss, it moves one
-// of them to another worker.
-func (s *Scheduler) stopBlocker(m *hostMaintenance, waveShare float64) string {
+// stopBlocker returns the reason why the runs on a host may not be stopped, empty
+// when they may, and the step whose runs there exceed what it may miss, if that is the
+// reason.
+func (s *Scheduler) stopBlocker(m *hostMaintenance, waveShare float64) (string, *step) {
 	forced := waveShare > forceStopWaveShare && s.now.Sub(m.preparingSince) > batchDrainTimeout/3 || s.now.Sub(m.preparingSince) > batchDrainTimeout
 	runsHere := make(map[*step]int)
 	for _, r := range m.worker.runs {
@@ -225,7 +230,7 @@
 		}
 		if !r.step.spec.GetLasting() {
 			if !forced {
-				return "batch tasks are running"
+				return "batch tasks are running", nil
 			}
 			continue
 		}
@@ -233,13 +238,53 @@
 	}
 	for st, n := range runsHere {
 		if mayMiss, unavailable := int(st.spec.GetMayMiss()), s.unavailableTasks(st, m.worker); mayMiss > 0 && unavailable+n > mayMiss {
-			if s.unavailableTasks(st, nil) < mayMiss {
-				s.moveOneTask(m.worker, st)
-			}
-			return fmt.Sprintf("step %d of job %s may miss %d tasks, but %d are unavailable and %d run here", st.number, st.occurrence.job.id, mayMiss, unavailable, n)
+			return fmt.Sprintf("step %d of job %s may miss %d tasks, but %d are unavailable and %d run here", st.number, st.occurrence.job.id, mayMiss, unavailable, n), st
+		}
+	}
+	return "", nil
+}
+
+// MayOrder reports whether a Maintain or MoveHost that was decided on may still be
+// sent. Between the decision and the order lies a log write, in which tasks of the
+// same step may have become unavailable.
+func (s *Scheduler) MayOrder(order Action) bool {
+	switch a := order.(type) {
+	case Maintain:
+		m, ok := s.hosts.maintenances[a.Host]
+		if !ok || !m.orderInFlight || !s.sameWorker(a.Host, m.worker, !m.unknownSince.IsZero()) {
+			return false
+		}
+		if !m.unknownSince.IsZero() {
+			return true
 		}
+		blocker, _ := s.stopBlocker(m, 1)
+		return blocker == ""
+	case MoveHost:
+		m, ok := s.hosts.moves[a.Host]
+		return ok && m.orderInFlight && s.sameWorker(a.Host, m.worker, m.worker == nil) && (m.worker == nil || len(m.worker.runs) == 0)
 	}
-	return ""
+	return false
+}
+
+// sameWorker reports whether a host has the worker that it had when an order for it was
+// decided on; unknown means that it had none that is known.
+func (s *Scheduler) sameWorker(host string, w *worker, unknown bool) bool {
+	current, known := s.workers[s.hosts.known[host].Worker]
+	if unknown {
+		return !known
+	}
+	return known && current == w
+}
+
+// maintenanceOrdered reports whether a maintenance order is on its way, or may have
+// been executed, for a host with a run of the step.
+func (s *Scheduler) maintenanceOrdered(st *step) bool {
+	for _, m := range s.hosts.maintenances {
+		if m.worker != nil && (m.orderInFlight || m.orderUnknown) && st.runsPerWorker[m.worker.info.GetId()] > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // unavailableTasks returns the number of tasks of a step that are not healthy,
@@ -259,10 +304,11 @@
 }
 
 // isHealthy reports whether a long-running task has run at full speed for
-// minHealthyTime on a worker that answers and is not about to go into
+// minHealthyTime on a worker that answers and is not about to leave or to go into
 // maintenance.
 func (s *Scheduler) isHealthy(r *run) bool {
-	if r.state != running || r.speedPercent < 100 || r.progressPercent < 100 || r.worker.unresponsive || s.now.Sub(r.confirmedAt) < minHealthyTime {
+	if r.state != running || r.speedPercent < 100 || r.progressPercent < 100 || r.worker.unresponsive || r.worker.info.GetDraining() ||
+		s.now.Sub(r.confirmedAt) < minHealthyTime {
 		return false
 	}
 	for _, m := range s.hosts.maintenances {
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -312,3 +312,84 @@
 	}
 	h.is.Equal(maintained, 1)
 }
+
+// servingStep starts a step of two lasting tasks, of which one may be away, on the
+// workers a and b, and a wave for the host of a. It returns the answers of both.
+func servingStep(h *harness) map[string]jobscheduler.PollAnswer {
+	h.addWorker("a")
+	h.addWorker("b")
+	step := tasks(2, 1000)
+	step.Lasting, step.MayMiss, step.MostPerWorker = true, 1, 1
+	h.submit("job", step)
+	h.startTerm()
+	h.reconcileWorkers()
+	running := make(map[string]jobscheduler.PollAnswer)
+	for _, start := range h.acceptStarts() {
+		running[start.Target.ID] = jobscheduler.PollAnswer{
+			Running: []jobscheduler.RunningTask{runningTask(start.Task, start.Run)},
+		}
+	}
+	h.is.Equal(len(running), 2)
+	startWave(h)
+	return running
+}
+
+// awaitMaintenance plays passes until the maintenance of host-a is ordered; it gives up
+// after 5 s.
+func awaitMaintenance(h *harness, running map[string]jobscheduler.PollAnswer) (jobscheduler.Maintain, bool) {
+	for range 50 {
+		h.advance(100 * time.Millisecond)
+		answerHostLists(h)
+		h.answerPolls(running)
+		if orders := takeAll[jobscheduler.Maintain](h); len(orders) > 0 {
+			return orders[0], true
+		}
+	}
+	return jobscheduler.Maintain{}, false
+}
+
+// drainWorker applies the announcement of a worker that it drains.
+func drainWorker(h *harness, id string) {
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Worker{
+			Worker: &jobwire.Worker{
+				Id:       id,
+				Born:     1,
+				Pool:     "p",
+				Address:  id + ":1",
+				Draining: true,
+			},
+		},
+	})
+}
+
+// Between the decision to maintain a host and the order lies a log write, in which
+// another worker of the step may begin to drain. Its tasks are about to go away, so the
+// order must not be sent then.
+func TestMaintenanceIsDecidedAgainBeforeItsOrder(t *testing.T) {
+	h := newHarness(t)
+	running := servingStep(h)
+	order, ordered := awaitMaintenance(h, running)
+	h.is.True(ordered)
+	h.withScheduler(func() { h.is.True(h.sched.MayOrder(order)) })
+	drainWorker(h, "b")
+	h.withScheduler(func() { h.is.True(!h.sched.MayOrder(order)) })
+	h.is.Equal(len(takeAll[jobscheduler.Stop](h)), 0) // asking stops nothing
+}
+
+// While the maintenance order of a host is on its way, the other tasks of its step stay
+// where they are, on draining workers too.
+func TestDrainWaitsForMaintenanceOrder(t *testing.T) {
+	h := newHarness(t)
+	running := servingStep(h)
+	order, ordered := awaitMaintenance(h, running)
+	h.is.True(ordered)
+	drainWorker(h, "b")
+	h.advance(50 * time.Millisecond)
+	h.is.Equal(len(takeAll[jobscheduler.Stop](h)), 0)
+	h.withScheduler(func() { h.sched.Maintained(order, jobscheduler.HostOrderBusy) })
+	h.advance(time.Millisecond)
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Target.ID, "b")
+}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -47,12 +47,13 @@
 }
 
 // updateRuns repeats unconfirmed orders to stop, also of starts that were given
-// up, and stops long-running tasks on workers that drain.
+// up, and stops long-running tasks on workers that drain. These wait while another
+// host of their step is on its way into maintenance, so that not both are away.
 func (s *Scheduler) updateRuns() {
 	for _, w := range s.workers {
 		s.stopAbandonedStarts(w)
 		for _, r := range w.runs {
-			if w.info.GetDraining() && r.state == running && r.step != nil && r.step.spec.GetLasting() {
+			if w.info.GetDraining() && r.state == running && r.step != nil && r.step.spec.GetLasting() && !s.maintenanceOrdered(r.step) {
 				s.stop(r)
 			}
 			if r.state == stopping && r.confirmedAt.IsZero() && s.now.Sub(r.stopSent) > stopRetryInterval {
