internal/jobscheduler: log why a poll failed and that a worker has crashed

The logs could not tell whether a worker that crashed was seen as crashed or as cut off: a failed poll had no cause, and the end of an incarnation without notice left only lost runs. A failed poll now names its cause (also through relays: LookResult.cause), and an incarnation that ends gets one line with the evidence, whether the end was planned, how long the worker was silent and the tasks that it had, also those given up with the lease. heathermux_worker_crashes counts them. No decision changes.

--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -227,6 +227,9 @@
 		err = reply.appendRuns(&answer)
 	}
 	answer.Failed = err != nil && !answer.Gone && !answer.Restarted
+	if answer.Failed {
+		answer.Cause = err.Error()
+	}
 	return answer
 }
 
--- a/internal/jobcontroller/metrics.go
+++ b/internal/jobcontroller/metrics.go
@@ -92,6 +92,11 @@
 			help: "Runs that ended with their lease.",
 			read: func(m jobscheduler.Metrics) int64 { return m.Lapses },
 		},
+		{
+			name: "heathermux_worker_crashes",
+			help: "Workers that ended without notice in this term.",
+			read: func(m jobscheduler.Metrics) int64 { return m.WorkerCrashes },
+		},
 		{
 			name: "heathermux_jobs_waiting",
 			help: "Open jobs of which no task has started.",
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -30,6 +30,8 @@
 	// Refused is true when the connection was refused: nothing listens at the
 	// worker's address.
 	Refused bool
+	// Cause says why there was no valid answer; empty unless Failed.
+	Cause string
 	// Gone is true when another worker answered: the target has ended.
 	Gone bool
 	// Restarted is true when a later incarnation of the worker answered, under the
@@ -83,6 +85,7 @@
 	w.pollInFlight = false
 	switch {
 	case answer.Gone:
+		s.workerEnded(w, "another worker has answered at its address")
 		s.forgetWorker(w)
 		return
 	case answer.Restarted:
@@ -92,11 +95,11 @@
 		s.forgetWorker(w)
 		return
 	case answer.Failed:
-		s.pollFailed(w)
+		s.pollFailed(w, answer)
 		return
 	}
 	w.setClock(answer.Clock, s.now)
-	w.heardAt, w.unresponsive = s.now, false
+	w.heardAt, w.unresponsive, w.loggedPollFailure, w.lapsedRuns = s.now, false, "", nil
 	s.handleEnds(w, answer.Ended)
 	s.reconcile(w, answer)
 	if !w.reconciled {
@@ -116,10 +119,11 @@
 	s.schedulePoll(w)
 }
 
-func (s *Scheduler) pollFailed(w *worker) {
-	if !w.unresponsive && w.reconciled {
+func (s *Scheduler) pollFailed(w *worker, answer PollAnswer) {
+	if w.reconciled && len(w.runs) > 0 && answer.Cause != w.loggedPollFailure {
+		w.loggedPollFailure = answer.Cause
 		s.logger.Info("scheduler: worker did not answer a poll; its runs count as lost when its lease ends", "worker", w.info.GetId(),
-			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now))
+			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now), "refused", answer.Refused, "cause", answer.Cause)
 	}
 	w.unresponsive = true
 	w.nextPollAt = s.now.Add(failedPollRetryDelay)
@@ -366,6 +370,7 @@
 		return
 	}
 	if len(w.runs) > 0 {
+		w.noteLapsedRuns()
 		w.abandonStarts()
 		s.markAllRunsLost(w, "the worker does not answer and its lease has ended")
 		s.markLapsed(w, true)
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -187,6 +187,7 @@
 		w.heardAt, w.unresponsive = s.now, false
 	}
 	if answer == StartGone && w != nil {
+		s.workerEnded(w, "another worker has answered at its address")
 		s.forgetWorker(w)
 		return
 	}
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -103,6 +103,8 @@
 	// room. Done, Failed, Lost and Lapses count runs by how they ended; a lapse is
 	// the end of a run whose lease had ended.
 	Starts, Done, Failed, Lost, Stops, NoRoom, Lapses int64
+	// WorkerCrashes counts the incarnations of workers that ended without notice.
+	WorkerCrashes int64
 	// Waiting is the number of open jobs of which no task has started.
 	Waiting int64
 	// Workers is the number of known workers.
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -52,6 +52,11 @@
 	// may execute such an order as soon as it holds a lease again, so it gets
 	// none before it has confirmed that it rejects each of these runs.
 	abandonedStarts map[runKey]time.Time
+	// lapsedRuns holds the runs that were given up with the lease since the worker last
+	// answered.
+	lapsedRuns []lapsedRun
+	// ended is true once there is evidence that this incarnation has ended.
+	ended bool
 	// lapsedWrites counts the log writes in flight that set the lapsed mark.
 	lapsedWrites int
 
@@ -70,6 +75,9 @@
 	// leader first knew of it.
 	heardAt      time.Time
 	unresponsive bool
+	// loggedPollFailure is the cause of failed polls that was logged last; empty
+	// since the last answer.
+	loggedPollFailure string
 
 	// lastRecordedEnd is the number of the worker's last end that is in the log.
 	lastRecordedEnd uint64
@@ -169,6 +177,7 @@
 		nextPollAt:      s.now,
 	}
 	if ok {
+		s.workerEnded(former, "a later incarnation has sent a heartbeat")
 		s.carryOver(former, w)
 		unreconciled := s.unreconciled[info.GetId()] == former
 		s.removeWorker(former, "the worker has restarted")
@@ -206,6 +215,7 @@
 func (s *Scheduler) workerRestarted(w *worker) {
 	s.logger.Info("scheduler: another incarnation of a worker has answered; its runs are lost, and orders that it may still execute are stopped after its heartbeat",
 		"worker", w.info.GetId(), "runs", len(w.runs))
+	s.workerEnded(w, "a later incarnation has answered")
 	w.unresponsive = true
 	w.nextPollAt = s.now.Add(untilEventPollDelay)
 	for _, r := range w.runs {
@@ -228,6 +238,7 @@
 	if !ok || w.info.GetBorn() != info.GetBorn() {
 		return
 	}
+	s.workerEnded(w, "another worker has sent a heartbeat from its address")
 	s.removeWorker(w, "the worker was removed from the replicated state")
 }
 
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -119,6 +119,7 @@
 		Gone:      a.Poll.Gone,
 		Fenced:    a.Poll.Fenced,
 		Restarted: a.Poll.Restarted,
+		Cause:     a.Poll.Cause,
 	}
 	for _, t := range a.Poll.Running {
 		message.Look.Running = append(message.Look.Running, &jobwire.RunningTask{
@@ -155,6 +156,7 @@
 		Refused:   look.GetRefused(),
 		Gone:      look.GetGone(),
 		Restarted: look.GetRestarted(),
+		Cause:     look.GetCause(),
 		Fenced:    look.GetFenced(),
 		Clock:     message.GetClockMillis(),
 		SentAt:    sentAt,
