--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -50,6 +50,11 @@
 	closed  map[string]uint64
 	ended   []jobscheduler.EndedTask
 	lastEnd uint64
+	// formerIDs holds the ids of the incarnations before, where they had others.
+	formerIDs []string
+	// downUntil is when the process is back after a crash; it refuses connections
+	// until then.
+	downUntil time.Time
 	// mode is what happens to orders until modeEndsAt.
 	mode       orderFate
 	modeEndsAt time.Time
@@ -80,6 +85,16 @@
 	jobs    int
 	// faults is the share of orders that are not answered.
 	faults float64
+	// failures is the share of runs that fail.
+	failures float64
+	// deadly reports whether a task crashes each worker that starts it; nil when none
+	// does.
+	deadly func(name string) bool
+	// crashes counts the workers that each deadly task has crashed.
+	crashes map[string]int
+	// crashed describes the first task that has crashed too many; empty while there
+	// was none.
+	crashed string
 	// twice describes the first double run; empty while there was none.
 	twice string
 	// history holds what happened, for the message of a failure: the order in which
@@ -185,7 +200,7 @@
 // none, to the scheduler of the term in which it was sent.
 // A later incarnation of the worker executes the order, too; the answer is then that
 // the worker has restarted.
-func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, restarted func()) {
+func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, restarted, gone func()) {
 	w := m.worker(target.ID)
 	sched := m.sched
 	report := func(f func()) {
@@ -199,12 +214,21 @@
 	switch fate {
 	case answered:
 		m.after(delay, func() {
-			if w.born != born {
+			switch {
+			case w.born != born || m.now.Before(w.downUntil):
 				report(unanswered)
 				return
+			case w.id != target.ID:
+				report(gone)
+				return
 			}
 			answer := execute()
-			if w.born.UnixMilli() != target.Born {
+			switch {
+			case w.born != born:
+				// The order has crashed the worker.
+				report(unanswered)
+				return
+			case w.born.UnixMilli() != target.Born:
 				answer = restarted
 			}
 			m.after(m.between(time.Millisecond, 30*time.Millisecond), func() { report(answer) })
@@ -257,7 +281,7 @@
 		}
 	}
 	ending := jobwire.Ending_ENDING_DONE
-	if m.rng.Float64() < 0.02 {
+	if m.rng.Float64() < m.failures {
 		ending = jobwire.Ending_ENDING_FAILED
 	}
 	m.note("%s run %d begins on %s", name, a.Run, w.id)
@@ -267,6 +291,9 @@
 		endsAt: m.now.Add(m.between(100*time.Millisecond, 4*time.Second)),
 		ending: ending,
 	}
+	if m.deadly != nil && m.deadly(name) {
+		m.crash(w, name)
+	}
 	return jobscheduler.StartAccepted
 }
 
@@ -325,7 +352,7 @@
 				}
 			}
 			m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, term, a), m.clockOf(w)) },
-				answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartUnknown, 0))
+				answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartGone, 0))
 		case jobscheduler.Stop:
 			w := m.worker(a.Target.ID)
 			m.note("%s run %d stop ordered on %s", taskText(a.Task), a.Run, w.id)
@@ -336,7 +363,7 @@
 					m.note("%s run %d stop answered by %s: %v", taskText(a.Task), a.Run, w.id, confirmed)
 					sched.StopAnswered(a, confirmed, clock)
 				}
-			}, unconfirmed, unconfirmed)
+			}, unconfirmed, unconfirmed, unconfirmed)
 		case jobscheduler.Poll:
 			w := m.worker(a.Target.ID)
 			sentAt := m.now
@@ -349,12 +376,17 @@
 				return func() { sched.PollAnswered(a, answer) }
 			}, func() {
 				sched.PollAnswered(a, jobscheduler.PollAnswer{
-					Failed: true,
+					Failed:  true,
+					Refused: m.now.Before(w.downUntil),
 				})
 			}, func() {
 				sched.PollAnswered(a, jobscheduler.PollAnswer{
 					Restarted: true,
 				})
+			}, func() {
+				sched.PollAnswered(a, jobscheduler.PollAnswer{
+					Gone: true,
+				})
 			})
 		case jobscheduler.RecordEnds:
 			m.after(20*time.Millisecond, func() {
@@ -407,7 +439,7 @@
 
 func (m *model) worker(id string) *modelWorker {
 	for _, w := range m.workers {
-		if w.id == id {
+		if w.id == id || slices.Contains(w.formerIDs, id) {
 			return w
 		}
 	}
@@ -464,19 +496,34 @@
 		rate:   0.98 + 0.02*m.rng.Float64(),
 		runs:   make(map[string]*modelRun),
 		closed: make(map[string]uint64),
+
+		formerIDs: w.formerIDs,
 	}
 	m.after(m.between(0, 2*time.Second), func() { m.register(w) })
 }
 
 // register passes the heartbeat of a worker to the leader.
 func (m *model) register(w *modelWorker) {
+	if m.now.Before(w.downUntil) {
+		return
+	}
+	if n := len(w.formerIDs); n > 0 {
+		m.apply(&jobwire.Command{
+			Change: &jobwire.Command_ForgetWorker{
+				ForgetWorker: &jobwire.ForgetWorker{
+					Id:   w.formerIDs[n-1],
+					Born: m.bornOf(w.formerIDs[n-1]),
+				},
+			},
+		})
+	}
 	m.apply(&jobwire.Command{
 		Change: &jobwire.Command_Worker{
 			Worker: &jobwire.Worker{
 				Id:         w.id,
 				Born:       w.born.UnixMilli(),
 				Pool:       "p",
-				Address:    w.id + ":1",
+				Address:    w.id[:2] + ":1",
 				DataCentre: dataCentreOf(int(w.id[1]) % 2),
 				Capacity: &wire.Resources{
 					MilliCores:  8000,
@@ -494,7 +541,7 @@
 	m.changeLeader()
 	m.submitSome()
 	m.after(m.between(2*time.Second, 20*time.Second), m.restartSome)
-	for n := 0; m.now.Sub(m.start) < d && m.twice == ""; n++ {
+	for n := 0; m.now.Sub(m.start) < d && m.twice == "" && m.crashed == ""; n++ {
 		m.tick()
 		if n%5 != 0 {
 			continue
@@ -514,6 +561,9 @@
 	m := &model{
 		harness: newHarness(t),
 		rng:     rand.New(rand.NewPCG(seed, 1)),
+		crashes: make(map[string]int),
+
+		failures: 0.02,
 	}
 	m.faults = []float64{0.01, 0.05, 0.2}[seed%3]
 	for i := range 5 {
