--- a/internal/invoker/client.go
+++ b/internal/invoker/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -47,6 +48,21 @@
 	lastUsed time.Time
 }
 
+// Disconnected reports whether a call failed because the worker refused or broke the
+// connection, as when its process has ended. A worker that is cut off does neither.
+func Disconnected(err error) bool {
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
+// Refused reports whether a call failed because nothing listens at the worker's address,
+// so that the call has not reached it.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // NewClient returns a client without open connections.
 func NewClient() *Client {
 	return &Client{
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -161,6 +160,10 @@
 	switch {
 	case errors.Is(err, errOtherWorker):
 		return jobscheduler.StartGone, 0
+	case Refused(err):
+		return jobscheduler.StartUndelivered, 0
+	case Disconnected(err):
+		return jobscheduler.StartDisconnected, 0
 	case err != nil:
 		// A later incarnation may have executed the order, too.
 		return jobscheduler.StartUnknown, 0
@@ -219,7 +222,7 @@
 	answer := jobscheduler.PollAnswer{
 		Gone:      errors.Is(err, errOtherWorker),
 		Restarted: errors.Is(err, errRestarted),
-		Refused:   errors.Is(err, syscall.ECONNREFUSED),
+		Refused:   Refused(err),
 		Fenced:    reply.Reason == "fenced",
 		Clock:     reply.ClockMillis,
 	}
@@ -229,6 +232,7 @@
 	answer.Failed = err != nil && !answer.Gone && !answer.Restarted
 	if answer.Failed {
 		answer.Cause = err.Error()
+		answer.Disconnected = Disconnected(err)
 	}
 	return answer
 }
--- /dev/null
+++ b/internal/isolator/isolator.go
@@ -0,0 +1,156 @@
+// Package isolator decides how a task is started after workers have crashed while
+// they ran it: like any other, alone on a worker, or not any more. A task that crashes
+// its workers takes the runs beside it along, so each of these is under suspicion at
+// first. A run alone on a worker tells them apart.
+package isolator
+
+import "slices"
+
+// Treatment is how a task is started.
+type Treatment int
+
+// The treatments of a task.
+const (
+	// Normal tasks are started without further conditions.
+	Normal Treatment = iota
+	// Watched tasks are started beside others, and the log names the worker before, so
+	// that a new leader knows under which task it has crashed.
+	Watched
+	// Isolated tasks run alone on a worker, which the log names before.
+	Isolated
+	// GivenUp tasks are not started again.
+	GivenUp
+)
+
+const (
+	// isolateAfter is the number of crashes after which a task runs alone. The first
+	// one puts all tasks of a worker under suspicion; few of them are there when
+	// another one crashes.
+	isolateAfter = 2
+	// isolateBystanderAfter is that number with the crashes that another task has more
+	// likely caused.
+	isolateBystanderAfter = 3
+	// minCrashes is the number of crashes that a task needs at least to be given up.
+	minCrashes = 3
+	// maxAlone is the number of crashes with the task alone on the worker after which it
+	// is given up, and maxPromptAlone that number if one of them was prompt: a worker
+	// that crashes by itself seldom does so just after a start.
+	maxAlone       = 3
+	maxPromptAlone = 2
+	// maxCrashes is the number of crashes after which a task that has run alone once is
+	// given up.
+	maxCrashes = 5
+)
+
+// Crash is the crash of a worker during a run of a task.
+type Crash struct {
+	Run uint64
+	// Alone is true when the worker had no other run.
+	Alone bool
+	// Prompt is true when the worker broke the connection just after the start.
+	Prompt bool
+	// Bystander is true when another task, under which workers had crashed before, was
+	// started on the worker right before the crash.
+	Bystander bool
+}
+
+// Placement tells on which worker a run of a task is or is about to be.
+type Placement struct {
+	Run uint64
+	// Worker and Born identify the incarnation of the worker.
+	Worker string
+	Born   int64
+	// Alone, Prompt and Bystander are those of a Crash, should the worker have crashed.
+	Alone, Prompt, Bystander bool
+}
+
+// Record holds the crashes under one task and its last known placement. It is
+// immutable; nil stands for a task of which neither is known.
+type Record struct {
+	// Invariant: sorted by Run, with one entry for each.
+	crashes   []Crash
+	placement Placement
+}
+
+// NewRecord returns a record with the given crashes and placement.
+func NewRecord(crashes []Crash, placement Placement) *Record {
+	var r *Record
+	for _, c := range crashes {
+		r = r.WithCrash(c)
+	}
+	return r.WithPlacement(placement)
+}
+
+// WithCrash returns a record that also has the crash. A crash during a run that is
+// known already changes nothing.
+func (r *Record) WithCrash(c Crash) *Record {
+	at, found := slices.BinarySearchFunc(r.Crashes(), c.Run, func(known Crash, run uint64) int {
+		switch {
+		case known.Run < run:
+			return -1
+		case known.Run > run:
+			return 1
+		}
+		return 0
+	})
+	if found {
+		return r
+	}
+	return &Record{
+		crashes:   slices.Insert(slices.Clone(r.Crashes()), at, c),
+		placement: r.Placement(),
+	}
+}
+
+// WithPlacement returns a record with another placement.
+func (r *Record) WithPlacement(p Placement) *Record {
+	return &Record{
+		crashes:   r.Crashes(),
+		placement: p,
+	}
+}
+
+// Crashes returns the crashes in the order of the runs. The caller must not change
+// them.
+func (r *Record) Crashes() []Crash {
+	if r == nil {
+		return nil
+	}
+	return r.crashes
+}
+
+// Placement returns the last known placement; its Run is 0 when there is none.
+func (r *Record) Placement() Placement {
+	if r == nil {
+		return Placement{}
+	}
+	return r.placement
+}
+
+// Treatment returns how the task is started next.
+func (r *Record) Treatment() Treatment {
+	if r == nil {
+		return Normal
+	}
+	alone, prompt, bystander := 0, 0, 0
+	for _, c := range r.crashes {
+		if c.Bystander {
+			bystander++
+		}
+		if c.Alone {
+			alone++
+		}
+		if c.Alone && c.Prompt {
+			prompt++
+		}
+	}
+	switch n := len(r.crashes); {
+	case n >= minCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0), n >= maxCrashes && alone > 0:
+		return GivenUp
+	case n-bystander >= isolateAfter, n >= isolateBystanderAfter:
+		return Isolated
+	case n > 0:
+		return Watched
+	}
+	return Normal
+}
--- /dev/null
+++ b/internal/isolator/isolator_test.go
@@ -0,0 +1,139 @@
+package isolator_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/heathermux/heathermux/internal/isolator"
+)
+
+// shared returns a crash of a worker that had other runs.
+func shared(run uint64) isolator.Crash {
+	return isolator.Crash{
+		Run: run,
+	}
+}
+
+// alone returns a crash of a worker that had no other run.
+func alone(run uint64) isolator.Crash {
+	return isolator.Crash{
+		Run:   run,
+		Alone: true,
+	}
+}
+
+// bystander returns a crash of a worker that had just started a suspect.
+func bystander(run uint64) isolator.Crash {
+	return isolator.Crash{
+		Run:       run,
+		Bystander: true,
+	}
+}
+
+// prompt returns a crash of a worker just after it was ordered to start its only run.
+func prompt(run uint64) isolator.Crash {
+	return isolator.Crash{
+		Run:    run,
+		Alone:  true,
+		Prompt: true,
+	}
+}
+
+// A harmless task that ran beside a deadly one is isolated and not given up: only
+// crashes with the task alone count for that, and one of them is not enough.
+func TestTreatment(t *testing.T) {
+	tests := map[string]struct {
+		crashes []isolator.Crash
+		want    isolator.Treatment
+	}{
+		"no crash": {
+			want: isolator.Normal,
+		},
+		"one beside others": {
+			crashes: []isolator.Crash{shared(1)},
+			want:    isolator.Watched,
+		},
+		"one alone": {
+			crashes: []isolator.Crash{alone(1)},
+			want:    isolator.Watched,
+		},
+		"two beside others": {
+			crashes: []isolator.Crash{shared(1), shared(2)},
+			want:    isolator.Isolated,
+		},
+		"two beside a suspect": {
+			crashes: []isolator.Crash{bystander(1), bystander(2)},
+			want:    isolator.Watched,
+		},
+		"one of two beside a suspect": {
+			crashes: []isolator.Crash{shared(1), bystander(2)},
+			want:    isolator.Watched,
+		},
+		"three beside a suspect": {
+			crashes: []isolator.Crash{bystander(1), bystander(2), bystander(3)},
+			want:    isolator.Isolated,
+		},
+		"five beside others": {
+			crashes: []isolator.Crash{shared(1), shared(2), shared(3), shared(4), shared(5)},
+			want:    isolator.Isolated,
+		},
+		"one run reported three times": {
+			crashes: []isolator.Crash{alone(4), alone(4), alone(4)},
+			want:    isolator.Watched,
+		},
+		"two alone": {
+			crashes: []isolator.Crash{alone(1), alone(2)},
+			want:    isolator.Isolated,
+		},
+		"one of three alone": {
+			crashes: []isolator.Crash{shared(1), alone(3), shared(2)},
+			want:    isolator.Isolated,
+		},
+		"two of three alone, long after their starts": {
+			crashes: []isolator.Crash{alone(3), shared(1), alone(2)},
+			want:    isolator.Isolated,
+		},
+		"two of three alone, just after their starts": {
+			crashes: []isolator.Crash{prompt(3), shared(1), prompt(2)},
+			want:    isolator.GivenUp,
+		},
+		"two alone, one of them just after its start": {
+			crashes: []isolator.Crash{shared(1), shared(2), prompt(3), alone(4)},
+			want:    isolator.GivenUp,
+		},
+		"three alone": {
+			crashes: []isolator.Crash{shared(1), alone(2), alone(3), alone(4)},
+			want:    isolator.GivenUp,
+		},
+		"five, one of them alone": {
+			crashes: []isolator.Crash{shared(1), shared(2), shared(3), alone(4), shared(5)},
+			want:    isolator.GivenUp,
+		},
+		"late news of an earlier crash": {
+			crashes: []isolator.Crash{prompt(7), prompt(9), shared(5)},
+			want:    isolator.GivenUp,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(isolator.NewRecord(test.crashes, isolator.Placement{}).Treatment(), test.want)
+		})
+	}
+}
+
+// A record that is shared between the state and a snapshot must not change.
+func TestRecordIsImmutable(t *testing.T) {
+	is := is.New(t)
+	first := isolator.NewRecord([]isolator.Crash{shared(2)}, isolator.Placement{})
+	second := first.WithCrash(alone(1))
+	third := second.WithPlacement(isolator.Placement{
+		Run:    3,
+		Worker: "w",
+	})
+	is.Equal(len(first.Crashes()), 1)
+	is.Equal(len(second.Crashes()), 2)
+	is.Equal(second.Placement().Run, uint64(0))
+	is.Equal(third.Placement().Worker, "w")
+}
--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -25,37 +25,25 @@
 // dispatch starts all actions without waiting for them; their outcomes are
 // reported to the scheduler as they arrive.
 func (c *Controller) dispatch(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, actions []jobscheduler.Action) {
-	var orders []jobscheduler.Action
-	var records []jobscheduler.RecordEnds
-	var marks []jobscheduler.MarkLapsed
-	var confinements []jobscheduler.ConfineJob
-	var hostOrders []jobscheduler.Action
+	orders, actions := split(actions, isOrder)
+	hostOrders, actions := split(actions, func(a jobscheduler.Action) bool { return hostOf(a) != "" })
+	records, actions := splitType[jobscheduler.RecordEnds](actions)
+	crashes, actions := splitType[jobscheduler.RecordCrashes](actions)
+	placements, actions := splitType[jobscheduler.RecordPlacement](actions)
+	marks, actions := splitType[jobscheduler.MarkLapsed](actions)
+	confinements, actions := splitType[jobscheduler.ConfineJob](actions)
 	for _, action := range actions {
-		if _, ok := ordersender.TargetOf(action); ok {
-			orders = append(orders, action)
-			continue
-		}
-		if r, ok := action.(jobscheduler.RecordEnds); ok {
-			records = append(records, r)
-			continue
-		}
-		if m, ok := action.(jobscheduler.MarkLapsed); ok {
-			marks = append(marks, m)
-			continue
-		}
-		if j, ok := action.(jobscheduler.ConfineJob); ok {
-			confinements = append(confinements, j)
-			continue
-		}
-		if hostOf(action) != "" {
-			hostOrders = append(hostOrders, action)
-			continue
-		}
 		c.pool.Go(func() { c.execute(ctx, sched, action) })
 	}
 	if len(records) > 0 {
 		c.pool.Go(func() { c.recordEnds(ctx, sched, records) })
 	}
+	if len(crashes) > 0 {
+		c.pool.Go(func() { c.recordCrashes(ctx, sched, crashes) })
+	}
+	if len(placements) > 0 {
+		c.pool.Go(func() { c.recordPlacements(ctx, sched, placements) })
+	}
 	if len(marks) > 0 {
 		c.pool.Go(func() { c.markLapsed(ctx, sched, marks) })
 	}
@@ -70,6 +58,35 @@
 	}
 }
 
+// split returns the actions that match and the others.
+func split(actions []jobscheduler.Action, match func(jobscheduler.Action) bool) (matching, others []jobscheduler.Action) {
+	for _, a := range actions {
+		if match(a) {
+			matching = append(matching, a)
+		} else {
+			others = append(others, a)
+		}
+	}
+	return matching, others
+}
+
+// splitType returns the actions of one type and the others.
+func splitType[A any](actions []jobscheduler.Action) (matching []A, others []jobscheduler.Action) {
+	for _, a := range actions {
+		if v, ok := a.(A); ok {
+			matching = append(matching, v)
+		} else {
+			others = append(others, a)
+		}
+	}
+	return matching, others
+}
+
+func isOrder(a jobscheduler.Action) bool {
+	_, ok := ordersender.TargetOf(a)
+	return ok
+}
+
 // handleAnswers passes the outcomes of orders to the scheduler that issued
 // them.
 func (c *Controller) handleAnswers(sched *jobscheduler.Scheduler, answers []ordersender.Answer) {
@@ -102,6 +119,14 @@
 				},
 			},
 		})
+	case jobscheduler.RecordSurvivals:
+		c.submitBestEffort(ctx, &jobwire.Command{
+			Change: &jobwire.Command_SurvivedTasks{
+				SurvivedTasks: &jobwire.SurvivedTasks{
+					Tasks: a.Tasks,
+				},
+			},
+		})
 	case jobscheduler.RemoveWorker:
 		c.submitBestEffort(ctx, forgetCommand(a.ID, a.Born))
 	}
@@ -151,6 +176,50 @@
 	})
 }
 
+// recordCrashes writes the crashes of one pass to the log.
+func (c *Controller) recordCrashes(ctx context.Context, sched *jobscheduler.Scheduler, records []jobscheduler.RecordCrashes) {
+	list := &jobwire.TaskCrashes{}
+	for _, r := range records {
+		list.Crashes = append(list.Crashes, r.Crashes...)
+	}
+	cmd := &jobwire.Command{
+		Change: &jobwire.Command_Crashes{
+			Crashes: list,
+		},
+	}
+	c.record(ctx, sched, cmd, func() {
+		for _, r := range records {
+			sched.CrashesRecorded(r)
+		}
+	})
+}
+
+// recordPlacements writes the placements of one pass to the log.
+func (c *Controller) recordPlacements(ctx context.Context, sched *jobscheduler.Scheduler, placements []jobscheduler.RecordPlacement) {
+	list := &jobwire.Placements{}
+	for _, a := range placements {
+		list.Placements = append(list.Placements, &jobwire.Placement{
+			Task:      a.Task,
+			Run:       a.Run,
+			Worker:    a.Target.ID,
+			Born:      a.Target.Born,
+			Alone:     a.Alone,
+			Prompt:    a.Prompt,
+			Bystander: a.Bystander,
+		})
+	}
+	cmd := &jobwire.Command{
+		Change: &jobwire.Command_Placements{
+			Placements: list,
+		},
+	}
+	c.record(ctx, sched, cmd, func() {
+		for _, a := range placements {
+			sched.PlacementRecorded(a)
+		}
+	})
+}
+
 // markLapsed writes the lapsed marks of one pass to the log. It has to learn that
 // they are there, because the scheduler gives those workers no lease before.
 func (c *Controller) markLapsed(ctx context.Context, sched *jobscheduler.Scheduler, marks []jobscheduler.MarkLapsed) {
--- a/internal/jobcontroller/metrics.go
+++ b/internal/jobcontroller/metrics.go
@@ -97,6 +97,11 @@
 			help: "Workers that ended without notice in this term.",
 			read: func(m jobscheduler.Metrics) int64 { return m.WorkerCrashes },
 		},
+		{
+			name: "heathermux_tasks_given_up",
+			help: "Tasks that were given up in this term because workers crash under them.",
+			read: func(m jobscheduler.Metrics) int64 { return m.GivenUp },
+		},
 		{
 			name: "heathermux_jobs_waiting",
 			help: "Open jobs of which no task has started.",
--- /dev/null
+++ b/internal/jobkeeper/crash.go
@@ -0,0 +1,131 @@
+package jobkeeper
+
+import (
+	"time"
+
+	"github.com/heathermux/heathermux/internal/isolator"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// HasCrashRecords reports whether a task of the job has had a record of crashes. It is
+// false for nearly all jobs.
+func (j *Job) HasCrashRecords() bool { return j.hasCrashRecords }
+
+// recordCrashes records crashes of workers during runs of tasks. A job with a task that
+// is given up has failed.
+func (m *StateMachine) recordCrashes(now time.Time, crashes []*jobwire.TaskCrash) any {
+	for _, c := range crashes {
+		j, p := m.state.openTask(c.GetTask())
+		if p == nil {
+			continue
+		}
+		j.hasCrashRecords = true
+		p.Run = max(p.Run, c.GetRun())
+		p.Crashes = p.Crashes.WithCrash(isolator.Crash{
+			Run:       c.GetRun(),
+			Alone:     c.GetAlone(),
+			Prompt:    c.GetPrompt(),
+			Bystander: c.GetBystander(),
+		})
+		if p.Crashes.Treatment() == isolator.GivenUp {
+			j.EndState = jobwire.JobState_JOB_STATE_FAILED
+			m.endJob(now, j)
+		}
+	}
+	return nil
+}
+
+// recordPlacements records on which workers runs are or are about to be.
+func (m *StateMachine) recordPlacements(placements []*jobwire.Placement) any {
+	for _, placement := range placements {
+		if j, p := m.state.openTask(placement.GetTask()); p != nil {
+			j.hasCrashRecords = true
+			p.Crashes = p.Crashes.WithPlacement(decodePlacement(placement))
+		}
+	}
+	return nil
+}
+
+// recordSurvivals clears the crashes of tasks that have run without another one.
+func (m *StateMachine) recordSurvivals(tasks []*jobwire.Task) any {
+	for _, t := range tasks {
+		if _, p := m.state.openTask(t); p != nil {
+			p.Crashes = nil
+		}
+	}
+	return nil
+}
+
+// openTask returns the job of a task and the progress of the task, for an open job whose
+// task is not done; otherwise nil.
+func (s *State) openTask(t *jobwire.Task) (*Job, *TaskProgress) {
+	j, ok := s.Jobs[t.GetJob()]
+	if !ok || !j.Open() || !j.hasTask(t) || j.OccurrenceDone(t.GetOccurrence()) {
+		return nil, nil
+	}
+	p := &j.stepProgressOf(t).tasks[t.GetIndex()]
+	if p.Done {
+		return nil, nil
+	}
+	return j, p
+}
+
+func (o *occurrenceProgress) hasCrashRecords() bool {
+	for _, s := range o.steps {
+		for _, p := range s.tasks {
+			if p.Crashes != nil {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func decodePlacement(p *jobwire.Placement) isolator.Placement {
+	return isolator.Placement{
+		Run:       p.GetRun(),
+		Worker:    p.GetWorker(),
+		Born:      p.GetBorn(),
+		Alone:     p.GetAlone(),
+		Prompt:    p.GetPrompt(),
+		Bystander: p.GetBystander(),
+	}
+}
+
+// encodeCrashes adds the crashes of a task to its record in a snapshot.
+func encodeCrashes(record *jobwire.TaskRecord, r *isolator.Record) {
+	for _, c := range r.Crashes() {
+		record.Crashes = append(record.Crashes, &jobwire.CrashRecord{
+			Run:       c.Run,
+			Alone:     c.Alone,
+			Prompt:    c.Prompt,
+			Bystander: c.Bystander,
+		})
+	}
+	if p := r.Placement(); p.Run > 0 {
+		record.Placement = &jobwire.Placement{
+			Run:       p.Run,
+			Worker:    p.Worker,
+			Born:      p.Born,
+			Alone:     p.Alone,
+			Prompt:    p.Prompt,
+			Bystander: p.Bystander,
+		}
+	}
+}
+
+func decodeCrashes(record *jobwire.TaskRecord) *isolator.Record {
+	if len(record.GetCrashes()) == 0 && record.GetPlacement() == nil {
+		return nil
+	}
+	crashes := make([]isolator.Crash, 0, len(record.GetCrashes()))
+	for _, c := range record.GetCrashes() {
+		crashes = append(crashes, isolator.Crash{
+			Run:       c.GetRun(),
+			Alone:     c.GetAlone(),
+			Prompt:    c.GetPrompt(),
+			Bystander: c.GetBystander(),
+		})
+	}
+	return isolator.NewRecord(crashes, decodePlacement(record.GetPlacement()))
+}
--- /dev/null
+++ b/internal/jobkeeper/crash_test.go
@@ -0,0 +1,105 @@
+package jobkeeper_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/heathermux/heathermux/internal/isolator"
+	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobwire"
+	"github.com/heathermux/heathermux/pkg/timer"
+)
+
+// crash returns the record of a prompt crash of a worker that ran only the first task of
+// a job.
+func crash(job string, run uint64) *jobwire.Command {
+	return &jobwire.Command{
+		Change: &jobwire.Command_Crashes{
+			Crashes: &jobwire.TaskCrashes{
+				Crashes: []*jobwire.TaskCrash{
+					{
+						Task: &jobwire.Task{
+							Job: job,
+						},
+						Run:    run,
+						Alone:  true,
+						Prompt: true,
+					},
+				},
+			},
+		},
+	}
+}
+
+func endState(m *jobkeeper.StateMachine, job string) jobwire.JobState {
+	state := jobwire.JobState_JOB_STATE_UNSPECIFIED
+	m.View(func(s *jobkeeper.State) { state = s.Jobs[job].EndState })
+	return state
+}
+
+// A replica that starts from a snapshot, as after a lost disk, must go on counting where
+// the others are: a task that crashes its workers would be started anew otherwise.
+func TestCrashesOutliveSnapshot(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := jobkeeper.New(timer.System())
+	apply(t, m, now, configure(1, 2))
+	apply(t, m, now, submit("job", 0, 2))
+	apply(t, m, now, crash("job", 1))
+	apply(t, m, now, crash("job", 2))
+	apply(t, m, now, &jobwire.Command{
+		Change: &jobwire.Command_Placements{
+			Placements: &jobwire.Placements{
+				Placements: []*jobwire.Placement{
+					{
+						Task: &jobwire.Task{
+							Job: "job",
+						},
+						Run:    3,
+						Worker: "w",
+						Born:   7,
+						Alone:  true,
+					},
+				},
+			},
+		},
+	})
+	data, err := m.Encode()
+	is.NoErr(err)
+	restored := jobkeeper.New(timer.System())
+	is.NoErr(restored.Restore(data))
+	restored.View(func(s *jobkeeper.State) {
+		j := s.Jobs["job"]
+		is.True(j.HasCrashRecords())
+		record := j.Task(&jobwire.Task{Job: "job"}).Crashes
+		is.Equal(record.Treatment(), isolator.Isolated)
+		is.Equal(record.Placement(), isolator.Placement{
+			Run:    3,
+			Worker: "w",
+			Born:   7,
+			Alone:  true,
+		})
+	})
+	apply(t, restored, now, crash("job", 3))
+	is.Equal(endState(restored, "job"), jobwire.JobState_JOB_STATE_FAILED)
+}
+
+// A leader repeats a log write whose outcome it doesn't know, and its successor counts a
+// crash that it has counted as well.
+func TestRepeatedCrashCountsOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := jobkeeper.New(timer.System())
+	apply(t, m, now, configure(1, 2))
+	apply(t, m, now, submit("job", 0, 1))
+	for range 5 {
+		apply(t, m, now, crash("job", 1))
+	}
+	is.Equal(endState(m, "job"), jobwire.JobState_JOB_STATE_UNSPECIFIED)
+	apply(t, m, now, crash("unknown", 1))
+	apply(t, m, now, crash("job", 2))
+	apply(t, m, now, crash("job", 3))
+	is.Equal(endState(m, "job"), jobwire.JobState_JOB_STATE_FAILED)
+}
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathermux/heathermux/internal/isolator"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
@@ -25,6 +26,8 @@
 	done map[int32]bool
 	// firstOpen is the first occurrence that is not completed.
 	firstOpen int32
+	// hasCrashRecords is true once a task has had Crashes.
+	hasCrashRecords bool
 }
 
 // occurrenceProgress is the progress of one occurrence, by step.
@@ -51,6 +54,9 @@
 	Run uint64
 	// Checkpoint identifies the latest checkpoint; empty without one.
 	Checkpoint string
+	// Crashes holds the crashes of workers that ran the task, and the placement of a run
+	// whose worker may have crashed; nil when there is neither.
+	Crashes *isolator.Record
 }
 
 func newJob(spec *jobwire.Job) *Job {
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -108,13 +108,15 @@
 			if p == (TaskProgress{}) {
 				continue
 			}
-			record.Tasks = append(record.Tasks, &jobwire.TaskRecord{
+			task := &jobwire.TaskRecord{
 				Index:      int32(i),
 				Done:       p.Done,
 				Failures:   p.Failures,
 				Run:        p.Run,
 				Checkpoint: p.Checkpoint,
-			})
+			}
+			encodeCrashes(task, p.Crashes)
+			record.Tasks = append(record.Tasks, task)
 		}
 		r.Steps = append(r.Steps, record)
 	}
@@ -135,6 +137,7 @@
 			continue
 		}
 		j.occurrences[o.GetNumber()] = decodeOccurrence(j.Spec, o)
+		j.hasCrashRecords = j.hasCrashRecords || j.occurrences[o.GetNumber()].hasCrashRecords()
 	}
 	return j
 }
@@ -155,6 +158,7 @@
 				Failures:   t.GetFailures(),
 				Run:        t.GetRun(),
 				Checkpoint: t.GetCheckpoint(),
+				Crashes:    decodeCrashes(t),
 			}
 			if t.GetDone() {
 				s.done++
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -171,6 +171,12 @@
 		return m.announceHostOrders(c.HostOrders)
 	case *jobwire.Command_Confinements:
 		return m.confineJobs(c.Confinements.GetJobs())
+	case *jobwire.Command_Crashes:
+		return m.recordCrashes(now, c.Crashes.GetCrashes())
+	case *jobwire.Command_Placements:
+		return m.recordPlacements(c.Placements.GetPlacements())
+	case *jobwire.Command_SurvivedTasks:
+		return m.recordSurvivals(c.SurvivedTasks.GetTasks())
 	case *jobwire.Command_LapsedMarks:
 		return m.markLapsed(c.LapsedMarks.GetMarks())
 	}
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -173,8 +173,14 @@
 	}
 	capacity := s.hostCapacity(p.name)
 	longRunning, batch := s.runningHosts(p, capacity)
+	isolated := 0
 	for _, j := range p.jobs {
 		batch += s.waitingHosts(j, capacity, &view)
+		isolated += s.isolatedHosts(j)
+	}
+	if isolated > 0 {
+		// An isolated task needs a host without long-running tasks.
+		view.Floor = max(view.Floor, s.lastingHosts(p)+min(isolated, maxIsolatedHosts))
 	}
 	batchHosts := max(p.demand.Rate(s.now), batch)
 	view.Need = int(math.Ceil(longRunning + batchHosts/batchPackingShare))
@@ -191,6 +197,20 @@
 	return view
 }
 
+// maxIsolatedHosts bounds the hosts that a pool gets for isolated tasks.
+const maxIsolatedHosts = 2
+
+// lastingHosts returns the number of hosts of a pool that have long-running tasks.
+func (s *Scheduler) lastingHosts(p *pool) int {
+	n := 0
+	for _, w := range s.workers {
+		if w.info.GetPool() == p.name && w.hasLastingRuns() {
+			n++
+		}
+	}
+	return n
+}
+
 // runningHosts returns how many hosts the running tasks of a pool fill,
 // separately for long-running and batch tasks.
 func (s *Scheduler) runningHosts(p *pool, capacity controller.Amount) (longRunning, batch float64) {
@@ -265,7 +285,7 @@
 			continue
 		case known && s.schedulable(w):
 			view.Hosts++
-			if len(w.runs) == 0 && !w.recordInFlight && s.mayOrder(name) {
+			if len(w.runs) == 0 && !w.recordInFlight && w.reservation == nil && s.mayOrder(name) {
 				idle = append(idle, h)
 			}
 		case !known:
--- a/internal/jobscheduler/choose.go
+++ b/internal/jobscheduler/choose.go
@@ -19,8 +19,13 @@
 	if limit := int(st.spec.GetMostPerWorker()); limit > 0 && st.runsPerWorker[w.info.GetId()]+chosen >= limit {
 		return false
 	}
-	label := st.spec.GetLabel()
-	return label == "" || slices.Contains(w.info.GetLabels(), label)
+	return w.hasLabel(st.spec.GetLabel())
+}
+
+// mayRun reports whether a task may run on a worker, with a number of tasks of the same
+// step already chosen for it.
+func (s *Scheduler) mayRun(st *step, index int32, w *worker, chosen int) bool {
+	return s.schedulable(w) && w.reservation.covers(st.key(index)) && s.fits(st, w, chosen) && s.adviserAllows(st, w)
 }
 
 // chooseWorker returns the worker with the lowest cost for a task: near its data,
@@ -30,7 +35,7 @@
 	var best *worker
 	var bestCost float64
 	for _, w := range workers {
-		if !s.schedulable(w) || !s.fits(st, w, chosen[w]) || !s.adviserAllows(st, w) {
+		if !s.mayRun(st, index, w, chosen[w]) {
 			continue
 		}
 		cost := s.placementCost(st, index, w)
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -1,6 +1,12 @@
 package jobscheduler
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/isolator"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
 
 // A worker has crashed when its incarnation has ended without notice: another worker
 // or a later incarnation answers at its address, it had not announced its end, and no
@@ -11,6 +17,24 @@
 	// plannedEndMargin is how long after an order for its host a worker may still be
 	// heard of.
 	plannedEndMargin = 2 * time.Second
+	// disconnectedFateTime is how long the tasks of a worker that has broken or refused
+	// the connection wait, after the end of its lease, for news of a crash.
+	disconnectedFateTime = 500 * time.Millisecond
+	// batchFateTime and lastingFateTime are that time for tasks under which a worker
+	// has crashed before, whatever the worker answers.
+	batchFateTime   = 6 * time.Second
+	lastingFateTime = 2 * time.Second
+	// promptCrashTime is how soon after the order to start a task a worker must have
+	// broken the connection, for its crash to count as one just after the start.
+	promptCrashTime = 500 * time.Millisecond
+	// immediateCrashTime is that time for a crash right at a start.
+	immediateCrashTime = 100 * time.Millisecond
+	// crashNewsTime is how long after the end of its lease a worker that crashed may be
+	// back for the crash to count for its runs.
+	crashNewsTime = 10 * time.Second
+	// survivalTime is how long a long-running task runs after a crash before the
+	// crash counts as one with another cause.
+	survivalTime = 8 * time.Second
 	// maxLoggedRuns bounds the runs that one log line names.
 	maxLoggedRuns = 32
 )
@@ -19,40 +43,166 @@
 // worker has crashed is not known.
 type lapsedRun struct {
 	key runKey
-	// alone is true when the worker had no other run.
-	alone bool
+	// alone is true when the worker had no other run, prompt when it broke the
+	// connection just after the start.
+	alone  bool
+	prompt bool
+	// suspect is true when workers have crashed under the task before, and this one broke
+	// the connection right at its start.
+	suspect bool
+	// bystander is true when another run of the worker was such a suspect.
+	bystander bool
+	// lapsedAt is when the run was given up.
+	lapsedAt time.Time
+}
+
+// RecordCrashes requests a log write of crashes of workers during runs of tasks; the
+// outcome goes to CrashesRecorded.
+type RecordCrashes struct {
+	Crashes []*jobwire.TaskCrash
+}
+
+// RecordSurvivals requests a log write that clears the crashes of tasks.
+type RecordSurvivals struct {
+	Tasks []*jobwire.Task
 }
 
 // noteLapsedRuns notes the runs that are given up because the lease of their worker has
-// ended.
-func (w *worker) noteLapsedRuns() {
+// ended. Tasks that may have crashed it wait for news of the worker.
+func (s *Scheduler) noteLapsedRuns(w *worker) {
 	alone := w.runsAlone()
-	for key := range w.runs {
-		w.lapsedRuns = append(w.lapsedRuns, lapsedRun{
-			key:   key,
-			alone: alone,
-		})
+	for key, r := range w.runs {
+		if r.step == nil || r.undelivered {
+			continue
+		}
+		w.lapsedRuns = append(w.lapsedRuns, s.lapse(w, r, alone))
+		if wait := s.fateTime(r.step, key.index, w.disconnected()); wait > 0 {
+			s.unknownFates[key.taskKey] = s.now.Add(wait)
+		}
+	}
+}
+
+// lapse returns the record of a run that is given up now.
+func (s *Scheduler) lapse(w *worker, r *run, alone bool) lapsedRun {
+	lapsed := lapsedRun{
+		key:      r.key,
+		alone:    alone,
+		lapsedAt: s.now,
+	}
+	if w.disconnected() && r.step != nil {
+		after := w.disconnectedAt.Sub(r.sentAt).Abs()
+		lapsed.prompt = after <= promptCrashTime
+		lapsed.suspect = after <= immediateCrashTime && s.treatment(r.step, r.key.index) != isolator.Normal
+	}
+	return lapsed
+}
+
+// markBystanders marks the runs of a crashed worker that had not been under suspicion, if
+// others had and were just started.
+func markBystanders(runs []lapsedRun) {
+	if !slices.ContainsFunc(runs, func(r lapsedRun) bool { return r.suspect }) {
+		return
+	}
+	for i := range runs {
+		runs[i].bystander = !runs[i].suspect
+	}
+}
+
+// fateTime returns how long a task waits for news of a worker that it may have crashed,
+// from the end of the lease there.
+func (s *Scheduler) fateTime(st *step, index int32, disconnected bool) time.Duration {
+	switch {
+	case s.treatment(st, index) != isolator.Normal && st.spec.GetLasting():
+		return lastingFateTime
+	case s.treatment(st, index) != isolator.Normal:
+		return batchFateTime
+	case disconnected:
+		return disconnectedFateTime
+	}
+	return 0
+}
+
+// lapsedRunsSettled forgets the lapsed runs of a worker whose fate is known.
+func (s *Scheduler) lapsedRunsSettled(w *worker) {
+	for _, r := range w.lapsedRuns {
+		delete(s.unknownFates, r.key.taskKey)
+		s.markPoolDirty(w.info.GetPool())
+	}
+	w.lapsedRuns = nil
+}
+
+// fateUnknown reports whether the task waits for news of a worker that it may have
+// crashed.
+func (s *Scheduler) fateUnknown(key taskKey) bool {
+	until, ok := s.unknownFates[key]
+	if ok && !s.now.Before(until) {
+		delete(s.unknownFates, key)
+		return false
+	}
+	return ok
+}
+
+// disconnected reports whether the worker has broken or refused the connection since it
+// last answered.
+func (w *worker) disconnected() bool { return !w.disconnectedAt.IsZero() }
+
+// workerDisconnected notes that the worker has broken or refused the connection.
+func (s *Scheduler) workerDisconnected(w *worker) {
+	if !w.disconnected() {
+		w.disconnectedAt = s.now
 	}
+	s.recordPlacements(w)
 }
 
-// runsAlone reports whether the worker has one run and no start that it may still
-// execute.
-func (w *worker) runsAlone() bool { return len(w.runs) == 1 && len(w.abandonedStarts) == 0 }
+// runsAlone reports whether the worker has the run of one task, or the runs of one
+// gang, and no start that it may still execute.
+func (w *worker) runsAlone() bool {
+	if len(w.abandonedStarts) > 0 {
+		return false
+	}
+	var gang *step
+	for _, r := range w.runs {
+		switch {
+		case len(w.runs) == 1:
+			return true
+		case r.step == nil || !r.step.spec.GetGang() || gang != nil && gang != r.step:
+			return false
+		}
+		gang = r.step
+	}
+	return gang != nil
+}
 
-// workerEnded handles evidence that an incarnation of a worker has ended.
+// workerEnded handles evidence that an incarnation of a worker has ended. If it has
+// crashed, the crash counts for each task that it had. While a poll is in flight this
+// waits for its answer, which may list the ends of runs.
 func (s *Scheduler) workerEnded(w *worker, evidence string) {
-	if w.ended {
+	if w.endEvidence != "" {
+		return
+	}
+	w.endEvidence = evidence
+	w.aloneAtEnd = w.runsAlone()
+	if !w.pollInFlight {
+		s.settleEndedWorker(w)
+	}
+}
+
+// settleEndedWorker counts the crash of an incarnation that has ended.
+func (s *Scheduler) settleEndedWorker(w *worker) {
+	if w.endEvidence == "" || w.endSettled {
 		return
 	}
-	w.ended = true
+	w.endSettled = true
 	planned := s.plannedEnd(w)
-	runs, alone := w.lapsedRuns, w.runsAlone()
-	for key := range w.runs {
-		runs = append(runs, lapsedRun{
-			key:   key,
-			alone: alone,
-		})
+	runs := w.lapsedRuns
+	for _, r := range w.runs {
+		if !r.undelivered {
+			runs = append(runs, s.lapse(w, r, w.aloneAtEnd))
+		}
 	}
+	// A run that was given up long before is not what the worker has crashed under.
+	runs = slices.DeleteFunc(runs, func(r lapsedRun) bool { return s.now.Sub(r.lapsedAt) > crashNewsTime })
+	s.lapsedRunsSettled(w)
 	if planned != "" && len(runs) == 0 {
 		return
 	}
@@ -61,11 +211,68 @@
 		names = append(names, taskName(r.key.taskKey))
 	}
 	s.logger.Info("scheduler: incarnation of a worker has ended", "worker", w.info.GetId(), "born", w.info.GetBorn(),
-		"evidence", evidence, "planned", planned, "silent", s.now.Sub(w.heardAt), "runs", len(runs), "tasks", names)
+		"evidence", w.endEvidence, "planned", planned, "silent", s.now.Sub(w.heardAt), "runs", len(runs), "tasks", names)
 	if planned != "" {
 		return
 	}
 	s.counters.WorkerCrashes++
+	markBystanders(runs)
+	s.recordCrashes(runs)
+}
+
+// recordCrashes requests a log write of crashes. The tasks wait for it, so that none
+// starts without its crash being counted.
+func (s *Scheduler) recordCrashes(runs []lapsedRun) {
+	var record RecordCrashes
+	for _, r := range runs {
+		st := s.findTaskStep(r.key.taskKey)
+		if st == nil || st.occurrence.job.saved.Task(r.key.task()).Done {
+			continue
+		}
+		s.unrecordedEnds[r.key.taskKey]++
+		st.dequeue(r.key.index)
+		record.Crashes = append(record.Crashes, &jobwire.TaskCrash{
+			Task:      r.key.task(),
+			Run:       r.key.number,
+			Alone:     r.alone,
+			Prompt:    r.prompt,
+			Bystander: r.bystander,
+		})
+		s.logCrash(st, r)
+	}
+	if len(record.Crashes) > 0 {
+		s.emit(record)
+	}
+}
+
+// logCrash logs that a task is isolated or given up because of a crash.
+func (s *Scheduler) logCrash(st *step, r lapsedRun) {
+	crashes := st.occurrence.job.saved.Task(r.key.task()).Crashes.WithCrash(isolator.Crash{
+		Run:       r.key.number,
+		Alone:     r.alone,
+		Prompt:    r.prompt,
+		Bystander: r.bystander,
+	})
+	switch crashes.Treatment() {
+	case isolator.GivenUp:
+		s.counters.GivenUp++
+		s.logger.Info("scheduler: task is given up and its job fails, because workers crash when they run it alone",
+			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()))
+	case isolator.Isolated:
+		s.logger.Info("scheduler: task runs alone from now on, because workers have crashed that ran it",
+			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()), "alone", r.alone, "prompt", r.prompt)
+	}
+}
+
+// CrashesRecorded handles the outcome of a RecordCrashes: they are in the log.
+func (s *Scheduler) CrashesRecorded(a RecordCrashes) {
+	for _, c := range a.Crashes {
+		key := keyOf(c.GetTask())
+		if s.unrecordedEnds[key]--; s.unrecordedEnds[key] <= 0 {
+			delete(s.unrecordedEnds, key)
+		}
+		s.requeueIfNotRunning(key)
+	}
 }
 
 // plannedEnd returns why the end of a worker is not a crash; empty if it is one.
@@ -94,3 +301,83 @@
 	}
 	return ""
 }
+
+// recordSurvival clears the crashes of a long-running task that has run for long
+// without another one.
+func (s *Scheduler) recordSurvival(r *run) {
+	if r.state != running || r.step == nil || !r.step.spec.GetLasting() || s.treatment(r.step, r.key.index) == isolator.Normal ||
+		s.now.Sub(r.confirmedAt) <= survivalTime || s.now.Sub(r.survivalSentAt) <= survivalTime {
+		return
+	}
+	r.survivalSentAt = s.now
+	s.emit(RecordSurvivals{
+		Tasks: []*jobwire.Task{r.key.task()},
+	})
+}
+
+// recordPlacements requests a log write that names the worker of each of its runs. A
+// new leader would not know of them if the worker has crashed.
+func (s *Scheduler) recordPlacements(w *worker) {
+	alone := w.runsAlone()
+	var runs []lapsedRun
+	for _, r := range w.runs {
+		if r.step != nil && !r.placementRecorded && !r.undelivered {
+			r.placementRecorded = true
+			runs = append(runs, s.lapse(w, r, alone))
+		}
+	}
+	markBystanders(runs)
+	for _, r := range runs {
+		s.emit(RecordPlacement{
+			Target:    w.target(),
+			Task:      r.key.task(),
+			Run:       r.key.number,
+			Alone:     r.alone,
+			Prompt:    r.prompt,
+			Bystander: r.bystander,
+		})
+	}
+}
+
+// restorePlacements takes over the runs whose placements a former leader has recorded
+// and whose ends are not known. Such a run may be in progress, or may have crashed its
+// worker while nobody led.
+func (s *Scheduler) restorePlacements(j *job) {
+	if !j.saved.HasCrashRecords() {
+		return
+	}
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			for i := range st.spec.GetTasks() {
+				s.restorePlacement(st, i)
+			}
+		}
+	}
+}
+
+func (s *Scheduler) restorePlacement(st *step, index int32) {
+	key := st.key(index)
+	progress := st.occurrence.job.saved.Task(key.task())
+	placement := progress.Crashes.Placement()
+	if progress.Done || placement.Run <= progress.Run {
+		return
+	}
+	r := lapsedRun{
+		key: runKey{
+			taskKey: key,
+			number:  placement.Run,
+		},
+		alone:     placement.Alone,
+		prompt:    placement.Prompt,
+		bystander: placement.Bystander,
+		lapsedAt:  s.now,
+	}
+	if w, ok := s.workers[placement.Worker]; ok && w.info.GetBorn() == placement.Born {
+		w.lapsedRuns = append(w.lapsedRuns, r)
+		s.unknownFates[key] = s.now.Add(s.formerLeaseBound() + s.fateTime(st, index, true))
+		return
+	}
+	s.logger.Info("scheduler: worker of a run has ended while no host led; it counts as crashed",
+		"task", taskName(key), "run", placement.Run, "worker", placement.Worker)
+	s.recordCrashes([]lapsedRun{r})
+}
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -251,6 +251,58 @@
 	}
 }
 
+// recordCrashes applies the pending log writes of crashes.
+func (h *harness) recordCrashes() {
+	for _, r := range takeAll[jobscheduler.RecordCrashes](h) {
+		h.apply(&jobwire.Command{
+			Change: &jobwire.Command_Crashes{
+				Crashes: &jobwire.TaskCrashes{
+					Crashes: r.Crashes,
+				},
+			},
+		})
+		h.withScheduler(func() { h.sched.CrashesRecorded(r) })
+	}
+}
+
+// recordPlacements applies the pending placements of starts and returns them.
+func (h *harness) recordPlacements() []jobscheduler.RecordPlacement {
+	placements := takeAll[jobscheduler.RecordPlacement](h)
+	for _, a := range placements {
+		h.apply(&jobwire.Command{
+			Change: &jobwire.Command_Placements{
+				Placements: &jobwire.Placements{
+					Placements: []*jobwire.Placement{
+						{
+							Task:      a.Task,
+							Run:       a.Run,
+							Worker:    a.Target.ID,
+							Born:      a.Target.Born,
+							Alone:     a.Alone,
+							Prompt:    a.Prompt,
+							Bystander: a.Bystander,
+						},
+					},
+				},
+			},
+		})
+		h.withScheduler(func() { h.sched.PlacementRecorded(a) })
+	}
+	return placements
+}
+
+// startAfterCrash lets tasks start under which a worker has crashed: the crash and then
+// the start are written to the log.
+func (h *harness) startAfterCrash() {
+	h.recordCrashes()
+	h.advance(time.Millisecond)
+	h.recordPlacements()
+	for range 3 {
+		h.advance(time.Millisecond)
+		h.answerPolls(nil)
+	}
+}
+
 // reconcileWorkers lets all workers report that they run nothing, so that tasks
 // may start.
 func (h *harness) reconcileWorkers() {
--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -50,6 +50,9 @@
 	closed  map[string]uint64
 	ended   []jobscheduler.EndedTask
 	lastEnd uint64
+	// lastOrder is the task of the last order to start one, of orderedAt.
+	lastOrder string
+	orderedAt time.Time
 	// formerIDs holds the ids of the incarnations before, where they had others.
 	formerIDs []string
 	// downUntil is when the process is back after a crash; it refuses connections
@@ -92,6 +95,12 @@
 	deadly func(name string) bool
 	// crashes counts the workers that each deadly task has crashed.
 	crashes map[string]int
+	// crashesUnder counts the crashes of workers that ran this task.
+	crashesUnder map[string]int
+	// startsAfter counts the starts of each deadly task after modelCrashes of them.
+	startsAfter map[string]int
+	// leaderSince is when the last term began.
+	leaderSince time.Time
 	// crashed describes the first task that has crashed too many; empty while there
 	// was none.
 	crashed string
@@ -200,7 +209,7 @@
 // none, to the scheduler of the term in which it was sent.
 // A later incarnation of the worker executes the order, too; the answer is then that
 // the worker has restarted.
-func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, restarted, gone func()) {
+func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, undelivered, restarted, gone func()) {
 	w := m.worker(target.ID)
 	sched := m.sched
 	report := func(f func()) {
@@ -215,7 +224,10 @@
 	case answered:
 		m.after(delay, func() {
 			switch {
-			case w.born != born || m.now.Before(w.downUntil):
+			case m.down(w):
+				report(undelivered)
+				return
+			case w.born != born:
 				report(unanswered)
 				return
 			case w.id != target.ID:
@@ -235,13 +247,22 @@
 		})
 		return
 	case answerLost:
-		m.after(delay, func() { executeIf(w.born == born, execute) })
+		m.after(delay, func() { executeIf(m.reaches(w, target.ID, born), execute) })
 	case executedLate:
-		m.after(m.between(2*time.Second, 12*time.Second), func() { executeIf(w.born == born, execute) })
+		m.after(m.between(2*time.Second, 12*time.Second), func() { executeIf(m.reaches(w, target.ID, born), execute) })
 	}
 	m.after(timeout+m.between(0, 300*time.Millisecond), func() { report(unanswered) })
 }
 
+// reaches reports whether an order to a worker arrives at the incarnation that was up
+// when it was sent.
+func (m *model) reaches(w *modelWorker, id string, born time.Time) bool {
+	return w.born == born && w.id == id && !m.down(w)
+}
+
+// down reports whether the process of a worker has ended and is not back.
+func (m *model) down(w *modelWorker) bool { return !m.now.After(w.downUntil) }
+
 // clockOf returns a worker's clock in milliseconds.
 func (m *model) clockOf(w *modelWorker) int64 {
 	return 1000 + int64(m.now.Sub(w.born).Seconds()*w.rate*1000)
@@ -341,9 +362,13 @@
 	term := m.term
 	sched := m.sched
 	for _, action := range actions {
+		if m.writeCrashes(action) {
+			continue
+		}
 		switch a := action.(type) {
 		case jobscheduler.Start:
 			w := m.worker(a.Target.ID)
+			w.lastOrder, w.orderedAt = taskText(a.Task), m.now
 			m.note("%s run %d start ordered on %s until %d, clock %d", taskText(a.Task), a.Run, w.id, a.Deadline, m.clockOf(w))
 			answer := func(outcome jobscheduler.StartAnswer, clock int64) func() {
 				return func() {
@@ -352,7 +377,7 @@
 				}
 			}
 			m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, term, a), m.clockOf(w)) },
-				answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartGone, 0))
+				func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartGone, 0))
 		case jobscheduler.Stop:
 			w := m.worker(a.Target.ID)
 			m.note("%s run %d stop ordered on %s", taskText(a.Task), a.Run, w.id)
@@ -363,7 +388,7 @@
 					m.note("%s run %d stop answered by %s: %v", taskText(a.Task), a.Run, w.id, confirmed)
 					sched.StopAnswered(a, confirmed, clock)
 				}
-			}, unconfirmed, unconfirmed, unconfirmed)
+			}, unconfirmed, unconfirmed, unconfirmed, unconfirmed)
 		case jobscheduler.Poll:
 			w := m.worker(a.Target.ID)
 			sentAt := m.now
@@ -376,8 +401,14 @@
 				return func() { sched.PollAnswered(a, answer) }
 			}, func() {
 				sched.PollAnswered(a, jobscheduler.PollAnswer{
-					Failed:  true,
-					Refused: m.now.Before(w.downUntil),
+					Failed:       true,
+					Disconnected: m.down(w),
+				})
+			}, func() {
+				sched.PollAnswered(a, jobscheduler.PollAnswer{
+					Failed:       true,
+					Refused:      true,
+					Disconnected: true,
 				})
 			}, func() {
 				sched.PollAnswered(a, jobscheduler.PollAnswer{
@@ -476,6 +507,7 @@
 // changeLeader begins new terms at random times.
 func (m *model) changeLeader() {
 	m.startTerm()
+	m.leaderSince = m.now
 	m.note("a leader begins term %d", m.term)
 	m.after(m.between(6*time.Second, 25*time.Second), m.changeLeader)
 }
@@ -483,13 +515,16 @@
 // restartSome restarts workers at random times.
 func (m *model) restartSome() {
 	w := m.workers[m.rng.IntN(len(m.workers))]
-	m.note("%s restarts (the leader goes on)", w.id)
-	m.startWorker(w)
+	if !m.down(w) {
+		m.note("%s restarts (the leader goes on)", w.id)
+		m.startWorker(w)
+	}
 	m.after(m.between(2*time.Second, 20*time.Second), m.restartSome)
 }
 
 // startWorker begins an incarnation of a worker.
 func (m *model) startWorker(w *modelWorker) {
+	m.noteCrash(w)
 	*w = modelWorker{
 		id:     w.id,
 		born:   m.now,
@@ -504,7 +539,7 @@
 
 // register passes the heartbeat of a worker to the leader.
 func (m *model) register(w *modelWorker) {
-	if m.now.Before(w.downUntil) {
+	if m.down(w) {
 		return
 	}
 	if n := len(w.formerIDs); n > 0 {
@@ -557,16 +592,21 @@
 	return m.twice
 }
 
-func newModel(t *testing.T, seed uint64) *model {
+func newModel(t *testing.T, seed uint64) *model { return newModelWith(t, seed, 5) }
+
+// newModelWith returns a model with a number of workers.
+func newModelWith(t *testing.T, seed uint64, workers int) *model {
 	m := &model{
 		harness: newHarness(t),
 		rng:     rand.New(rand.NewPCG(seed, 1)),
 		crashes: make(map[string]int),
 
-		failures: 0.02,
+		crashesUnder: make(map[string]int),
+		startsAfter:  make(map[string]int),
+		failures:     0.02,
 	}
 	m.faults = []float64{0.01, 0.05, 0.2}[seed%3]
-	for i := range 5 {
+	for i := range workers {
 		w := &modelWorker{
 			id: fmt.Sprint("w", i),
 		}
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -1,6 +1,7 @@
 package jobscheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -267,6 +268,12 @@
 			}
 		}
 	}
+	maps.DeleteFunc(s.unknownFates, func(key taskKey, _ time.Time) bool { return key.Job == j.id })
+	for key := range s.pendingPlacements {
+		if key.Job == j.id {
+			s.dropPlacement(key)
+		}
+	}
 }
 
 // logJobEnd logs how a job has ended, and by how much its last occurrence met or
--- a/internal/jobscheduler/lateorder_test.go
+++ b/internal/jobscheduler/lateorder_test.go
@@ -148,6 +148,6 @@
 	h.withScheduler(func() { h.sched.StopAnswered(stops[0], true, h.clock()) })
 	h.advance(time.Second)
 	h.answerPolls(nil)
-	h.advance(time.Millisecond)
+	h.startAfterCrash()
 	h.is.Equal(len(takeAll[jobscheduler.Start](h)), 1)
 }
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -173,7 +173,7 @@
 			})
 			h.advance(time.Millisecond)
 			h.recordEnds()
-			h.advance(time.Millisecond)
+			h.startAfterCrash()
 			again := takeAll[jobscheduler.Start](h)
 			h.is.Equal(len(again), 1)
 			h.is.Equal(again[0].Task.GetIndex(), starts[1].Task.GetIndex())
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -52,7 +52,9 @@
 func (s *Scheduler) updateRuns() {
 	for _, w := range s.workers {
 		s.stopAbandonedStarts(w)
+		s.updateReservation(w)
 		for _, r := range w.runs {
+			s.recordSurvival(r)
 			if w.info.GetDraining() && r.state == running && r.step != nil && r.step.spec.GetLasting() && !s.maintenanceOrdered(r.step) {
 				s.stop(r)
 			}
@@ -72,7 +74,10 @@
 			return
 		}
 		j := st.occurrence.job
-		if s.mayRunOnUnreconciled(j) || j.relocating() || search.unplaceable(st, everywhere) {
+		if s.mayRunOnUnreconciled(j) || j.relocating() {
+			continue
+		}
+		if s.placeSuspects(st, search, contact) || search.unplaceable(st, everywhere) {
 			continue
 		}
 		if st.spec.GetGang() {
@@ -131,6 +136,9 @@
 		if s.startsLeft <= 0 || !s.withinAccountCeiling(st, 1) {
 			return true
 		}
+		if s.needsCare(st, index) {
+			continue
+		}
 		w := s.chooseWorker(st, index, workers, nil)
 		if w == nil {
 			s.requestAdvice(st, workers)
@@ -146,9 +154,20 @@
 	if len(st.pending) < int(st.spec.GetTasks()) || !s.withinAccountCeiling(st, len(st.pending)) {
 		return
 	}
-	chosen := s.chooseGang(st, workers)
+	alone, wait := s.gangNeedsCare(st)
+	if wait {
+		return
+	}
+	candidates := workers
+	if alone {
+		candidates = s.idleWorkers(st, workers)
+	}
+	chosen := s.chooseGang(st, candidates)
 	if chosen == nil {
-		s.requestAdvice(st, workers)
+		s.requestAdvice(st, candidates)
+		if alone {
+			s.reserveWorker(st, st.pending[0], workers)
+		}
 		return
 	}
 	number := uint64(0)
@@ -157,6 +176,9 @@
 	}
 	for i, index := range slices.Clone(st.pending) {
 		st.lastRunNumber[index] = number
+		if alone {
+			s.reserve(chosen[i], st.key(index), true)
+		}
 		s.start(st, index, number, chosen[i], contact)
 	}
 }
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -30,6 +30,9 @@
 	// Refused is true when the connection was refused: nothing listens at the
 	// worker's address.
 	Refused bool
+	// Disconnected is true when the connection was refused or broke, as when the
+	// process of the worker has ended.
+	Disconnected bool
 	// Cause says why there was no valid answer; empty unless Failed.
 	Cause string
 	// Gone is true when another worker answered: the target has ended.
@@ -99,7 +102,13 @@
 		return
 	}
 	w.setClock(answer.Clock, s.now)
-	w.heardAt, w.unresponsive, w.loggedPollFailure, w.lapsedRuns = s.now, false, "", nil
+	w.heardAt, w.unresponsive, w.loggedPollFailure = s.now, false, ""
+	w.disconnectedAt = time.Time{}
+	w.answeredPollSentAt = answer.SentAt
+	if len(s.pendingPlacements) > 0 {
+		s.markPoolDirty(w.info.GetPool())
+	}
+	s.lapsedRunsSettled(w)
 	s.handleEnds(w, answer.Ended)
 	s.reconcile(w, answer)
 	if !w.reconciled {
@@ -123,9 +132,12 @@
 	if w.reconciled && len(w.runs) > 0 && answer.Cause != w.loggedPollFailure {
 		w.loggedPollFailure = answer.Cause
 		s.logger.Info("scheduler: worker did not answer a poll; its runs count as lost when its lease ends", "worker", w.info.GetId(),
-			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now), "refused", answer.Refused, "cause", answer.Cause)
+			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now), "disconnected", answer.Disconnected, "cause", answer.Cause)
 	}
 	w.unresponsive = true
+	if answer.Disconnected {
+		s.workerDisconnected(w)
+	}
 	w.nextPollAt = s.now.Add(failedPollRetryDelay)
 	if w.info.GetLapsed() {
 		// A heartbeat brings the next poll forward.
@@ -370,7 +382,7 @@
 		return
 	}
 	if len(w.runs) > 0 {
-		w.noteLapsedRuns()
+		s.noteLapsedRuns(w)
 		w.abandonStarts()
 		s.markAllRunsLost(w, "the worker does not answer and its lease has ended")
 		s.markLapsed(w, true)
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -38,9 +38,14 @@
 
 	state runState
 	// begun is true once the worker has accepted the start or reported the run.
-	begun         bool
+	begun bool
+	// undelivered is true while all answered copies of the order to start the run have
+	// not reached the worker.
+	undelivered   bool
 	startAttempts int
 	orderedAt     time.Time
+	// sentAt is when the last copy of the order to start the run was sent.
+	sentAt time.Time
 	// confirmedAt is when the worker first confirmed the run, also by an answer
 	// StartOutdated, or, for a stopping run, when it confirmed the order to stop;
 	// zero while unconfirmed.
@@ -54,6 +59,12 @@
 	// speedPercent is the speed at which the task was told to run; always 100 at
 	// present, because no Pace is emitted.
 	speedPercent int
+	// placementRecorded is true once a log write that names the worker of the run was
+	// requested.
+	placementRecorded bool
+	// survivalSentAt is when a log write that clears the crashes of the task was last
+	// requested.
+	survivalSentAt time.Time
 	// progressPercent is RunningTask.Percent of the last poll.
 	progressPercent int
 }
@@ -66,6 +77,7 @@
 		step:         st,
 		state:        state,
 		orderedAt:    s.now,
+		sentAt:       s.now,
 		speedPercent: 100,
 	}
 	if st != nil {
@@ -176,6 +188,11 @@
 	StartNoTicket
 	// StartGone means that the worker has ended and another one has its address.
 	StartGone
+	// StartDisconnected is StartUnknown where the worker has broken the connection.
+	StartDisconnected
+	// StartUndelivered means that the worker has refused the connection, so that this
+	// copy of the order has not reached it.
+	StartUndelivered
 )
 
 // StartAnswered handles the outcome of a Start. The clock is that of the worker
@@ -185,6 +202,7 @@
 	if w != nil && clock > 0 {
 		w.setClock(clock, s.now)
 		w.heardAt, w.unresponsive = s.now, false
+		w.disconnectedAt = time.Time{}
 	}
 	if answer == StartGone && w != nil {
 		s.workerEnded(w, "another worker has answered at its address")
@@ -196,12 +214,21 @@
 	}
 	switch answer {
 	case StartAccepted:
-		r.begun = true
+		r.begun, r.undelivered = true, false
 		if r.state == starting {
 			r.state, r.confirmedAt = running, s.now
 		}
 		s.pollSoon(w)
+	case StartUndelivered:
+		r.undelivered = r.undelivered || r.startAttempts == 0 && !r.begun
+		s.workerDisconnected(w)
+		s.retryStart(a, r)
+	case StartDisconnected:
+		r.undelivered = false
+		s.workerDisconnected(w)
+		s.retryStart(a, r)
 	case StartUnknown:
+		r.undelivered = false
 		s.retryStart(a, r)
 	default:
 		s.handleRefusedStart(r, answer)
@@ -221,6 +248,9 @@
 		s.stop(r)
 		return
 	}
+	if !r.undelivered && !r.worker.disconnected() {
+		r.sentAt = s.now
+	}
 	s.emit(a)
 }
 
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -72,6 +72,12 @@
 	liveRuns map[taskKey]int
 	// Invariant: counts the ends of each task that are being written to the log.
 	unrecordedEnds map[taskKey]int
+	// unknownFates holds the tasks that wait for news of a worker that they may have
+	// crashed, with the time until which they wait.
+	unknownFates map[taskKey]time.Time
+	// pendingPlacements holds the tasks with crashes whose placement is being written to
+	// the log, or is there, and whose start has not been ordered.
+	pendingPlacements map[taskKey]*pendingPlacement
 
 	hosts hosts
 	// adviceCallsInFlight is the number of unanswered calls to the placement
@@ -105,6 +111,8 @@
 	Starts, Done, Failed, Lost, Stops, NoRoom, Lapses int64
 	// WorkerCrashes counts the incarnations of workers that ended without notice.
 	WorkerCrashes int64
+	// GivenUp counts the tasks that were given up because workers crash under them.
+	GivenUp int64
 	// Waiting is the number of open jobs of which no task has started.
 	Waiting int64
 	// Workers is the number of known workers.
@@ -167,6 +175,8 @@
 		stoppedAccounts:    make(map[string]bool),
 		unreconciledUses:   make(map[string]controller.Amount),
 		unrecordedEnds:     make(map[taskKey]int),
+		unknownFates:       make(map[taskKey]time.Time),
+		pendingPlacements:  make(map[taskKey]*pendingPlacement),
 		removedWhilePolled: make(map[incarnation]*worker),
 		hosts: hosts{
 			maintenances: make(map[string]*hostMaintenance),
@@ -185,7 +195,9 @@
 	s.waitInAllPools = wall.Sub(state.QueuesMovedAt) < queueMoveSettleTime
 	for _, j := range state.Jobs {
 		if j.Open() {
-			s.addJob(j).acceptedBeforeTerm = true
+			added := s.addJob(j)
+			added.acceptedBeforeTerm = true
+			s.restorePlacements(added)
 		} else if wall.Sub(j.EndedAt) < stoppedJobSettleTime {
 			s.noteStoppedJob(j)
 		}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -17,6 +17,8 @@
 	// appear before it is polled; silenceMargin covers their way to the leader.
 	missedHeartbeats = 2
 	silenceMargin    = 500 * time.Millisecond
+	// lastPollTime bounds the time until the last poll of an incarnation is answered.
+	lastPollTime = 2 * time.Second
 	// lapsedWorkerRetention is how long a lapsed worker that is not heard of stays
 	// in the replicated state.
 	lapsedWorkerRetention = time.Minute
@@ -55,8 +57,12 @@
 	// lapsedRuns holds the runs that were given up with the lease since the worker last
 	// answered.
 	lapsedRuns []lapsedRun
-	// ended is true once there is evidence that this incarnation has ended.
-	ended bool
+	// endEvidence tells how it is known that this incarnation has ended; empty while it
+	// is not. aloneAtEnd is runsAlone of that moment.
+	endEvidence string
+	aloneAtEnd  bool
+	// endSettled is true once the end has been counted as a crash or as planned.
+	endSettled bool
 	// lapsedWrites counts the log writes in flight that set the lapsed mark.
 	lapsedWrites int
 
@@ -75,6 +81,11 @@
 	// leader first knew of it.
 	heardAt      time.Time
 	unresponsive bool
+	// answeredPollSentAt is when the last poll that was answered had been sent.
+	answeredPollSentAt time.Time
+	// disconnectedAt is when the worker broke or refused the connection; zero since the
+	// last answer.
+	disconnectedAt time.Time
 	// loggedPollFailure is the cause of failed polls that was logged last; empty
 	// since the last answer.
 	loggedPollFailure string
@@ -97,6 +108,10 @@
 	startsPausedUntil time.Time
 	// shuttingDown is true once the worker has announced that it ends.
 	shuttingDown bool
+	// pendingPlacements counts the entries of Scheduler.pendingPlacements with the worker.
+	pendingPlacements int
+	// reservation keeps the worker free for an isolated task; nil without one.
+	reservation *reservation
 	// cordoned is true while the host is prepared for maintenance or a move; no
 	// task starts on it.
 	cordoned bool
@@ -203,6 +218,11 @@
 		if !r.mayBeginAfterRestart() {
 			continue
 		}
+		if !from.endSettled && !r.undelivered {
+			// The crash is counted when the poll in flight is answered.
+			from.lapsedRuns = append(from.lapsedRuns, s.lapse(from, r, from.aloneAtEnd))
+			s.unknownFates[key.taskKey] = s.now.Add(lastPollTime)
+		}
 		s.dropRun(r)
 		s.addRun(to, r.step, key, stopping)
 		to.leaseEnd = s.now.Add(s.leaseBound(s.settings.MaxLease))
@@ -262,6 +282,8 @@
 	if !answer.Failed && !answer.Gone && !answer.Restarted {
 		s.handleEnds(w, answer.Ended)
 	}
+	w.pollInFlight = false
+	s.settleEndedWorker(w)
 	s.markAllRunsLost(w, "this incarnation of the worker has ended")
 }
 
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -120,6 +120,8 @@
 		Fenced:    a.Poll.Fenced,
 		Restarted: a.Poll.Restarted,
 		Cause:     a.Poll.Cause,
+
+		Disconnected: a.Poll.Disconnected,
 	}
 	for _, t := range a.Poll.Running {
 		message.Look.Running = append(message.Look.Running, &jobwire.RunningTask{
@@ -157,9 +159,11 @@
 		Gone:      look.GetGone(),
 		Restarted: look.GetRestarted(),
 		Cause:     look.GetCause(),
-		Fenced:    look.GetFenced(),
-		Clock:     message.GetClockMillis(),
-		SentAt:    sentAt,
+
+		Disconnected: look.GetDisconnected(),
+		Fenced:       look.GetFenced(),
+		Clock:        message.GetClockMillis(),
+		SentAt:       sentAt,
 	}
 	for _, t := range look.GetRunning() {
 		a.Poll.Running = append(a.Poll.Running, jobscheduler.RunningTask{
