internal/jobscheduler: a worker that restarted under its id may hold a longer lease

Cause: an order to the former incarnation, whose clock was ahead, may be executed by the next one under the same id and gives it a lease of up to the longest length. The scheduler assumed that a worker which it had given nothing yet, or a lease of its own length, holds no longer one. So it started the next run of a task while a start that the worker executed seconds late ran on.

Change: after such a restart the leases of the worker count as ended only after the longest lease, also for a new leader: Worker.restarted says so in the log. Other workers are not affected: hosts that move or crash come back under another id.

--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -206,7 +206,7 @@
 		commands = append(commands, forgetCommand(other.GetId(), other.GetBorn()))
 	}
 	if ok && known.GetBorn() == w.GetBorn() {
-		w.Lapsed = known.GetLapsed()
+		w.Lapsed, w.Restarted = known.GetLapsed(), known.GetRestarted()
 		// Draining is final: a worker never goes back to accepting tasks.
 		w.Draining = w.GetDraining() || known.GetDraining()
 		if proto.Equal(known, w) {
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -339,6 +339,9 @@
 	if ok && current.GetBorn() == w.GetBorn() {
 		w.Draining = w.GetDraining() || current.GetDraining()
 		w.Lapsed = w.GetLapsed() && current.GetLapsed()
+		w.Restarted = current.GetRestarted()
+	} else {
+		w.Restarted = ok
 	}
 	m.state.setWorker(w)
 	if m.observer != nil {
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -291,6 +291,25 @@
 	return placements
 }
 
+// restartWorker starts a later incarnation of a worker under its id.
+func (h *harness) restartWorker(id string) {
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Worker{
+			Worker: &jobwire.Worker{
+				Id:         id,
+				Born:       h.now.UnixMilli(),
+				Pool:       "p",
+				Address:    id + ":1",
+				DataCentre: "dc",
+				Capacity: &wire.Resources{
+					MilliCores:  8000,
+					MemoryBytes: 1 << 30,
+				},
+			},
+		},
+	})
+}
+
 // startAfterCrash lets tasks start under which a worker has crashed: the crash and then
 // the start are written to the log.
 func (h *harness) startAfterCrash() {
--- a/internal/jobscheduler/lateorder_test.go
+++ b/internal/jobscheduler/lateorder_test.go
@@ -151,3 +151,40 @@
 	h.startAfterCrash()
 	h.is.Equal(len(takeAll[jobscheduler.Start](h)), 1)
 }
+
+// A worker that restarts under its id may execute a poll that was sent to its former
+// incarnation, whose clock was ahead, and then holds a lease of up to the longest length.
+// A start that it executes late must not run beside the next run of the task.
+func TestRestartedWorkerMayHoldLongLease(t *testing.T) {
+	tests := map[string]func(h *harness){
+		"same leader": func(*harness) {},
+		"new leader":  func(h *harness) { h.startTerm() },
+	}
+	for name, meanwhile := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.restartWorker("a")
+			h.advance(time.Millisecond)
+			h.answerPolls(nil)
+			restartedAt := h.now
+			h.submit("job", tasks(1, 1000))
+			h.advance(time.Millisecond)
+			h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@a ")
+			h.addWorker("b")
+			meanwhile(h)
+			for h.now.Sub(restartedAt) < maxLease {
+				h.advance(100 * time.Millisecond)
+				h.failPolls("a")
+				h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+			}
+			for range 10 {
+				h.advance(100 * time.Millisecond)
+				h.failPolls("a")
+			}
+			h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@b ")
+		})
+	}
+}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -357,6 +357,20 @@
 // confirmation of leadership, which was before the term.
 func (s *Scheduler) formerLeaseBound() time.Duration { return s.leaseBound(s.settings.Lease) }
 
+// restartedWorkerTime is how long after the start of a worker that has restarted under
+// its id it may execute orders to its former incarnation, however late they arrive and
+// however the clocks of hosts differ.
+const restartedWorkerTime = 20 * time.Second
+
+// leaseBoundOf returns formerLeaseBound for one worker. An order to its former
+// incarnation, whose clock was ahead, may have given it the longest lease.
+func (s *Scheduler) leaseBoundOf(w *jobwire.Worker) time.Duration {
+	if w.GetRestarted() && s.wall.Sub(time.UnixMilli(w.GetBorn())) < restartedWorkerTime {
+		return s.leaseBound(s.settings.MaxLease)
+	}
+	return s.formerLeaseBound()
+}
+
 // leaseBound returns the time after which a lease of the given length has ended on
 // a worker whose clock is slow.
 func (s *Scheduler) leaseBound(lease time.Duration) time.Duration {
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -188,7 +188,7 @@
 	for _, w := range state.Workers {
 		s.WorkerChanged(w)
 		if !w.GetLapsed() {
-			s.workers[w.GetId()].reconcileBy = now.Add(s.formerLeaseBound())
+			s.workers[w.GetId()].reconcileBy = now.Add(s.leaseBoundOf(w))
 			s.unreconciled[w.GetId()] = s.workers[w.GetId()]
 		}
 	}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -192,6 +192,7 @@
 		nextPollAt:      s.now,
 	}
 	if ok {
+		w.leaseEnd = s.now.Add(s.leaseBound(s.settings.MaxLease))
 		s.workerEnded(former, "a later incarnation has sent a heartbeat")
 		s.carryOver(former, w)
 		unreconciled := s.unreconciled[info.GetId()] == former
@@ -225,7 +226,6 @@
 		}
 		s.dropRun(r)
 		s.addRun(to, r.step, key, stopping)
-		to.leaseEnd = s.now.Add(s.leaseBound(s.settings.MaxLease))
 	}
 }
 
