jobs: stop what no longer fits on a worker that has become smaller

Causes: (1) nothing was stopped on a worker that had become smaller, so it stayed beyond its capacity for as long as its tasks ran; (2) a heartbeat from before the change that reaches a new leader seconds later, which has no sequence numbers, took effect and restored the larger capacity; (3) a run of an ended job that a new leader finds on a worker reserved nothing, so tasks were started beside it that did not fit where workers don't guard their capacity.

Change: stopExcess stops runs until the rest fits, batch tasks first and of these the newest, long-running ones only as far as their step may miss them; stops on their way count until the runs are gone. The log holds the sequence number of the report that a worker's record is from, and an older report changes nothing. A worker with such a run gets no starts until it is gone, unless its pool guards its capacity.

TestRunOfUnknownTaskIsStopped expected starts beside a run whose size is unknown; it now expects them once the run is gone, and checks that none comes before.

--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -209,10 +209,12 @@
 		w.Lapsed, w.Restarted = known.GetLapsed(), known.GetRestarted()
 		// Draining is final: a worker never goes back to accepting tasks.
 		w.Draining = w.GetDraining() || known.GetDraining()
+		w.Sequence = known.GetSequence()
 		if proto.Equal(known, w) {
 			return commands
 		}
 	}
+	w.Sequence = r.GetSequence()
 	c.opts.Logger.Info("conductor: worker registered or changed", "worker", w.GetId(), "born", w.GetBorn(), "pool", w.GetPool(),
 		"address", w.GetAddress(), "data-centre", w.GetDataCentre(), "draining", w.GetDraining(), "known", ok)
 	return append(commands, &jobwire.Command{
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -328,12 +328,13 @@
 	return nil
 }
 
-// updateWorker stores a worker unless a later incarnation of it is known. An
+// updateWorker stores a worker unless a later incarnation of it, or a later report of this
+// one, is known: a new leader may receive a report that was delayed for seconds. An
 // incarnation that drains never stops draining, and only markLapsed marks it as
 // lapsed: the command may have been formed before the last change.
 func (m *StateMachine) updateWorker(w *jobwire.Worker) any {
 	current, ok := m.state.Workers[w.GetId()]
-	if ok && current.GetBorn() > w.GetBorn() {
+	if ok && (current.GetBorn() > w.GetBorn() || current.GetBorn() == w.GetBorn() && current.GetSequence() > w.GetSequence()) {
 		return nil
 	}
 	if ok && current.GetBorn() == w.GetBorn() {
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -216,6 +216,13 @@
 			h.advance(time.Millisecond)
 			stops := takeAll[jobscheduler.Stop](h)
 			h.is.Equal(len(stops), 1)
+			h.is.Equal(len(takeAll[jobscheduler.Start](h)), 0) // what the run reserves is unknown
+			h.withScheduler(func() { h.sched.StopAnswered(stops[0], true, h.clock()) })
+			for range 3 {
+				h.advance(100 * time.Millisecond)
+				h.recordEnds()
+				h.answerPolls(nil)
+			}
 			h.is.Equal(len(takeAll[jobscheduler.Start](h)), 2)
 		})
 	}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -53,6 +53,7 @@
 	for _, w := range s.workers {
 		s.stopAbandonedStarts(w)
 		s.updateReservation(w)
+		s.stopExcess(w)
 		for _, r := range w.runs {
 			s.recordSurvival(r)
 			if w.info.GetDraining() && r.state == running && r.step != nil && r.step.spec.GetLasting() && !s.maintenanceOrdered(r.step) {
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -93,6 +93,9 @@
 		st.occurrence.job.started = true
 		st.occurrence.started = true
 	}
+	if st == nil {
+		w.unknownRuns++
+	}
 	w.runs[key] = r
 	w.used = w.used.Plus(r.reservation)
 	s.usedByAccount[r.account] = s.usedByAccount[r.account].Plus(r.request)
@@ -122,7 +125,9 @@
 	if s.liveRuns[r.key.taskKey]--; s.liveRuns[r.key.taskKey] == 0 {
 		delete(s.liveRuns, r.key.taskKey)
 	}
-	if r.step != nil {
+	if r.step == nil {
+		w.unknownRuns--
+	} else {
 		r.step.runsPerWorker[w.info.GetId()]--
 		if r.step.runs[r.key.index] == r {
 			delete(r.step.runs, r.key.index)
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -106,6 +106,9 @@
 	// startsPausedUntil delays starts after the worker refused one for lack of
 	// room or because its lease had ended.
 	startsPausedUntil time.Time
+	// unknownRuns counts the runs of tasks that are not open, whose reservation is not
+	// known.
+	unknownRuns int
 	// shuttingDown is true once the worker has announced that it ends.
 	shuttingDown bool
 	// pendingPlacements counts the entries of Scheduler.pendingPlacements with the worker.
@@ -366,7 +369,7 @@
 // schedulable reports whether tasks may start on the worker.
 func (s *Scheduler) schedulable(w *worker) bool {
 	return w.reconciled && w.mayHoldLease() && !w.unresponsive && !w.cordoned && !w.shuttingDown && !w.info.GetDraining() &&
-		!s.state.Evacuated[w.info.GetDataCentre()] &&
+		!s.state.Evacuated[w.info.GetDataCentre()] && (w.unknownRuns == 0 || s.guarded(w.info.GetPool())) &&
 		!s.now.Before(w.quarantinedUntil) && !s.now.Before(w.startsPausedUntil)
 }
 
