--- a/internal/jobcontroller/controller.go
+++ b/internal/jobcontroller/controller.go
@@ -19,6 +19,7 @@
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/ordersender"
+	"github.com/heathermux/heathermux/internal/recoverer"
 	"github.com/heathermux/heathermux/internal/voter"
 	"github.com/heathermux/heathermux/pkg/timer"
 )
@@ -178,6 +179,9 @@
 	return a, a.Confirmed && now.Sub(a.Contact) < maxAuthorityAge
 }
 
+// panickedPassDelay is the time to the next pass after one that panicked.
+const panickedPassDelay = time.Second
+
 // pass runs the scheduler once and returns the time until the next pass is due.
 func (c *Controller) pass(ctx context.Context) time.Duration {
 	now := c.opts.Clock.Now()
@@ -194,8 +198,14 @@
 			return
 		}
 		sched.SetTime(c.opts.Clock.Now(), time.Now())
-		actions = sched.Pass(authority.Contact, c.sender.SenderCount())
-		next = sched.Next()
+		// The next leader would read the same state and panic as well.
+		err := recoverer.Run(c.opts.Logger, "conductor: a scheduling pass panicked; its actions are lost", func() {
+			actions = sched.Pass(authority.Contact, c.sender.SenderCount())
+			next = sched.Next()
+		})
+		if err != nil {
+			next = c.opts.Clock.Now().Add(panickedPassDelay)
+		}
 		c.workerCount = sched.Workers()
 	})
 	c.dispatch(ctx, sched, authority.Term, actions)
@@ -273,7 +283,8 @@
 			return
 		}
 		sched.SetTime(c.opts.Clock.Now(), time.Now())
-		f()
+		// The panic is logged; the outcome counts as unknown to the scheduler.
+		_ = recoverer.Run(c.opts.Logger, "conductor: handling an outcome panicked", f)
 	})
 	c.wake()
 }
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -59,7 +59,10 @@
 		s.Evacuated[dataCentre] = true
 	}
 	for _, r := range snapshot.GetJobs() {
-		j := decodeJob(r)
+		j, err := decodeJob(r)
+		if err != nil {
+			return errors.Wrap(err, "jobkeeper: decode snapshot")
+		}
 		s.Jobs[j.Spec.GetId()] = j
 		if !j.Open() {
 			s.endedIDs = append(s.endedIDs, j.Spec.GetId())
@@ -123,47 +126,67 @@
 	return r
 }
 
-func decodeJob(r *jobwire.JobRecord) *Job {
+func decodeJob(r *jobwire.JobRecord) (*Job, error) {
 	j := newJob(r.GetJob())
 	j.EndState, j.firstOpen = r.GetEnded(), r.GetFirstOpen()
 	if !j.Open() {
 		j.EndedAt = time.Unix(0, r.GetEndedAtUnixNanos())
 		j.occurrences, j.done = nil, nil
-		return j
+		return j, nil
 	}
 	for _, o := range r.GetOccurrences() {
 		if len(o.GetSteps()) == 0 {
 			j.done[o.GetNumber()] = true
 			continue
 		}
-		j.occurrences[o.GetNumber()] = decodeOccurrence(j.Spec, o)
-		j.hasCrashRecords = j.hasCrashRecords || j.occurrences[o.GetNumber()].hasCrashRecords()
+		progress, err := decodeOccurrence(j.Spec, o)
+		if err != nil {
+			return nil, errors.Wrapf(err, "job %s, occurrence %d", j.Spec.GetId(), o.GetNumber())
+		}
+		j.occurrences[o.GetNumber()] = progress
+		j.hasCrashRecords = j.hasCrashRecords || progress.hasCrashRecords()
 	}
-	return j
+	return j, nil
 }
 
-func decodeOccurrence(spec *jobwire.Job, r *jobwire.OccurrenceRecord) *occurrenceProgress {
+func decodeOccurrence(spec *jobwire.Job, r *jobwire.OccurrenceRecord) (*occurrenceProgress, error) {
+	if len(r.GetSteps()) > len(spec.GetSteps()) {
+		return nil, errors.Errorf("record has %d steps, job has %d", len(r.GetSteps()), len(spec.GetSteps()))
+	}
 	o := &occurrenceProgress{
 		steps: make([]stepProgress, len(spec.GetSteps())),
 	}
 	for i, record := range r.GetSteps() {
-		if len(record.GetTasks()) == 0 {
-			continue
+		if err := o.steps[i].decode(spec.GetSteps()[i].GetTasks(), record); err != nil {
+			return nil, errors.Wrapf(err, "step %d", i)
 		}
-		s := &o.steps[i]
-		s.tasks = make([]TaskProgress, spec.GetSteps()[i].GetTasks())
-		for _, t := range record.GetTasks() {
-			s.tasks[t.GetIndex()] = TaskProgress{
-				Done:       t.GetDone(),
-				Failures:   t.GetFailures(),
-				Run:        t.GetRun(),
-				Checkpoint: t.GetCheckpoint(),
-				Crashes:    decodeCrashes(t),
-			}
-			if t.GetDone() {
-				s.done++
-			}
+	}
+	return o, nil
+}
+
+// decode sets the progress of a step with the given number of tasks to its record.
+func (s *stepProgress) decode(tasks int32, record *jobwire.StepRecord) error {
+	if len(record.GetTasks()) == 0 {
+		return nil
+	}
+	if tasks < 0 {
+		return errors.Errorf("step has %d tasks", tasks)
+	}
+	s.tasks = make([]TaskProgress, tasks)
+	for _, t := range record.GetTasks() {
+		if t.GetIndex() < 0 || t.GetIndex() >= tasks {
+			return errors.Errorf("record of task %d, step has %d", t.GetIndex(), tasks)
+		}
+		s.tasks[t.GetIndex()] = TaskProgress{
+			Done:       t.GetDone(),
+			Failures:   t.GetFailures(),
+			Run:        t.GetRun(),
+			Checkpoint: t.GetCheckpoint(),
+			Crashes:    decodeCrashes(t),
+		}
+		if t.GetDone() {
+			s.done++
 		}
 	}
-	return o
+	return nil
 }
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -5,6 +5,7 @@
 package jobkeeper
 
 import (
+	"log/slog"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heathermux/heathermux/internal/jobwire"
+	"github.com/heathermux/heathermux/internal/recoverer"
 	"github.com/heathermux/heathermux/pkg/timer"
 )
 
@@ -190,9 +192,7 @@
 	j := newJob(spec)
 	m.state.Jobs[spec.GetId()] = j
 	m.state.addArrival(spec)
-	if m.observer != nil {
-		m.observer.JobAdded(j)
-	}
+	m.notify(func(o Observer) { o.JobAdded(j) })
 	return nil
 }
 
@@ -229,9 +229,7 @@
 func (m *StateMachine) endJob(now time.Time, j *Job) {
 	j.EndedAt = now
 	m.state.endedIDs = append(m.state.endedIDs, j.Spec.GetId())
-	if m.observer != nil {
-		m.observer.JobEnded(j)
-	}
+	m.notify(func(o Observer) { o.JobEnded(j) })
 	j.Spec = &jobwire.Job{
 		Id:                  j.Spec.GetId(),
 		Queue:               j.Spec.GetQueue(),
@@ -248,9 +246,7 @@
 			continue
 		}
 		j.recordEnd(end, m.state.maxAttempts(j))
-		if m.observer != nil {
-			m.observer.RunEnded(j, end)
-		}
+		m.notify(func(o Observer) { o.RunEnded(j, end) })
 		if !j.Open() {
 			m.endJob(now, j)
 		}
@@ -345,9 +341,7 @@
 		w.Restarted = ok
 	}
 	m.state.setWorker(w)
-	if m.observer != nil {
-		m.observer.WorkerChanged(w)
-	}
+	m.notify(func(o Observer) { o.WorkerChanged(w) })
 	return nil
 }
 
@@ -361,9 +355,7 @@
 		w := proto.CloneOf(current)
 		w.Lapsed = mark.GetLapsed()
 		m.state.setWorker(w)
-		if m.observer != nil {
-			m.observer.WorkerChanged(w)
-		}
+		m.notify(func(o Observer) { o.WorkerChanged(w) })
 	}
 	return nil
 }
@@ -375,9 +367,7 @@
 		return nil
 	}
 	m.state.removeWorker(w)
-	if m.observer != nil {
-		m.observer.WorkerForgotten(w)
-	}
+	m.notify(func(o Observer) { o.WorkerForgotten(w) })
 	return nil
 }
 
@@ -409,10 +399,16 @@
 	s.workersByAddress[w.GetAddress()] = remaining
 }
 
-func (m *StateMachine) notifyFleetChanged() {
-	if m.observer != nil {
-		m.observer.FleetChanged()
+func (m *StateMachine) notifyFleetChanged() { m.notify(func(o Observer) { o.FleetChanged() }) }
+
+// notify calls a method of the observer, which only the leader has. If it panics, the
+// change is still carried out to its end, as on the other replicas.
+func (m *StateMachine) notify(call func(o Observer)) {
+	if m.observer == nil {
+		return
 	}
+	// The panic is logged; the state does not depend on the observer.
+	_ = recoverer.Run(slog.Default(), "jobkeeper: the observer of a change panicked", func() { call(m.observer) })
 }
 
 // removeExpiredJobs removes the jobs that ended more than endedJobRetention ago.
--- a/internal/voter/replica/machine.go
+++ b/internal/voter/replica/machine.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/recoverer"
 	"github.com/heathermux/heathermux/pkg/replication"
 )
 
@@ -116,7 +117,13 @@
 func (r *Replica) applyStateMachineEntry(e *replication.Entry, data []byte) {
 	var result any
 	if r.opts.StateMachine != nil {
-		result = r.opts.StateMachine.Apply(data)
+		// Each replica applies the entry, so a panic would end one after the other.
+		err := recoverer.Run(r.opts.Logger, "voter: applying a log entry panicked; entry skipped", func() {
+			result = r.opts.StateMachine.Apply(data)
+		})
+		if err != nil {
+			result = err
+		}
 	}
 	s, ok := r.pendingSubmissions[e.GetIndex()]
 	if !ok {
--- a/internal/voter/replica/machine_test.go
+++ b/internal/voter/replica/machine_test.go
@@ -6,14 +6,22 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
+	"github.com/heathermux/heathermux/internal/recoverer"
 	"github.com/heathermux/heathermux/internal/voter/replica"
 )
 
+// panicEntry makes a recorder panic.
+const panicEntry = "!"
+
 // recorder is a state machine that records all its entries.
 type recorder struct{ text string }
 
 func (m *recorder) Apply(data []byte) any {
+	if string(data) == panicEntry {
+		panic("entry can't be applied")
+	}
 	m.text += string(data)
 	return len(m.text)
 }
@@ -82,6 +90,27 @@
 	}
 }
 
+// TestEntryThatPanicsEndsNoReplica guards against an entry that ends each replica that
+// applies it, one after the other, and again after each restart.
+func TestEntryThatPanicsEndsNoReplica(t *testing.T) {
+	is := is.New(t)
+	m := make(recorders)
+	c := newClusterWith(t, 1, 3, m.adjustOptions)
+	c.leader()
+	is.True(c.submit("a"))
+	var result any
+	c.leader().replica.Submit(c.now, []byte(panicEntry), func(r any, _ error) { result = r })
+	c.run(time.Second)
+	err, failed := result.(error)
+	is.True(failed)
+	is.Equal(errors.Cause(err), recoverer.ErrPanicked)
+	is.True(c.submit("b"))
+	c.run(time.Second)
+	for _, machine := range m {
+		is.Equal(machine.text, "ab")
+	}
+}
+
 // TestLearnerReplacesSilentVoter guards against an open group that tolerates one
 // failure less after a host is gone for good: a learner must take its place, and
 // the group must keep its size.
