pkg/retrier: a request that breaks two connections is not sent to a third upstream

A policy now gives up after two attempts in which the upstream broke the connection; a refused connection or a timeout doesn't count.

TestRequestThatCrashesUpstreamsIsGivenUp: three upstreams crash without the new condition, two with it.

--- a/internal/ingress/attempts.go
+++ b/internal/ingress/attempts.go
@@ -36,6 +36,7 @@
 	policy := g.retryPolicy(c.queue.GetName())
 	var res callResult
 	var tried []router.Choice
+	interrupted := 0
 	for n := 1; ; n++ {
 		choice, ok := g.pickUpstream(c, tried)
 		if !ok {
@@ -48,12 +49,16 @@
 		if g.isFinal(ctx, res) {
 			return res
 		}
+		if res.outcome.Kind == forwarder.Interrupted {
+			interrupted++
+		}
 		decision := policy.Decide(g.cfg.Clock.Now(), retrier.Attempt{
-			Result:     retryResult(res.outcome.Kind),
-			Idempotent: c.idempotent(),
-			Number:     n,
-			Deadline:   c.deadline,
-			Estimate:   g.admitter.ServiceTime(c.queue.GetName()),
+			Result:      retryResult(res.outcome.Kind),
+			Idempotent:  c.idempotent(),
+			Number:      n,
+			Interrupted: interrupted,
+			Deadline:    c.deadline,
+			Estimate:    g.admitter.ServiceTime(c.queue.GetName()),
 		})
 		if decision != retrier.Retry {
 			return res
--- a/internal/ingress/faults_test.go
+++ b/internal/ingress/faults_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/heathermux/heathermux/internal/ingress"
 	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/retrier"
 )
 
 // respondRaw returns a handler that sends the text as it is and closes the
@@ -198,6 +199,37 @@
 	}
 }
 
+// A request that crashes each upstream that reads it must not take down one after the
+// other, even if it may be repeated.
+func TestRequestThatCrashesUpstreamsIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t)
+	var healthy atomic.Bool
+	var crashes atomic.Int64
+	crash := func(w http.ResponseWriter, r *http.Request) {
+		if healthy.Load() {
+			return
+		}
+		crashes.Add(1)
+		respondRaw("")(w, r)
+	}
+	var upstreams []*wire.Upstream
+	for range 6 {
+		upstreams = append(upstreams, s.startUpstream("switch", crash))
+	}
+	s.setUpstreams(upstreams...)
+	send := func() response {
+		return s.send(http.MethodGet, "/q/switch/cycle", nil, "Authorization", bearer("feeds"), "Heathermux-Deadline", "2s")
+	}
+	healthy.Store(true)
+	for range 30 {
+		is.Equal(send().status, http.StatusOK) // earns the tokens for retries
+	}
+	healthy.Store(false)
+	is.Equal(send().problem.ThisAttempt, ingress.RunUnknown)
+	is.Equal(crashes.Load(), int64(retrier.MaxInterrupted))
+}
+
 // Of several equal concurrent requests with one idempotency key only one may run;
 // later ones must get its answer. (Invariant at-most-once.)
 func TestResends(t *testing.T) {
--- a/pkg/retrier/policy.go
+++ b/pkg/retrier/policy.go
@@ -21,6 +21,9 @@
 	Idempotent bool
 	// Number is the number of attempts made so far, including this one.
 	Number int
+	// Interrupted is the number of these attempts in which the upstream broke the
+	// connection after it was sent the request.
+	Interrupted int
 	// Deadline is when the caller stops waiting for a response.
 	Deadline time.Time
 	// Estimate is the expected duration of another attempt.
@@ -45,6 +48,11 @@
 // failure of a rack and a data centre.
 const DefaultMaxAttempts = 3
 
+// MaxInterrupted is the number of upstreams that may break the connection over one
+// request. A request that crashes each upstream that reads it must not be sent to one
+// after the other; where a host has failed, a second one seldom fails at the same time.
+const MaxInterrupted = 2
+
 // Policy decides on retries within a budget. It is safe for concurrent use.
 type Policy struct {
 	Budget *Budget
@@ -66,6 +74,7 @@
 		return Done
 	case a.Result != NotRun && !a.Idempotent,
 		a.Number >= maxAttempts,
+		a.Interrupted >= MaxInterrupted,
 		!now.Add(a.Estimate).Before(a.Deadline),
 		!p.Budget.TakeToken(now):
 		return GiveUp
--- a/pkg/retrier/retrier_test.go
+++ b/pkg/retrier/retrier_test.go
@@ -31,7 +31,9 @@
 			"may have run, idempotent": func(a *retrier.Attempt) { a.Result, a.Idempotent = retrier.MayHaveRun, true },
 		},
 		retrier.GiveUp: {
-			"may have run":            func(a *retrier.Attempt) { a.Result = retrier.MayHaveRun },
+			"may have run": func(a *retrier.Attempt) { a.Result = retrier.MayHaveRun },
+			"two upstreams have broken the connection": func(a *retrier.Attempt) { a.Interrupted = retrier.MaxInterrupted },
+
 			"last attempt":            func(a *retrier.Attempt) { a.Number = retrier.DefaultMaxAttempts },
 			"no time for a retry":     func(a *retrier.Attempt) { a.Estimate = time.Second },
 			"the deadline has passed": func(a *retrier.Attempt) { a.Deadline = now },
