internal/jobscheduler: keep the count of a reserved run over a change of leader

A placement that is recorded before the start now says so, and counts for the successor if the worker turns out to have ended within 5 s; a start that was never ordered seldom meets a crash in that time. A run that was just started is never a bystander, and is counted in full.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -27,11 +27,12 @@
 	// promptCrashTime is how soon after the order to start a task a worker must have
 	// broken the connection, for its crash to count as one just after the start.
 	promptCrashTime = 500 * time.Millisecond
-	// immediateCrashTime is that time for a crash right at a start.
-	immediateCrashTime = 100 * time.Millisecond
 	// crashNewsTime is how long after the end of its lease a worker that crashed may be
 	// back for the crash to count for its runs.
 	crashNewsTime = 10 * time.Second
+	// restoredNewsTime is that time after a change of leader, for runs whose start the
+	// former leader may not have ordered.
+	restoredNewsTime = 5 * time.Second
 	// survivalTime is how long a long-running task runs after a crash before the
 	// crash counts as one with another cause.
 	survivalTime = 8 * time.Second
@@ -47,10 +48,10 @@
 	// connection just after the start.
 	alone  bool
 	prompt bool
-	// suspect is true when workers have crashed under the task before, and this one broke
-	// the connection right at its start.
+	// suspect is true for a prompt crash when workers have crashed under the task before.
 	suspect bool
-	// bystander is true when another run of the worker was such a suspect.
+	// bystander is true when another run of the worker was such a suspect, and this one
+	// was older.
 	bystander bool
 	// lapsedAt is when the run was given up.
 	lapsedAt time.Time
@@ -90,21 +91,20 @@
 		lapsedAt: s.now,
 	}
 	if w.disconnected() && r.step != nil {
-		after := w.disconnectedAt.Sub(r.sentAt).Abs()
-		lapsed.prompt = after <= promptCrashTime
-		lapsed.suspect = after <= immediateCrashTime && s.treatment(r.step, r.key.index) != isolator.Normal
+		lapsed.prompt = w.disconnectedAt.Sub(r.sentAt).Abs() <= promptCrashTime
+		lapsed.suspect = lapsed.prompt && s.treatment(r.step, r.key.index) != isolator.Normal
 	}
 	return lapsed
 }
 
-// markBystanders marks the runs of a crashed worker that had not been under suspicion, if
-// others had and were just started.
+// markBystanders marks the runs of a crashed worker that it had for a while, if it was
+// just ordered to start others that had been under suspicion.
 func markBystanders(runs []lapsedRun) {
 	if !slices.ContainsFunc(runs, func(r lapsedRun) bool { return r.suspect }) {
 		return
 	}
 	for i := range runs {
-		runs[i].bystander = !runs[i].suspect
+		runs[i].bystander = !runs[i].prompt
 	}
 }
 
@@ -370,7 +370,7 @@
 		alone:     placement.Alone,
 		prompt:    placement.Prompt,
 		bystander: placement.Bystander,
-		lapsedAt:  s.now,
+		lapsedAt:  s.now.Add(restoredNewsTime - crashNewsTime),
 	}
 	if w, ok := s.workers[placement.Worker]; ok && w.info.GetBorn() == placement.Born {
 		w.lapsedRuns = append(w.lapsedRuns, r)
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -35,7 +35,7 @@
 	Task   *jobwire.Task
 	Run    uint64
 	// Alone, Prompt and Bystander are those of isolator.Crash, should the worker have
-	// crashed. They are false before the start is ordered.
+	// crashed.
 	Alone, Prompt, Bystander bool
 }
 
@@ -166,6 +166,7 @@
 		Target: w.target(),
 		Task:   key.task(),
 		Run:    p.run,
+		Alone:  treatment == isolator.Isolated,
 	})
 }
 
