internal/soaker, emulator: workers that crash under a task and change their size

In the soak one job in 50 crashes each worker that starts its first task; the worker is back after 2 s under another id at the same address. The job must fail and all others complete, and no task may crash more than five workers. A new fault changes the capacity of a worker, which does not guard it any more; a start beyond it after the time that faults allow for is a violation. The emulator's job workers can be resized, and tell their owner of a start.

TestJobThatCrashesWorkersFails plays the same through the product's own interface, with workers that come back under their id.

--- a/cmd/heathermux/jobs_test.go
+++ b/cmd/heathermux/jobs_test.go
@@ -117,6 +117,111 @@
 	return ""
 }
 
+// crashingWorkers starts job workers of which each one crashes that starts a task of the
+// deadly job. It is back after a moment under its ID.
+type crashingWorkers struct {
+	c      *cluster
+	ledger emulator.JobLedger
+
+	mu      sync.Mutex
+	workers map[string]*emulator.JobWorker
+	// deadly is the job of the first task that starts.
+	deadly  string
+	crashes int
+	closed  bool
+}
+
+func (w *crashingWorkers) start(id string) {
+	var urls []string
+	for _, h := range w.c.hosts {
+		urls = append(urls, h.url)
+	}
+	started, err := emulator.NewJobWorker(emulator.JobWorkerOptions{
+		ID:         id,
+		Pool:       "redeem",
+		DataCentre: "dc-1",
+		Capacity: announcer.Resources{
+			MilliCores:  8000,
+			MemoryBytes: 8 << 30,
+		},
+		TaskTime:   150 * time.Millisecond,
+		EntryHosts: urls,
+		Ledger:     w.ledger,
+		OnStart:    func(job string) { w.started(id, job) },
+	})
+	if err != nil {
+		w.c.t.Error(err)
+		return
+	}
+	w.workers[id] = started
+}
+
+func (w *crashingWorkers) started(id, job string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.deadly == "" {
+		w.deadly = job
+	}
+	if job != w.deadly {
+		return
+	}
+	w.crashes++
+	go func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.closed {
+			return
+		}
+		w.workers[id].Kill()
+		time.Sleep(500 * time.Millisecond)
+		w.start(id)
+	}()
+}
+
+func (w *crashingWorkers) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	for _, worker := range w.workers {
+		worker.Kill()
+	}
+}
+
+// jobs: a job with a task that crashes each worker that starts it must fail after a few
+// of them, and the jobs beside it complete.
+func TestJobThatCrashesWorkersFails(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	c.waitForFullView()
+	workers := &crashingWorkers{
+		c: c,
+		ledger: &runRecorder{
+			running: make(map[string]int),
+			done:    make(map[string]int),
+		},
+		workers: make(map[string]*emulator.JobWorker),
+	}
+	workers.mu.Lock()
+	for i := range 4 {
+		workers.start(fmt.Sprint("j-", i+1))
+	}
+	workers.mu.Unlock()
+	t.Cleanup(workers.close)
+	deadly := c.submitJob("deadly", `{"queue": "redeem-jobs", "steps": [{"tasks": 1, "processors": 1, "memory": "1MiB", "run-time": "150ms", "after": []}]}`)
+	c.eventually("a worker crashes", func() bool {
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		return workers.crashes > 0
+	})
+	harmless := c.submitJob("harmless", twoStepJob)
+	c.eventually("the deadly job fails", func() bool { return c.jobState(deadly) == "failed" })
+	c.eventually("the harmless job is completed", func() bool { return c.jobState(harmless) == "completed" })
+	workers.mu.Lock()
+	defer workers.mu.Unlock()
+	is.Equal(workers.deadly, deadly)
+	is.True(workers.crashes <= 5)
+}
+
 // jobs: accepted jobs must survive the kill of the leader and complete, and no task
 // may run twice. A repeated submission with the same idempotency key must return
 // the same job.
--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -132,6 +132,13 @@
 // Clock returns the worker's current time in Unix milliseconds.
 func (j *JobRuns) Clock() int64 { return time.Now().UnixMilli() }
 
+// Active returns the number of runs in progress.
+func (j *JobRuns) Active() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.running)
+}
+
 // Run ends finished runs, and all runs when the lease expires, until ctx is done.
 // Then it drops the remaining runs and reports them as JobWorkerKilled to the
 // ledger.
--- a/internal/emulator/jobworker.go
+++ b/internal/emulator/jobworker.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,9 @@
 	EntryHosts []string
 	// Ledger is notified of the runs; it may be nil.
 	Ledger JobLedger
+	// OnStart, if not nil, is called with the job of a task that was started, before the
+	// order is answered.
+	OnStart func(job string)
 }
 
 // JobWorker emulates a job worker: it accepts orders of the leader over HTTP and
@@ -44,6 +48,8 @@
 	group  sync.WaitGroup
 	// address is where the worker listens for orders.
 	address string
+	// capacity is what announcements state.
+	capacity atomic.Pointer[announcer.Resources]
 }
 
 // NewJobWorker starts a job worker on a free loopback port.
@@ -60,6 +66,7 @@
 		cancel:  cancel,
 		address: listener.Addr().String(),
 	}
+	w.capacity.Store(&opts.Capacity)
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+invoker.StartPath, w.orderHandler(w.executeStart))
 	mux.HandleFunc("POST "+invoker.StopPath, w.orderHandler(w.executeStop))
@@ -74,6 +81,10 @@
 	return w, nil
 }
 
+// Resize changes the capacity that the worker states from its next announcement on. It
+// does not guard it.
+func (w *JobWorker) Resize(capacity announcer.Resources) { w.capacity.Store(&capacity) }
+
 // Kill stops the worker abruptly; nobody is notified and active runs are lost.
 func (w *JobWorker) Kill() {
 	_ = w.server.Close()
@@ -123,7 +134,11 @@
 }
 
 func (w *JobWorker) executeStart(o invoker.Order, _ *invoker.Answer) JobAnswer {
-	return w.runs.Start(o.Fence, o.DeadlineMillis, formatTask(o.Task), o.Run)
+	answer := w.runs.Start(o.Fence, o.DeadlineMillis, formatTask(o.Task), o.Run)
+	if answer == JobAccepted && w.opts.OnStart != nil && o.Task != nil {
+		w.opts.OnStart(o.Task.Job)
+	}
+	return answer
 }
 
 func (w *JobWorker) executeStop(o invoker.Order, _ *invoker.Answer) JobAnswer {
@@ -162,7 +177,7 @@
 			DataCentre:  w.opts.DataCentre,
 			Rack:        w.opts.Rack,
 			Labels:      w.opts.Labels,
-			Capacity:    w.opts.Capacity,
+			Capacity:    *w.capacity.Load(),
 			Sequence:    sequence,
 			ClockMillis: w.runs.Clock(),
 		})
--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -220,6 +220,11 @@
 	born := w.born
 	fate := m.fate(w)
 	delay := m.between(time.Millisecond, 20*time.Millisecond)
+	if m.down(w) {
+		// A process that has ended refuses connections at once, whatever the network loses.
+		m.after(delay, func() { report(undelivered) })
+		return
+	}
 	switch fate {
 	case answered:
 		m.after(delay, func() {
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -25,6 +25,8 @@
 	eventCount int
 	lastStart  map[string]int
 	lastDone   map[string]int
+	// crashes counts the workers that each deadly task has crashed.
+	crashes map[string]int
 	// violations describes the guarantees that were violated.
 	violations []string
 }
@@ -37,6 +39,7 @@
 
 		lastStart: make(map[string]int),
 		lastDone:  make(map[string]int),
+		crashes:   make(map[string]int),
 	}
 }
 
--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -78,6 +78,13 @@
 		name:  "one way",
 		begin: func(s *soak) func() { return s.impairRandomProxy(ResponsesBlocked) },
 	},
+	{
+		name: "resize",
+		begin: func(s *soak) func() {
+			s.workers[s.random.IntN(len(s.workers))].shrink()
+			return func() {}
+		},
+	},
 	{
 		name: "reset",
 		begin: func(s *soak) func() {
--- a/internal/soaker/jobs.go
+++ b/internal/soaker/jobs.go
@@ -22,6 +22,8 @@
 	submitAttempts = 3
 	// tasksPerStep is the number of tasks of each of the two steps of a job.
 	tasksPerStep = 2
+	// milliCoresPerTask is what each task reserves.
+	milliCoresPerTask = 500
 )
 
 // submissions records the answers that submitters got. mu guards outcomes while
@@ -30,8 +32,8 @@
 	mu sync.Mutex
 	// outcomes maps the id of a job to the outcome of its submission.
 	outcomes map[string]int
-	// finalStates maps the id of a job to "completed", or to "gone" when its status
-	// request was answered with 410.
+	// finalStates maps the id of a job to "completed" or "failed", or to "gone" when its
+	// status request was answered with 410.
 	finalStates map[string]string
 }
 
@@ -48,7 +50,7 @@
 func (s *soak) configure() error {
 	s.submissions.outcomes, s.submissions.finalStates = make(map[string]int), make(map[string]string)
 	body := fmt.Sprintf(`{"version":1,"routes":[{"name":"q","host":%q,"path_prefix":%q,"service":"pool","timeout_ms":3000,`+
-		`"target_latency_ms":600,"attempts":3,"stretch":2}],"services":[{"name":"pool","enforces_capacity":true}],`+
+		`"target_latency_ms":600,"attempts":3,"stretch":2}],"services":[{"name":"pool","enforces_capacity":false}],`+
 		`"limits":{"max_body_bytes":100000},"tenants":[{"name":"t","api_keys":[%q],"weight":1}]}`, routeHost, routePrefix, apiKey)
 	for end := time.Now().Add(startupTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		resp, err := s.client.Post("http://"+s.machines[0].control()+"/-/Config.Replace", "application/json", bytes.NewReader([]byte(body)))
@@ -104,8 +106,8 @@
 // submitJob submits a job of two steps, the second depending on the first, and
 // records the outcome. Each attempt goes to the next front.
 func (s *soak) submitJob(n int, id string) {
-	const step = `{"count":%d,"cpu":500,"mem_mb":10,"est_duration_ms":300%s}`
-	body := fmt.Sprintf(`{"spec":"","steps":[`+step+`,`+step+`]}`, tasksPerStep, "", tasksPerStep, `,"depends_on":[0]`)
+	const step = `{"count":%d,"cpu":%d,"mem_mb":10,"est_duration_ms":300%s}`
+	body := fmt.Sprintf(`{"spec":"","steps":[`+step+`,`+step+`]}`, tasksPerStep, milliCoresPerTask, "", tasksPerStep, milliCoresPerTask, `,"depends_on":[0]`)
 	outcome := outcomeRefused
 	for attempt := range submitAttempts {
 		status, _ := s.callFront(n+attempt, http.MethodPost, id, body)
@@ -143,7 +145,7 @@
 			var body struct {
 				State string `json:"state"`
 			}
-			if status == http.StatusOK && json.Unmarshal([]byte(text), &body) == nil && body.State == "completed" {
+			if status == http.StatusOK && json.Unmarshal([]byte(text), &body) == nil && (body.State == "completed" || body.State == "failed") {
 				s.submissions.finalStates[id] = body.State
 				pending[id] = false
 				continue
@@ -160,7 +162,7 @@
 }
 
 // report compares the answers that submitters got with what has run: an accepted
-// job must be completed, and one that was refused in all attempts must not run.
+// job must be completed, or have failed if it is deadly, and one that was refused in all attempts must not run.
 func (s *submissions) report(checker *runChecker) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,9 +171,12 @@
 		switch outcome {
 		case outcomeAccepted:
 			r.Accepted++
-			if s.finalStates[id] == "completed" {
+			switch state := s.finalStates[id]; {
+			case state == "completed" && !isDeadly(id+".0.0.0"):
 				r.Completed++
-			} else {
+			case state == "failed" && isDeadly(id+".0.0.0"):
+				r.GivenUp++
+			default:
 				r.Violations = append(r.Violations, fmt.Sprintf("job %s was accepted but is not completed; last state seen: %q", id, s.finalStates[id]))
 			}
 		case outcomeRefused:
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -70,6 +70,8 @@
 	// Accepted, Refused and Unknown count the jobs by the outcome of their
 	// submission; Completed counts the accepted jobs that were completed.
 	Accepted, Completed, Refused, Unknown int
+	// GivenUp counts the accepted jobs with a deadly task, which have failed.
+	GivenUp int
 	// Faults counts the injected faults.
 	Faults int
 	// Violations describes the violated guarantees; the run passes if it is empty.
@@ -82,7 +84,7 @@
 	random           *rand.Rand
 	machines         []machine
 	processes        []*process
-	workers          []*standin.Worker
+	workers          []*worker
 	proxies          []*proxy
 	checker          *runChecker
 	client           *http.Client
@@ -178,32 +180,6 @@
 	return nil
 }
 
-// startWorker starts an emulated worker behind a proxy, whose address it announces.
-func (s *soak) startWorker(i int, subnet string, controls []string) error {
-	listen := fmt.Sprintf("%s.%d:%d", subnet, 101+i, workerPort)
-	announce := fmt.Sprintf("%s.%d:%d", subnet, 151+i, workerPort)
-	w, err := standin.Start(standin.Options{
-		ID:               fmt.Sprint("worker-", i),
-		Pool:             "pool",
-		Zone:             fmt.Sprint("z", i%cores),
-		Listen:           listen,
-		Announce:         announce,
-		ControlAddresses: controls,
-		TaskTime:         taskTime,
-		Ledger:           s.checker,
-	})
-	if err != nil {
-		return err
-	}
-	s.workers = append(s.workers, w)
-	p, err := newProxy(announce, listen)
-	if err != nil {
-		return errors.Wrap(err, "soaker: start proxy of a worker")
-	}
-	s.proxies = append(s.proxies, p)
-	return nil
-}
-
 func (s *soak) close() {
 	for _, p := range s.processes {
 		if p.cmd != nil && p.exited != nil {
@@ -211,7 +187,7 @@
 		}
 	}
 	for _, w := range s.workers {
-		w.Close()
+		w.close()
 	}
 	for _, p := range s.proxies {
 		p.close()
