internal/scheduler: stop an idempotent task that crashes its workers

A restart of a worker now counts for the tasks that it had, also for those that were taken from it with its lease before; a worker that polls again as the same process counts for none. internal/isolator decides as for jobs: after two crashes the task waits for a worker without others, which is kept free for it, and after three to five it is stopped. The record is part of the task's status, so copies and later schedulers have it.

--- a/internal/scheduler/adopt.go
+++ b/internal/scheduler/adopt.go
@@ -26,6 +26,7 @@
 		}
 		t := s.newTask(status.GetTask(), now.Add(-time.Duration(status.GetAgeNanos())))
 		t.attempts = status.GetAttempts()
+		t.crashes = crashesOf(status.GetCrashes())
 		t.lastWorker = status.GetWorker()
 		t.incarnation = status.GetIncarnation()
 		s.restore(now, t, status, e)
@@ -49,6 +50,7 @@
 		// The worker knows only the granted size; the replica has the declared one.
 		t.spec = status.GetTask()
 		t.attempts = max(t.attempts, status.GetAttempts())
+		t.crashes = crashesOf(append(wireCrashes(t.crashes), status.GetCrashes()...))
 		t.acceptedAt = now.Add(-time.Duration(status.GetAgeNanos()))
 		t.cancelled = t.cancelled || status.GetCancelled()
 	}
@@ -62,6 +64,7 @@
 	merged.lastWorker = t.lastWorker
 	merged.incarnation = t.incarnation
 	merged.attempts = status.GetAttempts()
+	merged.crashes = crashesOf(status.GetCrashes())
 	if t.state != wire.TaskState_TASK_STATE_SUCCEEDED && merged.spec.GetIdempotent() && !final(status.GetState()) {
 		s.enqueue(merged, false)
 		return
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -32,6 +32,8 @@
 	running  map[string][]*wire.RunningTask
 	// ended holds the reports of ended tasks until they are acknowledged.
 	ended map[string][]*wire.EndedTask
+	// incarnations counts the crashes of each worker.
+	incarnations map[string]int
 	// outcome returns the state in which a task ends on a worker at its next
 	// poll, or unspecified if it keeps running.
 	outcome func(worker, task string) wire.TaskState
@@ -114,7 +116,10 @@
 		capacity: hostSize(),
 		running:  make(map[string][]*wire.RunningTask),
 		ended:    make(map[string][]*wire.EndedTask),
-		outcome:  func(string, string) wire.TaskState { return wire.TaskState_TASK_STATE_UNSPECIFIED },
+
+		incarnations: make(map[string]int),
+
+		outcome: func(string, string) wire.TaskState { return wire.TaskState_TASK_STATE_UNSPECIFIED },
 		s: scheduler.New(scheduler.Options{
 			DataCentre: "dc",
 			Epoch:      1,
@@ -136,6 +141,26 @@
 	return actions
 }
 
+// crash ends the process of a worker, which polls again as another one after a silence.
+func (f *fleet) crash(name string, silence time.Duration) {
+	f.incarnations[name]++
+	f.running[name], f.ended[name] = nil, nil
+	for end := f.now.Add(silence); f.now.Before(end); {
+		f.now = f.now.Add(time.Second)
+		f.sequence++
+		for _, other := range f.workers {
+			if other != name {
+				f.poll(other)
+			}
+		}
+		f.step(scheduler.Pass{
+			MayStart: true,
+		})
+	}
+	f.sequence++
+	f.poll(name)
+}
+
 // pollAll makes every worker poll once and carry out its orders.
 func (f *fleet) pollAll() {
 	f.sequence++
@@ -151,7 +176,7 @@
 		DataCentre:  "dc",
 		Capacity:    f.capacity,
 		Epoch:       f.epoch,
-		Incarnation: "1",
+		Incarnation: fmt.Sprint(1 + f.incarnations[name]),
 		Sequence:    f.sequence,
 	}
 	p.Ended = f.ended[name]
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -195,12 +195,19 @@
 		q.blocked = true
 		return false
 	}
-	w := p.index(pool).take(t, size)
-	if w == nil && t.spec.GetUrgent() {
+	var w *worker
+	if t.isolated() {
+		w = s.takeIdle(p, t, pool)
+	} else {
+		w = p.index(pool).take(t, size)
+	}
+	if w == nil && t.spec.GetUrgent() && !t.isolated() {
 		w = s.preempt(p, t, pool, size)
 	}
 	if w == nil {
-		s.reserveWorker(p, a, t, pool, size)
+		if !t.isolated() {
+			s.reserveWorker(p, a, t, pool, size)
+		}
 		q.rotateOrBlock(t)
 		return false
 	}
@@ -223,7 +230,7 @@
 // only because of the workers it failed on is moved to the back instead, up to
 // maxRotationsPerPass times.
 func (q *classQueue) rotateOrBlock(t *task) {
-	if len(t.failedOn) == 0 || q.rotations >= maxRotationsPerPass {
+	if len(t.failedOn) == 0 && !t.isolated() || q.rotations >= maxRotationsPerPass {
 		q.blocked = true
 		return
 	}
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -33,6 +33,7 @@
 	if w.incarnation != p.GetIncarnation() {
 		actions = s.setIncarnation(now, w, p.GetIncarnation())
 	}
+	w.lost = nil
 	w.lastSequence = p.GetSequence()
 	w.poolEpoch = p.GetPoolEpoch()
 	w.leaving = p.GetLeaving()
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -134,6 +135,54 @@
 	}
 }
 
+// Guards against a task that crashes each worker that starts it and is started without
+// end, and against harmless tasks that are stopped because they ran beside it.
+func TestTaskThatCrashesWorkersIsStopped(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"restart within the lease": 0, "restart after the lease": 2 * scheduler.WorkerLeaseBound} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(6, []team{
+				{
+					name:  "deadly",
+					share: 1,
+					limit: 1 << 40,
+				},
+				{
+					name:  "harmless",
+					share: 1,
+					limit: 1 << 40,
+				},
+			})
+			polls := 0
+			f.outcome = func(_, task string) wire.TaskState {
+				if polls++; polls%10 == 0 && task != "deadly-0" {
+					return wire.TaskState_TASK_STATE_SUCCEEDED
+				}
+				return wire.TaskState_TASK_STATE_UNSPECIFIED
+			}
+			f.submitMany(1, "deadly", size(1000, 1))
+			f.submitMany(40, "harmless", size(8000, 1))
+			crashes := 0
+			for range 80 {
+				f.round()
+				for _, w := range f.workers {
+					if !slices.ContainsFunc(f.running[w], func(r *wire.RunningTask) bool { return r.GetTask() == "deadly-0" }) {
+						continue
+					}
+					crashes++
+					f.crash(w, silence)
+				}
+			}
+			is.True(crashes <= 5)
+			is.Equal(f.state("deadly-0"), wire.TaskState_TASK_STATE_STOPPED)
+			for i := range 40 {
+				state := f.state(fmt.Sprint("harmless-", i))
+				is.True(state != wire.TaskState_TASK_STATE_STOPPED && state != wire.TaskState_TASK_STATE_FAILED)
+			}
+		})
+	}
+}
+
 // Guards against urgent tasks that wait while the fleet is full, and against
 // preempted tasks that stay throttled or checkpointed after the urgent task has
 // ended.
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/isolator"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -40,6 +41,8 @@
 	startSequence uint64
 	// failedOn lists the workers on which it failed, each once.
 	failedOn []string
+	// crashes holds the crashes of workers that ran it; nil without any.
+	crashes *isolator.Record
 
 	flags
 }
@@ -123,6 +126,7 @@
 		DataCentre:  dataCentre,
 		Incarnation: t.incarnation,
 		AgeNanos:    int64(now.Sub(t.acceptedAt)),
+		Crashes:     wireCrashes(t.crashes),
 	}
 	if t.state == wire.TaskState_TASK_STATE_RUNNING {
 		status.Granted = t.grant.Wire()
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/controller"
+	"github.com/heathermux/heathermux/internal/isolator"
 	"github.com/heathermux/heathermux/internal/wire"
 )
 
@@ -29,6 +30,12 @@
 	// Invariant: the sum of cost() over tasks.
 	charged controller.Amount
 	tasks   map[string]*task
+	// lost holds the tasks that were taken from it with its lease, until it polls again.
+	lost []lostTask
+	// reservedTask is the isolated task that it is kept free for until reservedUntil, or
+	// as long as it runs it; see reservedFor.
+	reservedTask  string
+	reservedUntil time.Time
 
 	health
 }
@@ -87,6 +94,12 @@
 
 // eligible reports whether tasks may be assigned to the worker now.
 func (s *Scheduler) eligible(now time.Time, w *worker) bool {
+	return s.mayTakeTasks(now, w) && s.reservedFor(now, w) == nil
+}
+
+// mayTakeTasks reports whether tasks may be assigned to the worker now, if none is kept
+// free for another one.
+func (s *Scheduler) mayTakeTasks(now time.Time, w *worker) bool {
 	if !w.polledRecently(now) || !s.mayStartOn(w) || w.quarantined(now) {
 		return false
 	}
@@ -100,13 +113,27 @@
 		w.retiredIncarnations = append(w.retiredIncarnations, w.incarnation)
 		w.retiredIncarnations = w.retiredIncarnations[max(0, len(w.retiredIncarnations)-maxRetiredIncarnations):]
 	}
+	restarted := w.incarnation != ""
 	w.incarnation = incarnation
 	w.lastSequence = 0
 	var actions []Action
+	if restarted {
+		actions = s.countLost(now, w)
+	}
+	w.lost = nil
+	crashes := make(map[*task]isolator.Crash)
+	for _, t := range w.tasks {
+		crashes[t] = w.crashOf(t)
+	}
 	for _, t := range w.tasksByAcceptance() {
-		if t.incarnation != incarnation {
-			actions = append(actions, s.handleLost(now, t, "its worker "+w.name+" restarted"))
+		if t.incarnation == incarnation {
+			continue
+		}
+		if restarted && t.startSent {
+			s.countCrash(t, crashes[t])
 		}
+		actions = append(actions, s.handleLost(now, t, "its worker "+w.name+" restarted"))
+		actions = append(actions, s.giveUp(now, t)...)
 	}
 	return actions
 }
@@ -134,6 +161,9 @@
 			}
 			continue
 		}
+		for _, t := range w.tasksByAcceptance() {
+			w.noteLost(now, t)
+		}
 		for _, t := range w.tasksByAcceptance() {
 			actions = append(actions, s.handleLost(now, t, "its worker "+w.name+" was lost"))
 		}
