--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -146,7 +146,7 @@
 		if q.removeWaiter(w) {
 			return &Refusal{
 				Reason:     TooLate,
-				RetryAfter: q.serviceTimeEstimate(),
+				RetryAfter: max(q.serviceTimeEstimate(), minRetryAfter),
 			}
 		}
 		return nil
--- a/internal/admitter/admitter_test.go
+++ b/internal/admitter/admitter_test.go
@@ -191,7 +191,9 @@
 	}()
 	f.awaitQueued(1)
 	f.clock.Advance(900 * time.Millisecond)
-	is.Equal((<-refusals).Reason, admitter.TooLate)
+	late := <-refusals
+	is.Equal(late.Reason, admitter.TooLate)
+	is.True(late.RetryAfter >= time.Second) // a shorter one is not sent, or rounded to 0
 
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
