--- a/internal/soaker/faults.go
+++ b/internal/soaker/faults.go
@@ -117,10 +117,13 @@
 }
 
 // impairRandomProxy sets the impairment of a random proxy and returns a function
-// that clears it.
+// that clears it. It does nothing if the proxy is impaired already, whose end would
+// otherwise come with that of the first.
 func (s *soak) impairRandomProxy(impairment Impairment) func() {
 	p := s.proxies[s.random.IntN(len(s.proxies))]
-	p.impairment.Store(int32(impairment))
+	if !p.impairment.CompareAndSwap(int32(NoImpairment), int32(impairment)) {
+		return func() {}
+	}
 	return func() { p.impairment.Store(int32(NoImpairment)) }
 }
 
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/pkg/errors"
@@ -205,6 +204,3 @@
 	r.Faults = s.faultCount
 	return r
 }
-
-// wipe deletes the data of a core machine, as the loss of its disk would.
-func (s *soak) wipe(p *process) { _ = os.RemoveAll(filepath.Join(s.opts.Dir, "data-"+p.name)) }
