internal/jobscheduler: tell suspects apart before they need workers of their own

Cause: the suspects of a crash were started again at the same moment on the few workers that were left, so the next crash put all of them under suspicion once more. A placement kept no room, so suspects waited until the pool was empty.

Change: a suspect is started on a worker only when no other one is being started there; its room is kept while the log is written. If a worker breaks the connection within 0.3 s of some starts, its older runs are bystanders. A pool gets up to an even share of all hosts for isolated tasks, not two.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -49,8 +49,8 @@
 	Alone bool
 	// Prompt is true when the worker broke the connection just after the start.
 	Prompt bool
-	// Bystander is true when another task, under which workers had crashed before, was
-	// started on the worker right before the crash.
+	// Bystander is true when another run of the worker, which was just started, is more
+	// likely the cause.
 	Bystander bool
 }
 
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -179,8 +179,10 @@
 		isolated += s.isolatedHosts(j)
 	}
 	if isolated > 0 {
-		// An isolated task needs a host without long-running tasks.
-		view.Floor = max(view.Floor, s.lastingHosts(p)+min(isolated, maxIsolatedHosts))
+		// An isolated task needs a host without long-running tasks. Many of them, after
+		// several crashes in a row, would wait for long on a few.
+		most := max(minIsolatedHosts, int(s.evenHostsPerPool(len(s.hosts.known))))
+		view.Floor = max(view.Floor, s.lastingHosts(p)+min(isolated, most))
 	}
 	batchHosts := max(p.demand.Rate(s.now), batch)
 	view.Need = int(math.Ceil(longRunning + batchHosts/batchPackingShare))
@@ -197,8 +199,9 @@
 	return view
 }
 
-// maxIsolatedHosts bounds the hosts that a pool gets for isolated tasks.
-const maxIsolatedHosts = 2
+// minIsolatedHosts is the least number of hosts that a pool gets for isolated tasks if
+// that many wait.
+const minIsolatedHosts = 2
 
 // lastingHosts returns the number of hosts of a pool that have long-running tasks.
 func (s *Scheduler) lastingHosts(p *pool) int {
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -26,7 +26,7 @@
 	lastingFateTime = 2 * time.Second
 	// promptCrashTime is how soon after the order to start a task a worker must have
 	// broken the connection, for its crash to count as one just after the start.
-	promptCrashTime = 500 * time.Millisecond
+	promptCrashTime = 300 * time.Millisecond
 	// crashNewsTime is how long after the end of its lease a worker that crashed may be
 	// back for the crash to count for its runs.
 	crashNewsTime = 10 * time.Second
@@ -48,10 +48,7 @@
 	// connection just after the start.
 	alone  bool
 	prompt bool
-	// suspect is true for a prompt crash when workers have crashed under the task before.
-	suspect bool
-	// bystander is true when another run of the worker was such a suspect, and this one
-	// was older.
+	// bystander is true when another run of the worker is more likely the cause.
 	bystander bool
 	// lapsedAt is when the run was given up.
 	lapsedAt time.Time
@@ -92,19 +89,16 @@
 	}
 	if w.disconnected() && r.step != nil {
 		lapsed.prompt = w.disconnectedAt.Sub(r.sentAt).Abs() <= promptCrashTime
-		lapsed.suspect = lapsed.prompt && s.treatment(r.step, r.key.index) != isolator.Normal
 	}
 	return lapsed
 }
 
-// markBystanders marks the runs of a crashed worker that it had for a while, if it was
-// just ordered to start others that had been under suspicion.
+// markBystanders marks the runs that a crashed worker had had for a while, if it was just
+// ordered to start others.
 func markBystanders(runs []lapsedRun) {
-	if !slices.ContainsFunc(runs, func(r lapsedRun) bool { return r.suspect }) {
-		return
-	}
+	prompt := slices.ContainsFunc(runs, func(r lapsedRun) bool { return r.prompt })
 	for i := range runs {
-		runs[i].bystander = !runs[i].prompt
+		runs[i].bystander = prompt && !runs[i].prompt
 	}
 }
 
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/controller"
 	"github.com/heathermux/heathermux/internal/isolator"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
@@ -54,9 +55,13 @@
 
 // pendingPlacement is the placement of a run whose start has not been ordered.
 type pendingPlacement struct {
-	run       uint64
-	worker    *worker
-	decidedAt time.Time
+	run    uint64
+	worker *worker
+	// treatment is how the task is started on the worker, and reservation what is kept
+	// free for it there meanwhile.
+	treatment   isolator.Treatment
+	reservation controller.Amount
+	decidedAt   time.Time
 	// recorded is true once the placement is in the log.
 	recorded bool
 	// until is when the start is decided anew unless the placement is recorded.
@@ -129,7 +134,7 @@
 		}
 		s.dropPlacement(key)
 		// Between the decision and now lies a log write.
-		if ready && slices.Contains(workers, a.worker) && s.mayStartWithCare(st, index, a.worker, treatment) {
+		if ready && slices.Contains(workers, a.worker) && s.mayStartWithCare(st, index, a.worker, a.treatment) {
 			s.start(st, index, a.run, a.worker, contact)
 			return true
 		}
@@ -149,19 +154,29 @@
 		}
 		return
 	}
+	s.requestPlacement(st, index, w, treatment)
+}
+
+// requestPlacement requests the log write that places a task on a worker.
+func (s *Scheduler) requestPlacement(st *step, index int32, w *worker, treatment isolator.Treatment) {
 	key := st.key(index)
 	if treatment == isolator.Isolated {
 		s.reserve(w, key, false)
 	}
 	p := &pendingPlacement{
-		run:       s.nextRunNumber(st, index),
-		worker:    w,
-		decidedAt: s.now,
-		until:     s.now.Add(placementTime),
+		run:         s.nextRunNumber(st, index),
+		worker:      w,
+		treatment:   treatment,
+		reservation: reservationOf(st),
+		decidedAt:   s.now,
+		until:       s.now.Add(placementTime),
 	}
 	s.pendingPlacements[key] = p
 	w.pendingPlacements++
+	w.used = w.used.Plus(p.reservation)
 	s.pollNow(w)
+	s.logger.Info("scheduler: task is placed on a worker; it starts once the log says so", "task", taskName(key), "run", p.run,
+		"worker", w.info.GetId(), "alone", treatment == isolator.Isolated)
 	s.emit(RecordPlacement{
 		Target: w.target(),
 		Task:   key.task(),
@@ -174,6 +189,7 @@
 func (s *Scheduler) dropPlacement(key taskKey) {
 	if p, ok := s.pendingPlacements[key]; ok {
 		p.worker.pendingPlacements--
+		p.worker.used = p.worker.used.Minus(p.reservation)
 		delete(s.pendingPlacements, key)
 	}
 }
@@ -211,7 +227,7 @@
 	var best *worker
 	var bestCost float64
 	for _, w := range workers {
-		if !s.mayStartWithCare(st, index, w, treatment) || !s.fits(st, w, w.pendingPlacements) {
+		if !s.mayStartWithCare(st, index, w, treatment) || s.startsSuspect(w) {
 			continue
 		}
 		cost := s.placementCost(st, index, w) + costPerWatchedTask*float64(s.watchedTasks(w)+w.pendingPlacements)
@@ -225,6 +241,20 @@
 	return best
 }
 
+// startsSuspect reports whether a task under which workers have crashed is being started
+// on a worker. Until that is confirmed no other one is: a crash then tells which it was.
+func (s *Scheduler) startsSuspect(w *worker) bool {
+	if w.pendingPlacements > 0 {
+		return true
+	}
+	for key, r := range w.runs {
+		if r.state == starting && !r.begun && r.step != nil && s.treatment(r.step, key.index) != isolator.Normal {
+			return true
+		}
+	}
+	return false
+}
+
 // watchedTasks returns the number of runs on a worker under whose tasks another one has
 // crashed.
 func (s *Scheduler) watchedTasks(w *worker) int {
