--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -10,10 +10,9 @@
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
-// Tasks under which workers have crashed are started one by one: the log names the
-// worker first, and an isolated task waits for a worker without other runs, which is
-// reserved for it. A worker that becomes idle last is reserved early, so that a full
-// pool empties one.
+// Tasks under which workers have crashed are started one by one on a worker, after the
+// log has named it. An isolated task waits for a worker without other runs. If there is
+// none, the one with the fewest runs is reserved: it gets no others and becomes idle.
 
 const (
 	// reservationTime is how long a worker is reserved for a task that has not started.
@@ -206,7 +205,7 @@
 	}
 }
 
-// PlacementRecorded handles the outcome of an RecordPlacement: it is in the log.
+// PlacementRecorded handles the outcome of a RecordPlacement: it is in the log.
 func (s *Scheduler) PlacementRecorded(a RecordPlacement) {
 	if known, ok := s.pendingPlacements[keyOf(a.Task)]; ok && known.run == a.Run {
 		known.recorded = true
@@ -275,8 +274,8 @@
 	}
 }
 
-// reserveWorker reserves the worker that will be idle first for an isolated task, unless
-// one is reserved already or too many are.
+// reserveWorker reserves the worker with the fewest runs for an isolated task, unless one
+// is reserved already or too many are.
 func (s *Scheduler) reserveWorker(st *step, index int32, workers []*worker) {
 	reserved := 0
 	var candidates []*worker
