internal/jobscheduler: a failing test for an order that was done before

Cause: an order for a host is executed and its leader is lost before the log says so. The next leader orders the same maintenance again; the provider answers "done" and does nothing, and the scheduler forgets a worker that is alive and starts its tasks elsewhere (TWICE).

--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -393,3 +393,20 @@
 	h.is.Equal(len(stops), 1)
 	h.is.Equal(stops[0].Target.ID, "b")
 }
+
+// The provider also answers that an order is done when a former leader has had it
+// executed, and does nothing then. A worker that goes on answering was not ended by the
+// order, and its tasks must not be started elsewhere.
+func TestOrderDoneBeforeEndsNoWorker(t *testing.T) {
+	h := newHarness(t)
+	running := servingStep(h)
+	order, ok := awaitMaintenance(h, running)
+	h.is.True(ok)
+	h.addWorker("c")
+	h.withScheduler(func() { h.sched.Maintained(order, jobscheduler.HostOrderDone) })
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		h.answerPolls(running)
+		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	}
+}
