internal/emulator: a killed worker starts no run any more

Cause: Kill closes the connections, but the handler of an order that was being read may go on. A start that came after the remaining runs were dropped entered the ledger and never left it, so each later run of its task counted as a second one.

Change: JobRuns refuses starts after its runs were dropped.

--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -94,7 +94,9 @@
 	ledger   JobLedger
 	born     int64
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// killed is set once Run has dropped the remaining runs; none starts after that.
+	killed        bool
 	fence         uint64
 	leaseDeadline int64
 	running       map[string]*activeRun
@@ -149,6 +151,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.killed = true
 	for task, w := range j.running {
 		j.ledger.Ended(task, w.run, JobWorkerKilled)
 	}
@@ -214,7 +217,7 @@
 	switch {
 	case active && w.run == run:
 		return JobAccepted
-	case j.leaseDeadline <= j.Clock():
+	case j.killed || j.leaseDeadline <= j.Clock():
 		return JobLate
 	case active || run <= j.highestRun[task]:
 		return JobOld
