internal/jobscheduler: a placement holds only for the treatment it was decided for

Cause: a suspect is placed, the placement is written to the log, and the task is started then. A crash that was counted during the write could make the task isolated; it was started beside others all the same, because the start was checked with the treatment of the decision. And a task that ended while it was being placed left what was kept free for it to nobody until its job ended.

--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -176,23 +176,27 @@
 	}
 }
 
-// crashTwice lets two workers crash while they run the first task of a job beside
+// crashed records that a worker crashed while it ran the first task of a job beside
 // others.
-func crashTwice(h *harness, job string) {
-	for run := range uint64(2) {
-		h.apply(&jobwire.Command{
-			Change: &jobwire.Command_Crashes{
-				Crashes: &jobwire.TaskCrashes{
-					Crashes: []*jobwire.TaskCrash{
-						{
-							Task: task(job, 0, 0),
-							Run:  run + 1,
-						},
+func (h *harness) crashed(job string, run uint64) {
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Crashes{
+			Crashes: &jobwire.TaskCrashes{
+				Crashes: []*jobwire.TaskCrash{
+					{
+						Task: task(job, 0, 0),
+						Run:  run,
 					},
 				},
 			},
-		})
-	}
+		},
+	})
+}
+
+// crashTwice records two crashes.
+func crashTwice(h *harness, job string) {
+	h.crashed(job, 1)
+	h.crashed(job, 2)
 }
 
 // In a full pool no worker becomes idle by itself. One is kept free for a task under
@@ -302,3 +306,65 @@
 	h.advance(200 * time.Millisecond)
 	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "more.0.0@a ")
 }
+
+// Between the decision to place a task beside others and its start lies a log write, in
+// which another crash may be counted. The task has to run alone then.
+func TestTaskThatIsIsolatedMeanwhileDoesNotStartBesideOthers(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("filler", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	filler := h.acceptStarts()[0]
+	h.submit("suspect", tasks(1, 1000))
+	h.crashed("suspect", 1)
+	h.advance(10 * time.Millisecond)
+	h.is.Equal(len(h.actions), 2) // the placement and a poll
+	h.crashed("suspect", 2)
+	h.recordPlacements()
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		h.answerPolls(map[string]jobscheduler.PollAnswer{
+			"a": {
+				Running: []jobscheduler.RunningTask{runningTask(filler.Task, filler.Run)},
+			},
+		})
+		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	}
+}
+
+// A task that is being placed anew may have ended on a worker that was cut off. What was
+// kept free for it must become free again.
+func TestPlacementOfFinishedTaskIsDropped(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("suspect", tasks(1, 8000))
+	h.crashed("suspect", 1)
+	h.startTerm()
+	h.reconcileWorkers()
+	h.startAfterCrash()
+	start := h.acceptStarts()[0]
+	h.advance(100 * time.Millisecond)
+	h.addWorker("b")
+	for len(takeAll[jobscheduler.RecordPlacement](h)) == 0 {
+		h.advance(100 * time.Millisecond)
+		h.failPolls("a")
+	}
+	h.withScheduler(func() { h.sched.HeartbeatReceived("a", 1, h.clock()) })
+	h.advance(10 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Ended: []jobscheduler.EndedTask{endedTask(1, start.Task, start.Run, jobwire.Ending_ENDING_DONE)},
+		},
+	})
+	h.submit("next", tasks(1, 8000))
+	h.advance(time.Millisecond)
+	h.drain("a")
+	started := ""
+	for range 50 {
+		h.advance(100 * time.Millisecond)
+		h.answerPolls(nil)
+		started += formatStarts(takeAll[jobscheduler.Start](h))
+	}
+	h.is.Equal(started, "next.0.0@b ")
+}
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -132,8 +132,9 @@
 			return false
 		}
 		s.dropPlacement(key)
-		// Between the decision and now lies a log write.
-		if ready && slices.Contains(workers, a.worker) && s.mayStartWithCare(st, index, a.worker, a.treatment) {
+		// Between the decision and now lies a log write, in which another crash may have
+		// been counted.
+		if ready && treatment == a.treatment && slices.Contains(workers, a.worker) && s.mayStartWithCare(st, index, a.worker, treatment) {
 			s.start(st, index, a.run, a.worker, contact)
 			return true
 		}
@@ -193,6 +194,17 @@
 	}
 }
 
+// dropExpiredPlacements forgets the placements of tasks that have neither started nor
+// been placed anew in time, as when a task has ended meanwhile.
+func (s *Scheduler) dropExpiredPlacements() {
+	for key, p := range s.pendingPlacements {
+		if !s.now.Before(p.until) {
+			s.dropPlacement(key)
+			s.markPoolDirty(p.worker.info.GetPool())
+		}
+	}
+}
+
 // answeredSince reports whether the worker has answered a poll that was sent later than
 // the given time. An idle worker, which is not polled otherwise, may have crashed before
 // the start.
