internal/jobkeeper: a late log write neither moves a task back nor clears a crash

Cause: log writes are repeated and overtake each other. The placement of an earlier run could replace that of the current one, so a new leader would have looked for the task on a worker that it had left. The survival of a long-running task cleared all its crashes, also one of the surviving run that was written in between.

Change: a placement of an earlier run changes nothing; a survival names its run and clears the crashes of earlier ones only.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -110,6 +110,24 @@
 	}
 }
 
+// WithoutCrashesBefore returns a record without the crashes before a run; nil if none
+// is left.
+func (r *Record) WithoutCrashesBefore(run uint64) *Record {
+	var later []Crash
+	for _, c := range r.Crashes() {
+		if c.Run >= run {
+			later = append(later, c)
+		}
+	}
+	if len(later) == 0 {
+		return nil
+	}
+	return &Record{
+		crashes:   later,
+		placement: r.Placement(),
+	}
+}
+
 // Crashes returns the crashes in the order of the runs. The caller must not change
 // them.
 func (r *Record) Crashes() []Crash {
--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -119,11 +119,16 @@
 				},
 			},
 		})
-	case jobscheduler.RecordSurvivals:
+	case jobscheduler.RecordSurvival:
 		c.submitBestEffort(ctx, &jobwire.Command{
-			Change: &jobwire.Command_SurvivedTasks{
-				SurvivedTasks: &jobwire.SurvivedTasks{
-					Tasks: a.Tasks,
+			Change: &jobwire.Command_SurvivedRuns{
+				SurvivedRuns: &jobwire.SurvivedRuns{
+					Runs: []*jobwire.SurvivedRun{
+						{
+							Task: a.Task,
+							Run:  a.Run,
+						},
+					},
 				},
 			},
 		})
--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -35,10 +35,11 @@
 	return nil
 }
 
-// recordPlacements records on which workers runs are or are about to be.
+// recordPlacements records on which workers runs are or are about to be. An earlier
+// placement may be written later, because log writes are repeated.
 func (m *StateMachine) recordPlacements(placements []*jobwire.Placement) any {
 	for _, placement := range placements {
-		if j, p := m.state.openTask(placement.GetTask()); p != nil {
+		if j, p := m.state.openTask(placement.GetTask()); p != nil && placement.GetRun() >= p.Crashes.Placement().Run {
 			j.hasCrashRecords = true
 			p.Crashes = p.Crashes.WithPlacement(decodePlacement(placement))
 		}
@@ -46,11 +47,12 @@
 	return nil
 }
 
-// recordSurvivals clears the crashes of tasks that have run without another one.
-func (m *StateMachine) recordSurvivals(tasks []*jobwire.Task) any {
-	for _, t := range tasks {
-		if _, p := m.state.openTask(t); p != nil {
-			p.Crashes = nil
+// recordSurvivals clears the crashes of tasks before runs that have gone on without
+// another one.
+func (m *StateMachine) recordSurvivals(runs []*jobwire.SurvivedRun) any {
+	for _, r := range runs {
+		if _, p := m.state.openTask(r.GetTask()); p != nil {
+			p.Crashes = p.Crashes.WithoutCrashesBefore(r.GetRun())
 		}
 	}
 	return nil
--- a/internal/jobkeeper/crash_test.go
+++ b/internal/jobkeeper/crash_test.go
@@ -103,3 +103,73 @@
 	apply(t, m, now, crash("job", 3))
 	is.Equal(endState(m, "job"), jobwire.JobState_JOB_STATE_FAILED)
 }
+
+// placement returns the record of a run of the first task of a job on a worker.
+func placement(job string, run uint64, worker string) *jobwire.Command {
+	return &jobwire.Command{
+		Change: &jobwire.Command_Placements{
+			Placements: &jobwire.Placements{
+				Placements: []*jobwire.Placement{
+					{
+						Task: &jobwire.Task{
+							Job: job,
+						},
+						Run:    run,
+						Worker: worker,
+						Born:   1,
+					},
+				},
+			},
+		},
+	}
+}
+
+func crashRecord(m *jobkeeper.StateMachine, job string) *isolator.Record {
+	var record *isolator.Record
+	m.View(func(s *jobkeeper.State) {
+		record = s.Jobs[job].Task(&jobwire.Task{Job: job}).Crashes
+	})
+	return record
+}
+
+// A log write that is repeated may come after the placement of the next run. The next
+// leader would then look for the task on a worker that it has left.
+func TestOlderPlacementChangesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := jobkeeper.New(timer.System())
+	apply(t, m, now, configure(1, 2))
+	apply(t, m, now, submit("job", 0, 1))
+	apply(t, m, now, placement("job", 2, "b"))
+	apply(t, m, now, placement("job", 1, "a"))
+	is.Equal(crashRecord(m, "job").Placement().Worker, "b")
+}
+
+// The survival of a run is decided before its log write; the run may crash its worker
+// between the two, and that crash has to count.
+func TestSurvivalKeepsLaterCrash(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := jobkeeper.New(timer.System())
+	apply(t, m, now, configure(1, 2))
+	apply(t, m, now, submit("job", 0, 1))
+	apply(t, m, now, crash("job", 1))
+	apply(t, m, now, crash("job", 2))
+	apply(t, m, now, &jobwire.Command{
+		Change: &jobwire.Command_SurvivedRuns{
+			SurvivedRuns: &jobwire.SurvivedRuns{
+				Runs: []*jobwire.SurvivedRun{
+					{
+						Task: &jobwire.Task{
+							Job: "job",
+						},
+						Run: 2,
+					},
+				},
+			},
+		},
+	})
+	crashes := crashRecord(m, "job").Crashes()
+	is.Equal(len(crashes), 1)
+	is.Equal(crashes[0].Run, uint64(2))
+}
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -177,8 +177,8 @@
 		return m.recordCrashes(now, c.Crashes.GetCrashes())
 	case *jobwire.Command_Placements:
 		return m.recordPlacements(c.Placements.GetPlacements())
-	case *jobwire.Command_SurvivedTasks:
-		return m.recordSurvivals(c.SurvivedTasks.GetTasks())
+	case *jobwire.Command_SurvivedRuns:
+		return m.recordSurvivals(c.SurvivedRuns.GetRuns())
 	case *jobwire.Command_LapsedMarks:
 		return m.markLapsed(c.LapsedMarks.GetMarks())
 	}
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -60,9 +60,10 @@
 	Crashes []*jobwire.TaskCrash
 }
 
-// RecordSurvivals requests a log write that clears the crashes of tasks.
-type RecordSurvivals struct {
-	Tasks []*jobwire.Task
+// RecordSurvival requests a log write that clears the crashes of a task before a run.
+type RecordSurvival struct {
+	Task *jobwire.Task
+	Run  uint64
 }
 
 // noteLapsedRuns notes the runs that are given up because the lease of their worker has
@@ -304,8 +305,9 @@
 		return
 	}
 	r.survivalSentAt = s.now
-	s.emit(RecordSurvivals{
-		Tasks: []*jobwire.Task{r.key.task()},
+	s.emit(RecordSurvival{
+		Task: r.key.task(),
+		Run:  r.key.number,
 	})
 }
 
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -290,12 +290,17 @@
 			},
 		})
 	}
-	survivals := takeAll[jobscheduler.RecordSurvivals](h)
+	survivals := takeAll[jobscheduler.RecordSurvival](h)
 	h.is.Equal(len(survivals), 1)
 	h.apply(&jobwire.Command{
-		Change: &jobwire.Command_SurvivedTasks{
-			SurvivedTasks: &jobwire.SurvivedTasks{
-				Tasks: survivals[0].Tasks,
+		Change: &jobwire.Command_SurvivedRuns{
+			SurvivedRuns: &jobwire.SurvivedRuns{
+				Runs: []*jobwire.SurvivedRun{
+					{
+						Task: survivals[0].Task,
+						Run:  survivals[0].Run,
+					},
+				},
 			},
 		},
 	})
--- a/internal/jobscheduler/crashmodel_test.go
+++ b/internal/jobscheduler/crashmodel_test.go
@@ -132,11 +132,16 @@
 				},
 			},
 		}, func() { sched.PlacementRecorded(a) })
-	case jobscheduler.RecordSurvivals:
+	case jobscheduler.RecordSurvival:
 		write(&jobwire.Command{
-			Change: &jobwire.Command_SurvivedTasks{
-				SurvivedTasks: &jobwire.SurvivedTasks{
-					Tasks: a.Tasks,
+			Change: &jobwire.Command_SurvivedRuns{
+				SurvivedRuns: &jobwire.SurvivedRuns{
+					Runs: []*jobwire.SurvivedRun{
+						{
+							Task: a.Task,
+							Run:  a.Run,
+						},
+					},
 				},
 			},
 		}, func() {})
