jobs: the next leader doesn't take a planned end for a crash

Cause: the log names the worker of each suspect, and the next leader counts a crash if that worker is gone. It could not tell that the worker had drained, or that the former leader had ordered its host into maintenance or to another pool, so upkeep beside a change of leader counted against a harmless task. The connection of such a worker breaks too, which noted all of its runs.

A leader notes no placements on a worker that ends by plan.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -110,6 +110,15 @@
 	}
 }
 
+// WithoutPlacement returns a record without the placement; nil if no crash is known
+// either.
+func (r *Record) WithoutPlacement() *Record {
+	if len(r.Crashes()) == 0 {
+		return nil
+	}
+	return r.WithPlacement(Placement{})
+}
+
 // WithoutCrashesBefore returns a record without the crashes before a run; nil if none
 // is left.
 func (r *Record) WithoutCrashesBefore(run uint64) *Record {
--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -26,7 +26,7 @@
 // reported to the scheduler as they arrive.
 func (c *Controller) dispatch(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, actions []jobscheduler.Action) {
 	orders, actions := split(actions, isOrder)
-	hostOrders, actions := split(actions, func(a jobscheduler.Action) bool { return hostOf(a) != "" })
+	hostOrders, actions := split(actions, isHostOrder)
 	records, actions := splitType[jobscheduler.RecordEnds](actions)
 	crashes, actions := splitType[jobscheduler.RecordCrashes](actions)
 	placements, actions := splitType[jobscheduler.RecordPlacement](actions)
--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -35,7 +35,7 @@
 	applyError error
 	// onHostOrders, if not nil, is called after the announcement of orders to the
 	// provider has been applied.
-	onHostOrders func()
+	onHostOrders func(*jobwire.HostOrders)
 }
 
 func (l *singleReplicaLog) setOutcomeUnknown(unknown bool) {
@@ -62,7 +62,7 @@
 	result := l.machine.Apply(data)
 	cmd := &jobwire.Command{}
 	if proto.Unmarshal(data, cmd) == nil && cmd.GetHostOrders() != nil && l.onHostOrders != nil {
-		l.onHostOrders()
+		l.onHostOrders(cmd.GetHostOrders())
 	}
 	return result, nil
 }
--- a/internal/jobcontroller/hostorders.go
+++ b/internal/jobcontroller/hostorders.go
@@ -19,27 +19,39 @@
 	maxHostOrderAge = 500 * time.Millisecond
 )
 
-// hostOf returns the host that an order to the provider is for; empty for any other
-// action.
-func hostOf(action jobscheduler.Action) string {
+// hostOf returns the host that an order to the provider is for, and the worker on it;
+// both are zero for any other action.
+func hostOf(action jobscheduler.Action) (string, jobscheduler.Target) {
 	switch a := action.(type) {
 	case jobscheduler.Maintain:
-		return a.Host
+		return a.Host, a.Worker
 	case jobscheduler.MoveHost:
-		return a.Host
+		return a.Host, a.Worker
 	}
-	return ""
+	return "", jobscheduler.Target{}
+}
+
+func isHostOrder(action jobscheduler.Action) bool {
+	host, _ := hostOf(action)
+	return host != ""
 }
 
 // sendHostOrders announces the orders of one pass in the log and then sends them. The
 // next leader learns from the log which hosts it has to leave alone for a while, and
-// may order all others at once. Without an announcement nothing is sent.
+// which workers end by plan; it may order all other hosts at once. Without an announcement nothing is sent.
 func (c *Controller) sendHostOrders(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, orders []jobscheduler.Action) {
 	announcement := &jobwire.HostOrders{
 		Term: fence,
 	}
 	for _, order := range orders {
-		announcement.Hosts = append(announcement.Hosts, hostOf(order))
+		host, worker := hostOf(order)
+		announcement.Hosts = append(announcement.Hosts, host)
+		if worker.ID != "" {
+			announcement.Workers = append(announcement.Workers, &jobwire.WorkerIncarnation{
+				Id:   worker.ID,
+				Born: worker.Born,
+			})
+		}
 	}
 	// The age of the announcement counts from here: other replicas apply it later.
 	announcedAt := c.opts.Clock.Now()
--- a/internal/jobcontroller/hostorders_test.go
+++ b/internal/jobcontroller/hostorders_test.go
@@ -65,7 +65,10 @@
 				machine: jobkeeper.New(timer.System()),
 			}
 			announced := make(chan struct{}, 1)
-			log.onHostOrders = func() {
+			named := make(chan []*jobwire.WorkerIncarnation, 100)
+			log.onHostOrders = func(orders *jobwire.HostOrders) {
+				// The next leader must not take the end of the worker for a crash.
+				named <- orders.GetWorkers()
 				if c.workerEnds {
 					data, _ := proto.Marshal(&jobwire.Command{
 						Change: &jobwire.Command_ForgetWorker{
@@ -132,6 +135,10 @@
 			case <-time.After(10 * time.Second):
 				t.Fatal("no order was announced in 10 s")
 			}
+			workers := <-named
+			is.Equal(len(workers), 1)
+			is.Equal(workers[0].GetId(), "w")
+			is.Equal(workers[0].GetBorn(), int64(1))
 			time.Sleep(100 * time.Millisecond) // less than until the next decision
 			is.Equal(provider.orders.Load(), c.orders)
 		})
--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -1,6 +1,7 @@
 package jobkeeper
 
 import (
+	"iter"
 	"time"
 
 	"github.com/heathermux/heathermux/internal/isolator"
@@ -47,6 +48,36 @@
 	return nil
 }
 
+// clearPlacements clears the placements on a worker that ends by plan: the next leader
+// must not take its end for a crash.
+func (s *State) clearPlacements(worker string, born int64) {
+	for _, j := range s.Jobs {
+		if !j.hasCrashRecords || !j.Open() {
+			continue
+		}
+		for p := range j.progressedTasks() {
+			if placement := p.Crashes.Placement(); placement.Run > 0 && placement.Worker == worker && placement.Born == born {
+				p.Crashes = p.Crashes.WithoutPlacement()
+			}
+		}
+	}
+}
+
+// progressedTasks returns the progress of the tasks of all steps that have any.
+func (j *Job) progressedTasks() iter.Seq[*TaskProgress] {
+	return func(yield func(*TaskProgress) bool) {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				for i := range s.tasks {
+					if !yield(&s.tasks[i]) {
+						return
+					}
+				}
+			}
+		}
+	}
+}
+
 // recordSurvivals clears the crashes of tasks before runs that have gone on without
 // another one.
 func (m *StateMachine) recordSurvivals(runs []*jobwire.SurvivedRun) any {
--- a/internal/jobkeeper/hostorder.go
+++ b/internal/jobkeeper/hostorder.go
@@ -30,6 +30,9 @@
 			At:   now,
 		}
 	}
+	for _, w := range orders.GetWorkers() {
+		m.state.clearPlacements(w.GetId(), w.GetBorn())
+	}
 	return nil
 }
 
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -340,6 +340,9 @@
 	} else {
 		w.Restarted = ok
 	}
+	if w.GetDraining() {
+		m.state.clearPlacements(w.GetId(), w.GetBorn())
+	}
 	m.state.setWorker(w)
 	m.notify(func(o Observer) { o.WorkerChanged(w) })
 	return nil
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -345,8 +345,9 @@
 	}
 	m.orderInFlight = true
 	s.emit(MoveHost{
-		Host: host,
-		Pool: m.to,
+		Host:   host,
+		Pool:   m.to,
+		Worker: targetOf(m.worker),
 	})
 }
 
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -146,7 +146,9 @@
 	if !w.disconnected() {
 		w.disconnectedAt = s.now
 	}
-	s.recordPlacements(w)
+	if s.plannedEnd(w) == "" {
+		s.recordPlacements(w)
+	}
 }
 
 // runsAlone reports whether the worker has the run of one task, or the runs of one
@@ -312,7 +314,8 @@
 }
 
 // recordPlacements requests a log write that names the worker of each of its runs. A
-// new leader would not know of them if the worker has crashed.
+// new leader would not know of them if the worker has crashed. Those on a worker that
+// ends by plan are cleared in the replicated state.
 func (s *Scheduler) recordPlacements(w *worker) {
 	alone := w.runsAlone()
 	var runs []lapsedRun
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -373,3 +373,75 @@
 	}
 	h.is.Equal(started, "next.0.0@b ")
 }
+
+// A worker that drains, or whose host is about to go into maintenance or to move, ends by
+// plan. A leader that comes after its end knows of it from the log only, and must not
+// take it for a crash.
+func TestNewLeaderDoesNotCountPlannedEnd(t *testing.T) {
+	tests := map[string]struct {
+		end  func(h *harness)
+		want int
+	}{
+		"drains": {
+			end: func(h *harness) { h.drain("a") },
+		},
+		"order for its host": {
+			end: func(h *harness) { h.announceHostOrder("a", 1) },
+		},
+		"order for a former incarnation's host": {
+			end:  func(h *harness) { h.announceHostOrder("a", 0) },
+			want: 1,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.submit("suspect", tasks(1, 1000))
+			h.crashed("suspect", 1)
+			h.startTerm()
+			h.reconcileWorkers()
+			h.startAfterCrash()
+			h.is.Equal(len(h.acceptStarts()), 1)
+			test.end(h)
+			h.replaceWorker("a", "b")
+			h.startTerm()
+			h.advance(time.Millisecond)
+			h.is.Equal(len(takeAll[jobscheduler.RecordCrashes](h)), test.want)
+		})
+	}
+}
+
+// announceHostOrder announces an order for the host of a worker.
+func (h *harness) announceHostOrder(worker string, born int64) {
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_HostOrders{
+			HostOrders: &jobwire.HostOrders{
+				Term:  h.term,
+				Hosts: []string{"host"},
+				Workers: []*jobwire.WorkerIncarnation{
+					{
+						Id:   worker,
+						Born: born,
+					},
+				},
+			},
+		},
+	})
+}
+
+// The connection of a worker that goes into maintenance breaks as well. Its runs must not
+// be noted for the next leader then.
+func TestPlannedEndLeavesNoPlacements(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	h.acceptStarts()
+	h.advance(100 * time.Millisecond)
+	h.drain("a")
+	h.disconnectPolls("a")
+	h.advance(time.Millisecond)
+	h.is.Equal(len(takeAll[jobscheduler.RecordPlacement](h)), 0)
+}
--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -36,6 +36,8 @@
 type Maintain struct {
 	Host string
 	Wave string
+	// Worker is the worker on the host; zero when none is known.
+	Worker Target
 }
 
 // MoveHost asks the provider to move a host to another pool; the outcome goes
@@ -43,6 +45,8 @@
 type MoveHost struct {
 	Host string
 	Pool string
+	// Worker is the worker on the host; zero when none is known.
+	Worker Target
 }
 
 // RecordWaveHost asks for a log write that counts a host of a maintenance wave as
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -191,8 +191,9 @@
 	}
 	m.orderInFlight = true
 	s.emit(Maintain{
-		Host: m.host,
-		Wave: m.wave,
+		Host:   m.host,
+		Wave:   m.wave,
+		Worker: targetOf(m.worker),
 	})
 }
 
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -148,6 +148,14 @@
 	}
 }
 
+// targetOf returns the target of a worker; zero when it is nil.
+func targetOf(w *worker) Target {
+	if w == nil {
+		return Target{}
+	}
+	return w.target()
+}
+
 // leaseDeadline returns the end of a lease that counts from contact, the last
 // confirmation of leadership, on the worker's clock in milliseconds; 0 when that
 // clock is not known.
