internal/jobscheduler: crashes count also where workers take long to come back

Cause: a crash counted only if the worker was back within 10 s of the end of its lease, since a worker that is silent for longer may have been cut off. Where restarts take longer, a task that crashes its workers was never counted and was started to no end.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -27,9 +27,13 @@
 	// promptCrashTime is how soon after the order to start a task a worker must have
 	// broken the connection, for its crash to count as one just after the start.
 	promptCrashTime = 300 * time.Millisecond
-	// crashNewsTime is how long after the end of its lease a worker that crashed may be
-	// back for the crash to count for its runs.
+	// crashNewsTime is how long after the end of its lease a worker may be back under
+	// another id for that to count as a crash under its runs: a worker that was silent
+	// for longer may have been cut off first and have ended later.
 	crashNewsTime = 10 * time.Second
+	// disconnectedNewsTime is that time for a worker that has broken or refused the
+	// connection, so that its process had ended: as long as it is known.
+	disconnectedNewsTime = lapsedWorkerRetention
 	// restoredNewsTime is that time after a change of leader, for runs whose start the
 	// former leader may not have ordered.
 	restoredNewsTime = 5 * time.Second
@@ -50,8 +54,8 @@
 	prompt bool
 	// bystander is true when another run of the worker is more likely the cause.
 	bystander bool
-	// lapsedAt is when the run was given up.
-	lapsedAt time.Time
+	// countsUntil is until when the run counts if the worker turns out to have crashed.
+	countsUntil time.Time
 }
 
 // RecordCrashes requests a log write of crashes of workers during runs of tasks; the
@@ -84,12 +88,13 @@
 // lapse returns the record of a run that is given up now.
 func (s *Scheduler) lapse(w *worker, r *run, alone bool) lapsedRun {
 	lapsed := lapsedRun{
-		key:      r.key,
-		alone:    alone,
-		lapsedAt: s.now,
+		key:         r.key,
+		alone:       alone,
+		countsUntil: s.now.Add(crashNewsTime),
 	}
 	if w.disconnected() && r.step != nil {
 		lapsed.prompt = w.disconnectedAt.Sub(r.sentAt).Abs() <= promptCrashTime
+		lapsed.countsUntil = s.now.Add(disconnectedNewsTime)
 	}
 	return lapsed
 }
@@ -198,7 +203,7 @@
 		}
 	}
 	// A run that was given up long before is not what the worker has crashed under.
-	runs = slices.DeleteFunc(runs, func(r lapsedRun) bool { return s.now.Sub(r.lapsedAt) > crashNewsTime })
+	runs = slices.DeleteFunc(runs, func(r lapsedRun) bool { return s.now.After(r.countsUntil) })
 	s.lapsedRunsSettled(w)
 	if planned != "" && len(runs) == 0 {
 		return
@@ -369,7 +374,8 @@
 		alone:     placement.Alone,
 		prompt:    placement.Prompt,
 		bystander: placement.Bystander,
-		lapsedAt:  s.now.Add(restoredNewsTime - crashNewsTime),
+
+		countsUntil: s.now.Add(restoredNewsTime),
 	}
 	if w, ok := s.workers[placement.Worker]; ok && w.info.GetBorn() == placement.Born {
 		w.lapsedRuns = append(w.lapsedRuns, r)
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -85,6 +85,16 @@
 			},
 			want: 2,
 		},
+		"crash of a worker that takes long to come back": {
+			end: func(h *harness) {
+				for range 300 {
+					h.advance(100 * time.Millisecond)
+					h.disconnectPolls("a")
+				}
+				h.replaceWorker("a", "b")
+			},
+			want: 2,
+		},
 		"crash that is noticed long after the lease": {
 			end: func(h *harness) {
 				for range 200 {
