internal/scheduler: a leaving worker's end is planned; the next scheduler counts

Cause: a worker that had said that it leaves counted as crashed when its next process polled, so an idempotent task that runs for long could be stopped after a few releases of the worker's program. And a crash while no scheduler worked counted for nothing: the next one takes the tasks over from replicas but compared only incarnations that it had seen itself.

Change: the end of a leaving worker is planned. A task counts a crash if the incarnation that certainly had been sent its start is another one than the one that polls, also when its lease had ended before.

--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -28,6 +28,8 @@
 	id     string
 	crash  isolator.Crash
 	lostAt time.Time
+	// startedOn is the incarnation of the worker that had started it.
+	startedOn string
 }
 
 // crashOf returns the record of a crash of the worker that runs the task.
@@ -38,15 +40,25 @@
 	}
 }
 
+// startedOn returns the incarnation of the worker that has certainly been sent the start
+// of the task; empty if there is none. A former scheduler may have sent it.
+func (t *task) startedOn() string {
+	if !t.startSent || t.uncertain {
+		return ""
+	}
+	return t.incarnation
+}
+
 // noteLost notes a task that is taken from the worker because its lease has ended.
 func (w *worker) noteLost(now time.Time, t *task) {
-	if !t.startSent {
+	if t.startedOn() == "" {
 		return
 	}
 	w.lost = append(w.lost, lostTask{
-		id:     t.spec.GetId(),
-		crash:  w.crashOf(t),
-		lostAt: now,
+		id:        t.spec.GetId(),
+		crash:     w.crashOf(t),
+		lostAt:    now,
+		startedOn: t.startedOn(),
 	})
 }
 
@@ -55,7 +67,7 @@
 func (s *Scheduler) countLost(now time.Time, w *worker) []Action {
 	var actions []Action
 	for _, l := range w.lost {
-		if t, ok := s.tasks[l.id]; ok && now.Sub(l.lostAt) <= crashNewsTime {
+		if t, ok := s.tasks[l.id]; ok && l.startedOn != w.incarnation && now.Sub(l.lostAt) <= crashNewsTime {
 			s.countCrash(t, l.crash)
 			actions = append(actions, s.giveUp(now, t)...)
 		}
--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -34,6 +34,8 @@
 	ended map[string][]*wire.EndedTask
 	// incarnations counts the crashes of each worker.
 	incarnations map[string]int
+	// leaving makes the workers report that they leave.
+	leaving bool
 	// outcome returns the state in which a task ends on a worker at its next
 	// poll, or unspecified if it keeps running.
 	outcome func(worker, task string) wire.TaskState
@@ -178,6 +180,7 @@
 		Epoch:       f.epoch,
 		Incarnation: fmt.Sprint(1 + f.incarnations[name]),
 		Sequence:    f.sequence,
+		Leaving:     f.leaving,
 	}
 	p.Ended = f.ended[name]
 	for _, r := range f.running[name] {
--- a/internal/scheduler/worker.go
+++ b/internal/scheduler/worker.go
@@ -113,11 +113,12 @@
 		w.retiredIncarnations = append(w.retiredIncarnations, w.incarnation)
 		w.retiredIncarnations = w.retiredIncarnations[max(0, len(w.retiredIncarnations)-maxRetiredIncarnations):]
 	}
-	restarted := w.incarnation != ""
+	// A worker that leaves ends by plan.
+	crashed := !w.leaving
 	w.incarnation = incarnation
 	w.lastSequence = 0
 	var actions []Action
-	if restarted {
+	if crashed {
 		actions = s.countLost(now, w)
 	}
 	w.lost = nil
@@ -129,7 +130,7 @@
 		if t.incarnation == incarnation {
 			continue
 		}
-		if restarted && t.startSent {
+		if crashed && t.startedOn() != "" {
 			s.countCrash(t, crashes[t])
 		}
 		actions = append(actions, s.handleLost(now, t, "its worker "+w.name+" restarted"))
