internal/jobscheduler: an order that was done before ends no worker

Cause: an order for a host is executed, and its leader is lost before the log says so. The next leader orders the same maintenance again; the provider answers "done" and does nothing.

Change: after "done" the worker gets no starts and its long-running tasks count as unavailable, but it counts as ended only if it refuses or breaks the connection of a poll that was sent later, or if a listing has the host down. If a later listing has the host up with the same worker, the worker is used again.

TestTasksOfMaintainedHostStartElsewhere guards the quick restart of tasks that the order has ended.

--- a/internal/jobscheduler/host.go
+++ b/internal/jobscheduler/host.go
@@ -158,11 +158,8 @@
 		delete(s.hosts.missingSince, h.Name)
 	}
 	s.finishMoves(requestedAt)
-	for name, m := range s.hosts.maintenances {
-		h, ok := s.hosts.known[name]
-		if m.orderAccepted && requestedAt.After(m.acceptedAt) && (!ok || h.State == HostUp) {
-			delete(s.hosts.maintenances, name)
-		}
+	for _, m := range s.hosts.maintenances {
+		s.maintenanceListed(m, requestedAt)
 	}
 }
 
@@ -181,9 +178,7 @@
 	case HostOrderDone:
 		s.logger.Info("scheduler: host is in maintenance", "host", a.Host, "wave", a.Wave, "prepared", s.now.Sub(m.preparingSince))
 		m.orderAccepted, m.acceptedAt = true, s.now
-		if m.worker != nil && s.workers[m.worker.info.GetId()] == m.worker {
-			s.forgetWorker(m.worker)
-		}
+		s.awaitEnd(m)
 		s.emit(RecordWaveHost{
 			Wave: a.Wave,
 			Host: a.Host,
--- /dev/null
+++ b/internal/jobscheduler/hostdown.go
@@ -0,0 +1,65 @@
+package jobscheduler
+
+import "time"
+
+// The provider answers that an order for a host is done also when an earlier leader has
+// had it executed, and does nothing then. The worker on the host may be alive and goes on
+// with its runs, so it counts as ended only by evidence: it refuses or breaks the
+// connection of a poll that was sent after the answer, or a listing has the host down.
+// Until then it gets no starts, and its long-running tasks count as unavailable.
+
+// ending reports whether the host's worker is expected to end because the provider has
+// accepted an order.
+func (s *Scheduler) ending(m *hostMaintenance) bool {
+	return m.orderAccepted && m.worker != nil && s.workers[m.worker.info.GetId()] == m.worker
+}
+
+// awaitEnd polls the worker of a host that goes down, to learn whether it has ended.
+func (s *Scheduler) awaitEnd(m *hostMaintenance) {
+	if s.ending(m) && !m.worker.pollInFlight {
+		m.worker.nextPollAt = s.now
+	}
+}
+
+// pollOfEndingWorkerFailed handles the failure of a poll of a worker whose host may be
+// going down.
+func (s *Scheduler) pollOfEndingWorkerFailed(w *worker, disconnected bool) {
+	for _, m := range s.hosts.maintenances {
+		switch {
+		case m.worker != w || !s.ending(m):
+			continue
+		case disconnected && w.pollSentAt.After(m.acceptedAt):
+			s.forgetWorker(w)
+			return
+		case !w.pollSentAt.After(m.acceptedAt):
+			// The poll was sent before the answer of the provider.
+			s.awaitEnd(m)
+		}
+	}
+}
+
+// maintenanceListed handles a listing, requested at the given time, of a host that goes
+// into maintenance or is in it.
+func (s *Scheduler) maintenanceListed(m *hostMaintenance, requestedAt time.Time) {
+	if !m.orderAccepted || !requestedAt.After(m.acceptedAt) {
+		return
+	}
+	h, ok := s.hosts.known[m.host]
+	switch {
+	case !s.ending(m):
+		if !ok || h.State == HostUp {
+			delete(s.hosts.maintenances, m.host)
+		}
+	case !ok:
+		// A listing may lack a host that is up.
+	case h.State != HostUp:
+		s.forgetWorker(m.worker)
+	case h.Worker == m.worker.info.GetId():
+		s.logger.Info("scheduler: host was in maintenance before; its worker goes on", "host", m.host, "wave", m.wave, "worker", h.Worker)
+		s.cancelMaintenance(m)
+	default:
+		// The host is up again with another worker.
+		s.forgetWorker(m.worker)
+		delete(s.hosts.maintenances, m.host)
+	}
+}
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -281,7 +281,7 @@
 // been executed, for a host with a run of the step.
 func (s *Scheduler) maintenanceOrdered(st *step) bool {
 	for _, m := range s.hosts.maintenances {
-		if m.worker != nil && (m.orderInFlight || m.orderUnknown) && st.runsPerWorker[m.worker.info.GetId()] > 0 {
+		if m.worker != nil && (m.orderInFlight || m.orderUnknown || s.ending(m)) && st.runsPerWorker[m.worker.info.GetId()] > 0 {
 			return true
 		}
 	}
@@ -313,7 +313,7 @@
 		return false
 	}
 	for _, m := range s.hosts.maintenances {
-		if m.worker == r.worker && (m.orderInFlight || m.orderUnknown) {
+		if m.worker == r.worker && (m.orderInFlight || m.orderUnknown || m.orderAccepted) {
 			return false
 		}
 	}
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -1,6 +1,7 @@
 package jobscheduler_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -409,4 +410,69 @@
 		h.answerPolls(running)
 		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
 	}
+	// The worker is used again once a listing has the host up.
+	h.submit("more", tasks(20, 1000))
+	started := ""
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		answerHostLists(h)
+		h.answerPolls(running)
+		started += formatStarts(takeAll[jobscheduler.Start](h))
+	}
+	h.is.True(strings.Contains(started, "@a"))
+	h.is.True(!strings.Contains(started, "job."))
+}
+
+// The tasks of a worker that the order has ended must not wait for the end of its lease.
+func TestTasksOfMaintainedHostStartElsewhere(t *testing.T) {
+	tests := map[string]struct {
+		refuses bool
+		listed  jobscheduler.HostState
+		want    int
+	}{
+		"the worker refuses the connection": {
+			refuses: true,
+			listed:  jobscheduler.HostUp,
+			want:    1,
+		},
+		"the host is listed in maintenance": {
+			listed: jobscheduler.HostInMaintenance,
+			want:   1,
+		},
+		"nothing is known": {
+			listed: jobscheduler.HostUnknown,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			running := servingStep(h)
+			order, ok := awaitMaintenance(h, running)
+			h.is.True(ok)
+			h.addWorker("c")
+			h.withScheduler(func() { h.sched.Maintained(order, jobscheduler.HostOrderDone) })
+			running["a"] = jobscheduler.PollAnswer{
+				Failed:       true,
+				Disconnected: test.refuses,
+			}
+			var starts []jobscheduler.Start
+			for range 8 {
+				h.advance(100 * time.Millisecond)
+				h.answerPolls(running)
+				if test.listed != jobscheduler.HostUnknown {
+					listHost(h, jobscheduler.Host{
+						Name:   "host-a",
+						Pool:   "p",
+						State:  test.listed,
+						Worker: "a",
+					})
+				}
+				starts = append(starts, takeAll[jobscheduler.Start](h)...)
+			}
+			h.is.Equal(len(starts), test.want)
+			for _, start := range starts {
+				h.is.Equal(start.Target.ID, "c")
+			}
+		})
+	}
 }
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -139,6 +139,7 @@
 		s.workerDisconnected(w)
 	}
 	w.nextPollAt = s.now.Add(failedPollRetryDelay)
+	s.pollOfEndingWorkerFailed(w, answer.Disconnected)
 	if w.info.GetLapsed() {
 		// A heartbeat brings the next poll forward.
 		w.nextPollAt = s.now.Add(untilEventPollDelay)
