internal/jobscheduler: a placement is kept for a task for as long as it waits

Change: a placement is dropped when its task no longer waits to be started. The test checks that the end of the task has been handled.

--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -365,13 +365,16 @@
 		h.advance(100 * time.Millisecond)
 		h.failPolls("a")
 	}
-	h.withScheduler(func() { h.sched.HeartbeatReceived("a", 1, h.clock()) })
-	h.advance(10 * time.Millisecond)
-	h.answerPolls(map[string]jobscheduler.PollAnswer{
+	ended := map[string]jobscheduler.PollAnswer{
 		"a": {
 			Ended: []jobscheduler.EndedTask{endedTask(1, start.Task, start.Run, jobwire.Ending_ENDING_DONE)},
 		},
-	})
+	}
+	for range 3 {
+		h.advance(100 * time.Millisecond)
+		h.answerPolls(ended)
+	}
+	h.is.Equal(len(takeAll[jobscheduler.RecordEnds](h)), 1)
 	h.submit("next", tasks(1, 8000))
 	h.advance(time.Millisecond)
 	h.drain("a")
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -194,11 +194,11 @@
 	}
 }
 
-// dropExpiredPlacements forgets the placements of tasks that have neither started nor
-// been placed anew in time, as when a task has ended meanwhile.
-func (s *Scheduler) dropExpiredPlacements() {
+// dropIdlePlacements forgets the placements of tasks that no longer wait to be started,
+// as when a task has ended meanwhile.
+func (s *Scheduler) dropIdlePlacements() {
 	for key, p := range s.pendingPlacements {
-		if !s.now.Before(p.until) {
+		if st := s.findTaskStep(key); st == nil || !slices.Contains(st.pending, key.index) {
 			s.dropPlacement(key)
 			s.markPoolDirty(p.worker.info.GetPool())
 		}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -24,7 +24,7 @@
 func (s *Scheduler) Pass(contact time.Time, orderSenders int) []Action {
 	s.orderSenders = max(orderSenders, 1)
 	clear(s.unreconciledUses)
-	s.dropExpiredPlacements()
+	s.dropIdlePlacements()
 	for _, j := range s.jobs {
 		s.openDueOccurrences(j)
 	}
