internal/jobscheduler: the tasks started last before a crash are the suspects

Cause: each task whose start was ordered within 0.3 s before a crash counted as a suspect, and a worker may start ten in that time.

Change: suspects start at least 50 ms apart on a worker. If it crashes, the runs that it had for longer than that when it started the last one are bystanders.

Result: the two new tests fail before and pass after. Tried without a gain: more reserved workers, suspects in the order of acceptance, several placements at a time, a shorter time after the start.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -27,6 +27,10 @@
 	// promptCrashTime is how soon after the order to start a task a worker must have
 	// broken the connection, for its crash to count as one just after the start.
 	promptCrashTime = 300 * time.Millisecond
+	// suspectStartInterval is the least time between two starts of suspects on a worker.
+	// If it crashes, the tasks that it started last, within that time, are more likely
+	// the cause than earlier ones.
+	suspectStartInterval = 50 * time.Millisecond
 	// crashNewsTime is how long after the end of its lease a worker may be back under
 	// another id for that to count as a crash under its runs: a worker that was silent
 	// for longer may have been cut off first and have ended later.
@@ -52,6 +56,9 @@
 	// connection just after the start.
 	alone  bool
 	prompt bool
+	// startedAt is when the worker confirmed the start; if it has not, when it broke the
+	// connection.
+	startedAt time.Time
 	// bystander is true when another run of the worker is more likely the cause.
 	bystander bool
 	// countsUntil is until when the run counts if the worker turns out to have crashed.
@@ -93,18 +100,27 @@
 		countsUntil: s.now.Add(crashNewsTime),
 	}
 	if w.disconnected() && r.step != nil {
+		lapsed.startedAt = r.confirmedAt
+		if r.confirmedAt.IsZero() {
+			lapsed.startedAt = w.disconnectedAt
+		}
 		lapsed.prompt = w.disconnectedAt.Sub(r.sentAt).Abs() <= promptCrashTime
 		lapsed.countsUntil = s.now.Add(disconnectedNewsTime)
 	}
 	return lapsed
 }
 
-// markBystanders marks the runs that a crashed worker had had for a while, if it was just
-// ordered to start others.
+// markBystanders marks the runs of a crashed worker that were there when it started the
+// last ones, if it broke the connection just after that.
 func markBystanders(runs []lapsedRun) {
-	prompt := slices.ContainsFunc(runs, func(r lapsedRun) bool { return r.prompt })
-	for i := range runs {
-		runs[i].bystander = prompt && !runs[i].prompt
+	var last time.Time
+	for _, r := range runs {
+		if r.prompt && r.startedAt.After(last) {
+			last = r.startedAt
+		}
+	}
+	for i, r := range runs {
+		runs[i].bystander = !last.IsZero() && (!r.prompt || last.Sub(r.startedAt) > suspectStartInterval)
 	}
 }
 
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -1,6 +1,7 @@
 package jobscheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -458,3 +459,76 @@
 	h.advance(time.Millisecond)
 	h.is.Equal(len(takeAll[jobscheduler.RecordPlacement](h)), 0)
 }
+
+// A worker crashes just after it has started the task that makes it crash. A task that it
+// had started somewhat before is hardly the cause; if it counted as a suspect like the
+// last one, many harmless tasks would wait for a worker of their own.
+func TestLastStartsBeforeCrashAreSuspects(t *testing.T) {
+	for name, test := range map[string]struct {
+		apart     time.Duration
+		bystander bool
+	}{
+		"started long before": {
+			apart:     200 * time.Millisecond,
+			bystander: true,
+		},
+		"started with the last one": {
+			apart: 20 * time.Millisecond,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.submit("first", tasks(1, 1000))
+			h.startTerm()
+			h.reconcileWorkers()
+			h.is.Equal(len(h.acceptStarts()), 1)
+			h.now = h.now.Add(test.apart)
+			h.submit("last", tasks(1, 1000))
+			h.advance(time.Millisecond)
+			h.is.Equal(len(h.acceptStarts()), 1)
+			h.advance(20 * time.Millisecond)
+			h.disconnectPolls("a")
+			h.replaceWorker("a", "b")
+			h.advance(time.Millisecond)
+			records := takeAll[jobscheduler.RecordCrashes](h)
+			h.is.Equal(len(records), 1)
+			h.is.Equal(len(records[0].Crashes), 2)
+			for _, c := range records[0].Crashes {
+				h.is.Equal(c.GetBystander(), test.bystander && c.GetTask().GetJob() == "first")
+			}
+		})
+	}
+}
+
+// Suspects start some time apart on a worker, so that its crash tells which it was.
+func TestSuspectsStartApart(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("one", tasks(1, 1000))
+	h.submit("two", tasks(1, 1000))
+	h.crashed("one", 1)
+	h.crashed("two", 1)
+	h.startTerm()
+	h.reconcileWorkers()
+	var startedAt []time.Time
+	var running []jobscheduler.RunningTask
+	for n := range 40 {
+		h.submit(fmt.Sprint("filler", n), tasks(1, 10)) // makes each pass place tasks
+		h.recordPlacements()
+		for _, start := range h.acceptStarts() {
+			if job := start.Task.GetJob(); job == "one" || job == "two" {
+				startedAt = append(startedAt, h.now)
+			}
+			running = append(running, runningTask(start.Task, start.Run))
+		}
+		h.answerPolls(map[string]jobscheduler.PollAnswer{
+			"a": {
+				Running: running,
+			},
+		})
+		h.advance(5 * time.Millisecond)
+	}
+	h.is.Equal(len(startedAt), 2)
+	h.is.True(startedAt[1].Sub(startedAt[0]) > 50*time.Millisecond)
+}
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -253,13 +253,15 @@
 }
 
 // startsSuspect reports whether a task under which workers have crashed is being started
-// on a worker. Until that is confirmed no other one is: a crash then tells which it was.
+// on a worker, or was just now. Meanwhile no other one is, so that a crash just after a
+// start tells which it was.
 func (s *Scheduler) startsSuspect(w *worker) bool {
 	if w.pendingPlacements > 0 {
 		return true
 	}
 	for key, r := range w.runs {
-		if r.state == starting && !r.begun && r.step != nil && s.treatment(r.step, key.index) != isolator.Normal {
+		justStarted := r.state == starting && !r.begun || r.state == running && s.now.Sub(r.confirmedAt) <= suspectStartInterval
+		if justStarted && r.step != nil && s.treatment(r.step, key.index) != isolator.Normal {
 			return true
 		}
 	}
