internal/isolator: the circumstances of a crash in one type

Cause: whether a run was alone on its worker, whether the crash came just after its start, and whether another run is more likely the cause stood as three fields in five types, and each new one had to be copied in ten places.

Change: isolator.Circumstances holds them; jobkeeper decodes them from any message in one place. When a worker breaks the connection, its runs are compared with all others there, also with those whose placement is already in the log; before, a run that was noted later was compared with none.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -42,9 +42,8 @@
 	maxCrashes = 5
 )
 
-// Crash is the crash of a worker during a run of a task.
-type Crash struct {
-	Run uint64
+// Circumstances tell how likely a run has crashed its worker.
+type Circumstances struct {
 	// Alone is true when the worker had no other run.
 	Alone bool
 	// Prompt is true when the worker broke the connection just after the start.
@@ -54,14 +53,20 @@
 	Bystander bool
 }
 
+// Crash is the crash of a worker during a run of a task.
+type Crash struct {
+	Run uint64
+	Circumstances
+}
+
 // Placement tells on which worker a run of a task is or is about to be.
 type Placement struct {
 	Run uint64
 	// Worker and Born identify the incarnation of the worker.
 	Worker string
 	Born   int64
-	// Alone, Prompt and Bystander are those of a Crash, should the worker have crashed.
-	Alone, Prompt, Bystander bool
+	// Circumstances are those of a Crash, should the worker have crashed.
+	Circumstances
 }
 
 // Record holds the crashes under one task and its last known placement. It is
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -18,25 +18,31 @@
 // alone returns a crash of a worker that had no other run.
 func alone(run uint64) isolator.Crash {
 	return isolator.Crash{
-		Run:   run,
-		Alone: true,
+		Run: run,
+		Circumstances: isolator.Circumstances{
+			Alone: true,
+		},
 	}
 }
 
 // bystander returns a crash of a worker that had just started a suspect.
 func bystander(run uint64) isolator.Crash {
 	return isolator.Crash{
-		Run:       run,
-		Bystander: true,
+		Run: run,
+		Circumstances: isolator.Circumstances{
+			Bystander: true,
+		},
 	}
 }
 
 // prompt returns a crash of a worker just after it was ordered to start its only run.
 func prompt(run uint64) isolator.Crash {
 	return isolator.Crash{
-		Run:    run,
-		Alone:  true,
-		Prompt: true,
+		Run: run,
+		Circumstances: isolator.Circumstances{
+			Alone:  true,
+			Prompt: true,
+		},
 	}
 }
 
--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -23,10 +23,8 @@
 		j.hasCrashRecords = true
 		p.Run = max(p.Run, c.GetRun())
 		p.Crashes = p.Crashes.WithCrash(isolator.Crash{
-			Run:       c.GetRun(),
-			Alone:     c.GetAlone(),
-			Prompt:    c.GetPrompt(),
-			Bystander: c.GetBystander(),
+			Run:           c.GetRun(),
+			Circumstances: CircumstancesOf(c),
 		})
 		if p.Crashes.Treatment() == isolator.GivenUp {
 			j.EndState = jobwire.JobState_JOB_STATE_FAILED
@@ -114,14 +112,28 @@
 	return false
 }
 
+// wireCircumstances are the messages that tell how likely a run has crashed its worker.
+type wireCircumstances interface {
+	GetAlone() bool
+	GetPrompt() bool
+	GetBystander() bool
+}
+
+// CircumstancesOf returns the circumstances that a message tells.
+func CircumstancesOf(m wireCircumstances) isolator.Circumstances {
+	return isolator.Circumstances{
+		Alone:     m.GetAlone(),
+		Prompt:    m.GetPrompt(),
+		Bystander: m.GetBystander(),
+	}
+}
+
 func decodePlacement(p *jobwire.Placement) isolator.Placement {
 	return isolator.Placement{
-		Run:       p.GetRun(),
-		Worker:    p.GetWorker(),
-		Born:      p.GetBorn(),
-		Alone:     p.GetAlone(),
-		Prompt:    p.GetPrompt(),
-		Bystander: p.GetBystander(),
+		Run:           p.GetRun(),
+		Worker:        p.GetWorker(),
+		Born:          p.GetBorn(),
+		Circumstances: CircumstancesOf(p),
 	}
 }
 
@@ -154,10 +166,8 @@
 	crashes := make([]isolator.Crash, 0, len(record.GetCrashes()))
 	for _, c := range record.GetCrashes() {
 		crashes = append(crashes, isolator.Crash{
-			Run:       c.GetRun(),
-			Alone:     c.GetAlone(),
-			Prompt:    c.GetPrompt(),
-			Bystander: c.GetBystander(),
+			Run:           c.GetRun(),
+			Circumstances: CircumstancesOf(c),
 		})
 	}
 	return isolator.NewRecord(crashes, decodePlacement(record.GetPlacement()))
--- a/internal/jobkeeper/crash_test.go
+++ b/internal/jobkeeper/crash_test.go
@@ -79,7 +79,9 @@
 			Run:    3,
 			Worker: "w",
 			Born:   7,
-			Alone:  true,
+			Circumstances: isolator.Circumstances{
+				Alone: true,
+			},
 		})
 	})
 	apply(t, restored, now, crash("job", 3))
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -51,16 +51,11 @@
 // lapsedRun is a run that was given up when the lease of its worker ended. Whether the
 // worker has crashed is not known.
 type lapsedRun struct {
-	key runKey
-	// alone is true when the worker had no other run, prompt when it broke the
-	// connection just after the start.
-	alone  bool
-	prompt bool
+	key           runKey
+	circumstances isolator.Circumstances
 	// startedAt is when the worker confirmed the start; if it has not, when it broke the
 	// connection.
 	startedAt time.Time
-	// bystander is true when another run of the worker is more likely the cause.
-	bystander bool
 	// countsUntil is until when the run counts if the worker turns out to have crashed.
 	countsUntil time.Time
 }
@@ -95,8 +90,10 @@
 // lapse returns the record of a run that is given up now.
 func (s *Scheduler) lapse(w *worker, r *run, alone bool) lapsedRun {
 	lapsed := lapsedRun{
-		key:         r.key,
-		alone:       alone,
+		key: r.key,
+		circumstances: isolator.Circumstances{
+			Alone: alone,
+		},
 		countsUntil: s.now.Add(crashNewsTime),
 	}
 	if w.disconnected() && r.step != nil {
@@ -104,7 +101,7 @@
 		if r.confirmedAt.IsZero() {
 			lapsed.startedAt = w.disconnectedAt
 		}
-		lapsed.prompt = w.disconnectedAt.Sub(r.sentAt).Abs() <= promptCrashTime
+		lapsed.circumstances.Prompt = w.disconnectedAt.Sub(r.sentAt).Abs() <= promptCrashTime
 		lapsed.countsUntil = s.now.Add(disconnectedNewsTime)
 	}
 	return lapsed
@@ -115,12 +112,12 @@
 func markBystanders(runs []lapsedRun) {
 	var last time.Time
 	for _, r := range runs {
-		if r.prompt && r.startedAt.After(last) {
+		if r.circumstances.Prompt && r.startedAt.After(last) {
 			last = r.startedAt
 		}
 	}
 	for i, r := range runs {
-		runs[i].bystander = !last.IsZero() && (!r.prompt || last.Sub(r.startedAt) > suspectStartInterval)
+		runs[i].circumstances.Bystander = !last.IsZero() && (!r.circumstances.Prompt || last.Sub(r.startedAt) > suspectStartInterval)
 	}
 }
 
@@ -252,9 +249,9 @@
 		record.Crashes = append(record.Crashes, &jobwire.TaskCrash{
 			Task:      r.key.task(),
 			Run:       r.key.number,
-			Alone:     r.alone,
-			Prompt:    r.prompt,
-			Bystander: r.bystander,
+			Alone:     r.circumstances.Alone,
+			Prompt:    r.circumstances.Prompt,
+			Bystander: r.circumstances.Bystander,
 		})
 		s.logCrash(st, r)
 	}
@@ -266,10 +263,8 @@
 // logCrash logs that a task is isolated or given up because of a crash.
 func (s *Scheduler) logCrash(st *step, r lapsedRun) {
 	crashes := st.occurrence.job.saved.Task(r.key.task()).Crashes.WithCrash(isolator.Crash{
-		Run:       r.key.number,
-		Alone:     r.alone,
-		Prompt:    r.prompt,
-		Bystander: r.bystander,
+		Run:           r.key.number,
+		Circumstances: r.circumstances,
 	})
 	switch crashes.Treatment() {
 	case isolator.GivenUp:
@@ -278,7 +273,8 @@
 			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()))
 	case isolator.Isolated:
 		s.logger.Info("scheduler: task runs alone from now on, because workers have crashed that ran it",
-			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()), "alone", r.alone, "prompt", r.prompt)
+			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()),
+			"alone", r.circumstances.Alone, "prompt", r.circumstances.Prompt)
 	}
 }
 
@@ -341,20 +337,22 @@
 	alone := w.runsAlone()
 	var runs []lapsedRun
 	for _, r := range w.runs {
-		if r.step != nil && !r.placementRecorded && !r.undelivered {
-			r.placementRecorded = true
+		if r.step != nil && !r.undelivered {
 			runs = append(runs, s.lapse(w, r, alone))
 		}
 	}
 	markBystanders(runs)
-	for _, r := range runs {
+	for _, lapsed := range runs {
+		r := w.runs[lapsed.key]
+		if r.placementRecorded {
+			continue
+		}
+		r.placementRecorded = true
 		s.emit(RecordPlacement{
-			Target:    w.target(),
-			Task:      r.key.task(),
-			Run:       r.key.number,
-			Alone:     r.alone,
-			Prompt:    r.prompt,
-			Bystander: r.bystander,
+			Target:        w.target(),
+			Task:          lapsed.key.task(),
+			Run:           lapsed.key.number,
+			Circumstances: lapsed.circumstances,
 		})
 	}
 }
@@ -387,11 +385,8 @@
 			taskKey: key,
 			number:  placement.Run,
 		},
-		alone:     placement.Alone,
-		prompt:    placement.Prompt,
-		bystander: placement.Bystander,
-
-		countsUntil: s.now.Add(restoredNewsTime),
+		circumstances: placement.Circumstances,
+		countsUntil:   s.now.Add(restoredNewsTime),
 	}
 	if w, ok := s.workers[placement.Worker]; ok && w.info.GetBorn() == placement.Born {
 		w.lapsedRuns = append(w.lapsedRuns, r)
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -34,9 +34,8 @@
 	Target Target
 	Task   *jobwire.Task
 	Run    uint64
-	// Alone, Prompt and Bystander are those of isolator.Crash, should the worker have
-	// crashed.
-	Alone, Prompt, Bystander bool
+	// Circumstances are those of isolator.Crash, should the worker have crashed.
+	isolator.Circumstances
 }
 
 // reservation keeps a worker free for an isolated task, or for the tasks of a gang.
@@ -181,7 +180,9 @@
 		Target: w.target(),
 		Task:   key.task(),
 		Run:    p.run,
-		Alone:  treatment == isolator.Isolated,
+		Circumstances: isolator.Circumstances{
+			Alone: treatment == isolator.Isolated,
+		},
 	})
 }
 
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -35,8 +35,10 @@
 // crashOf returns the record of a crash of the worker that runs the task.
 func (w *worker) crashOf(t *task) isolator.Crash {
 	return isolator.Crash{
-		Run:   uint64(t.attempts),
-		Alone: len(w.tasks) == 1,
+		Run: uint64(t.attempts),
+		Circumstances: isolator.Circumstances{
+			Alone: len(w.tasks) == 1,
+		},
 	}
 }
 
@@ -157,8 +159,10 @@
 	crashes := make([]isolator.Crash, 0, len(list))
 	for _, c := range list {
 		crashes = append(crashes, isolator.Crash{
-			Run:   uint64(c.GetAttempt()),
-			Alone: c.GetAlone(),
+			Run: uint64(c.GetAttempt()),
+			Circumstances: isolator.Circumstances{
+				Alone: c.GetAlone(),
+			},
 		})
 	}
 	return isolator.NewRecord(slices.Clip(crashes), isolator.Placement{})
