internal/jobscheduler: a new leader keeps which runs were bystanders

Cause: the log names the runs of a worker that breaks the connection, with the bystanders among them. The next leader marked the bystanders anew as soon as the worker turned out to have ended. It doesn't know when the runs were started, so it marked none, and each run counted as a suspect.

Change: what a former leader has recorded is not marked anew.

Result: TestNewLeaderKeepsBystanders fails before (bystander false for the earlier run) and passes after.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -53,6 +53,8 @@
 type lapsedRun struct {
 	key           runKey
 	circumstances isolator.Circumstances
+	// restored is true when a former leader has recorded the circumstances.
+	restored bool
 	// startedAt is when the worker confirmed the start; if it has not, when it broke the
 	// connection.
 	startedAt time.Time
@@ -108,7 +110,8 @@
 }
 
 // markBystanders marks the runs of a crashed worker that were there when it started the
-// last ones, if it broke the connection just after that.
+// last ones, if it broke the connection just after that. What a former leader has
+// recorded stays.
 func markBystanders(runs []lapsedRun) {
 	var last time.Time
 	for _, r := range runs {
@@ -117,7 +120,9 @@
 		}
 	}
 	for i, r := range runs {
-		runs[i].circumstances.Bystander = !last.IsZero() && (!r.circumstances.Prompt || last.Sub(r.startedAt) > suspectStartInterval)
+		if !r.restored {
+			runs[i].circumstances.Bystander = !last.IsZero() && (!r.circumstances.Prompt || last.Sub(r.startedAt) > suspectStartInterval)
+		}
 	}
 }
 
@@ -386,6 +391,7 @@
 			number:  placement.Run,
 		},
 		circumstances: placement.Circumstances,
+		restored:      true,
 		countsUntil:   s.now.Add(restoredNewsTime),
 	}
 	if w, ok := s.workers[placement.Worker]; ok && w.info.GetBorn() == placement.Born {
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -532,3 +532,33 @@
 	h.is.Equal(len(startedAt), 2)
 	h.is.True(startedAt[1].Sub(startedAt[0]) > 50*time.Millisecond)
 }
+
+// A leader that is lost after a crash has recorded which runs were bystanders. If its
+// successor took them for suspects, harmless tasks would wait for workers of their own.
+func TestNewLeaderKeepsBystanders(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("first", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	h.is.Equal(len(h.acceptStarts()), 1)
+	h.now = h.now.Add(200 * time.Millisecond)
+	h.submit("last", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	h.is.Equal(len(h.acceptStarts()), 1)
+	h.advance(20 * time.Millisecond)
+	h.disconnectPolls("a")
+	h.advance(time.Millisecond)
+	h.is.Equal(len(h.recordPlacements()), 2)
+	h.startTerm()
+	h.advance(time.Millisecond)
+	h.disconnectPolls("a")
+	h.replaceWorker("a", "b")
+	h.advance(time.Millisecond)
+	records := takeAll[jobscheduler.RecordCrashes](h)
+	h.is.Equal(len(records), 1)
+	h.is.Equal(len(records[0].Crashes), 2)
+	for _, c := range records[0].Crashes {
+		h.is.Equal(c.GetBystander(), c.GetTask().GetJob() == "first")
+	}
+}
