internal/jobscheduler: workers for isolated tasks in the order of waiting

Cause: a task that has to run alone needs a worker without runs. When one had ended, the idle worker went to tasks of a higher rank, and another worker had to become idle for the next one, one or two seconds each time. Among those that waited, the shortest went first, so longer ones waited for up to 20 s.

Change: at the start of each pass workers are reserved for the isolated tasks that have waited the longest, idle ones first, up to half of the pool's.

Result: the two tests of isolate_test.go fail before and pass after.

--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -19,7 +19,7 @@
 	reservationTime = 6 * time.Second
 	// reservedWorkersDivisor bounds the reserved workers to that part of a pool's; one
 	// may always be.
-	reservedWorkersDivisor = 4
+	reservedWorkersDivisor = 2
 	// placementTime is how long a task waits for the log write of its placement and for
 	// an answer of the worker.
 	placementTime = 2 * time.Second
@@ -143,14 +143,11 @@
 }
 
 // decidePlacement chooses a worker for a task and requests the log write of its
-// placement. If there is none for an isolated task, one is reserved.
+// placement.
 func (s *Scheduler) decidePlacement(st *step, index int32, workers []*worker, treatment isolator.Treatment) {
 	w := s.chooseWithCare(st, index, workers, treatment)
 	if w == nil {
 		s.requestAdvice(st, workers)
-		if treatment == isolator.Isolated {
-			s.reserveWorker(st, index, workers)
-		}
 		return
 	}
 	s.requestPlacement(st, index, w, treatment)
@@ -289,26 +286,103 @@
 	}
 }
 
+// reserveWorkers reserves workers of a pool for the isolated tasks that have waited the
+// longest: idle ones first, then those with the fewest runs. In the order of rank, tasks
+// that come later would go first again and again.
+func (s *Scheduler) reserveWorkers(p *pool, search *placeSearch) {
+	for _, t := range s.waitingIsolatedTasks(p) {
+		if !mayReserveMore(search.workers) {
+			return
+		}
+		j := t.step.occurrence.job
+		s.reserveWorker(t.step, t.index, search.workersIn(areaOf(j), j))
+	}
+}
+
 // reserveWorker reserves the worker with the fewest runs for an isolated task, unless one
-// is reserved already or too many are.
+// is reserved already.
 func (s *Scheduler) reserveWorker(st *step, index int32, workers []*worker) {
+	key := st.key(index)
+	if slices.ContainsFunc(workers, func(w *worker) bool { return w.reservation != nil && w.reservation.key == key }) {
+		return
+	}
+	candidates := s.reservableWorkers(st, workers)
+	if len(candidates) == 0 {
+		return
+	}
+	first := slices.MinFunc(candidates, func(a, b *worker) int { return cmp.Compare(len(a.runs), len(b.runs)) })
+	s.reserve(first, key, st.spec.GetGang())
+}
+
+// mayReserveMore reports whether one more of the workers of a pool may be reserved.
+func mayReserveMore(workers []*worker) bool {
 	reserved := 0
-	var candidates []*worker
 	for _, w := range workers {
-		switch {
-		case w.reservation != nil && w.reservation.key == st.key(index):
-			return
-		case w.reservation != nil:
+		if w.reservation != nil {
 			reserved++
-		case s.schedulable(w) && !w.hasLastingRuns() && reservationOf(st).FitsIn(w.capacity) && w.hasLabel(st.spec.GetLabel()) && s.adviserAllows(st, w):
-			candidates = append(candidates, w)
 		}
 	}
-	if len(candidates) == 0 || reserved >= max(1, len(workers)/reservedWorkersDivisor) {
-		return
+	return reserved < max(1, len(workers)/reservedWorkersDivisor)
+}
+
+// reservableWorkers returns the workers that can become idle for a task and may run it
+// then.
+func (s *Scheduler) reservableWorkers(st *step, workers []*worker) []*worker {
+	var list []*worker
+	for _, w := range workers {
+		if w.reservation == nil && s.schedulable(w) && !w.hasLastingRuns() && reservationOf(st).FitsIn(w.capacity) &&
+			w.hasLabel(st.spec.GetLabel()) && s.adviserAllows(st, w) {
+			list = append(list, w)
+		}
 	}
-	first := slices.MinFunc(candidates, func(a, b *worker) int { return cmp.Compare(len(a.runs), len(b.runs)) })
-	s.reserve(first, st.key(index), st.spec.GetGang())
+	return list
+}
+
+// stepTask is a task of a step.
+type stepTask struct {
+	step  *step
+	index int32
+}
+
+// waitingIsolatedTasks returns the isolated tasks of a pool that can be placed now, by
+// the time when their jobs were due; those of gangs are left out.
+func (s *Scheduler) waitingIsolatedTasks(p *pool) []stepTask {
+	var list []stepTask
+	for _, j := range p.jobs {
+		if !j.saved.HasCrashRecords() || s.mayRunOnUnreconciled(j) || j.relocating() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			for _, st := range o.steps {
+				list = append(list, s.isolatedTasks(st)...)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b stepTask) int {
+		return cmp.Or(a.step.occurrence.dueAt.Compare(b.step.occurrence.dueAt),
+			cmp.Compare(a.step.occurrence.job.id, b.step.occurrence.job.id),
+			cmp.Compare(a.step.number, b.step.number), cmp.Compare(a.index, b.index))
+	})
+	return list
+}
+
+// isolatedTasks returns the isolated tasks of a step that can be placed now.
+func (s *Scheduler) isolatedTasks(st *step) []stepTask {
+	if !st.ready || st.spec.GetGang() {
+		return nil
+	}
+	var list []stepTask
+	for _, index := range st.pending {
+		key := st.key(index)
+		if _, placed := s.pendingPlacements[key]; !placed && s.treatment(st, index) == isolator.Isolated &&
+			!s.fateUnknown(key) && s.withinAccountCeiling(st, 1) {
+			list = append(list, stepTask{
+				step:  st,
+				index: index,
+			})
+		}
+	}
+	return list
 }
 
 // hasLastingRuns reports whether a long-running task is on the worker, which therefore
--- /dev/null
+++ b/internal/jobscheduler/isolate_test.go
@@ -0,0 +1,86 @@
+package jobscheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// isolatedJob submits a job of one task that has to run alone.
+func (h *harness) isolatedJob(id string, estimate time.Duration) {
+	step := tasks(1, 1000)
+	step.EstimateNanos = int64(estimate)
+	h.submit(id, step)
+	crashTwice(h, id)
+}
+
+// playDone plays with a worker whose runs are done at the given time after their starts,
+// and returns the jobs that started, in order.
+func (h *harness) playDone(steps int, doneAfter time.Duration) []string {
+	var order []string
+	started := make(map[string]time.Time)
+	var running []jobscheduler.Start
+	ended := uint64(0)
+	for range steps {
+		h.recordPlacements()
+		for _, start := range h.acceptStarts() {
+			order = append(order, start.Task.GetJob())
+			started[start.Task.GetJob()] = h.now
+			running = append(running, start)
+		}
+		var answer jobscheduler.PollAnswer
+		var rest []jobscheduler.Start
+		for _, start := range running {
+			if h.now.Sub(started[start.Task.GetJob()]) >= doneAfter {
+				ended++
+				answer.Ended = append(answer.Ended, endedTask(ended, start.Task, start.Run, jobwire.Ending_ENDING_DONE))
+				continue
+			}
+			rest = append(rest, start)
+			answer.Running = append(answer.Running, runningTask(start.Task, start.Run))
+		}
+		running = rest
+		h.answerPolls(map[string]jobscheduler.PollAnswer{
+			"a": answer,
+		})
+		h.recordEnds()
+		h.advance(20 * time.Millisecond)
+	}
+	return order
+}
+
+// Many tasks may have to run alone, and a worker is soon free for one of them again and
+// again. In the order of rank the shortest would go first, and a longer one would wait
+// until all others have ended.
+func TestIsolatedTaskThatWaitedLongestRunsFirst(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.isolatedJob("older", 2*time.Second)
+	h.now = h.now.Add(time.Minute)
+	h.isolatedJob("newer", 100*time.Millisecond)
+	h.now = h.now.Add(time.Minute) // both are too late
+	h.startTerm()
+	h.reconcileWorkers()
+	order := h.playDone(100, 200*time.Millisecond)
+	h.is.Equal(order, []string{"older", "newer"})
+}
+
+// A worker that was emptied for an isolated task is idle once that has ended. If it took
+// tasks that rank before the next isolated one, it would have to become idle each time.
+func TestIdleWorkerIsKeptForNextIsolatedTask(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	for n := range 3 {
+		h.isolatedJob(fmt.Sprint("suspect", n), 500*time.Millisecond)
+	}
+	h.now = h.now.Add(time.Minute)
+	h.startTerm()
+	h.reconcileWorkers()
+	h.submit("filler", tasks(8, 1000))
+	order := h.playDone(100, 200*time.Millisecond)
+	h.is.True(len(order) > 3)
+	h.is.Equal(order[:3], []string{"suspect0", "suspect1", "suspect2"})
+}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -71,6 +71,7 @@
 func (s *Scheduler) placePool(p *pool, contact time.Time) {
 	workers := s.schedulableWorkers(p)
 	search := newPlaceSearch(workers)
+	s.reserveWorkers(p, search)
 	for _, st := range s.waitingSteps(p, len(workers)) {
 		if s.startsLeft <= 0 {
 			return
@@ -167,7 +168,7 @@
 	chosen := s.chooseGang(st, candidates)
 	if chosen == nil {
 		s.requestAdvice(st, candidates)
-		if alone {
+		if alone && mayReserveMore(workers) {
 			s.reserveWorker(st, st.pending[0], workers)
 		}
 		return
