internal/isolator: the last starts before a crash run alone at once

Callers saw: a task that crashes its workers crashed four before it was given up, two of them beside 10 to 20 harmless tasks, which were lost each time and came under suspicion themselves.

Cause: every task of a crashed worker was only watched after the first crash, also when the log of starts left one or a few that could have caused it. And two crashes alone were needed, whatever the first one had shown.

A task is given up after two crashes if in each it was the only run that had just been started, and in one of them the only run. Otherwise the former bounds hold.

Ruled out: a loss for workers that crash by themselves.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -40,6 +40,13 @@
 	// maxCrashes is the number of crashes after which a task that has run alone once is
 	// given up.
 	maxCrashes = 5
+	// maxConclusive is the number of conclusive crashes after which a task is given up,
+	// if it was alone in one of them.
+	maxConclusive = 2
+	// fewSuspects is the number of runs that may have crashed a worker up to which each
+	// of their tasks runs alone next. Another crash would take all runs of another worker
+	// along, and a few runs alone cost less.
+	fewSuspects = 3
 )
 
 // Circumstances tell how likely a run has crashed its worker.
@@ -51,6 +58,18 @@
 	// Bystander is true when another run of the worker, which was just started, is more
 	// likely the cause.
 	Bystander bool
+	// Suspects is the number of runs of the worker that are no bystanders; 0 when it is
+	// not known.
+	Suspects int32
+}
+
+// conclusive reports whether the run has crashed its worker unless that crashed by
+// itself.
+func (c Circumstances) conclusive() bool { return c.Prompt && !c.Bystander && c.Suspects == 1 }
+
+// oneOfFew reports whether the run is one of a few that may have crashed the worker.
+func (c Circumstances) oneOfFew() bool {
+	return c.Prompt && !c.Bystander && c.Suspects > 0 && c.Suspects <= fewSuspects
 }
 
 // Crash is the crash of a worker during a run of a task.
@@ -164,7 +183,8 @@
 	if r == nil {
 		return Normal
 	}
-	alone, prompt, bystander := 0, 0, 0
+	alone, prompt, bystander, conclusive := 0, 0, 0, 0
+	oneOfFew := false
 	for _, c := range r.crashes {
 		if c.Bystander {
 			bystander++
@@ -175,11 +195,17 @@
 		if c.Alone && c.Prompt {
 			prompt++
 		}
+		if c.conclusive() {
+			conclusive++
+		}
+		oneOfFew = oneOfFew || c.oneOfFew()
 	}
 	switch n := len(r.crashes); {
-	case n >= minCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0), n >= maxCrashes && alone > 0:
+	case n >= minCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0),
+		n >= maxCrashes && alone > 0,
+		conclusive >= maxConclusive && prompt > 0:
 		return GivenUp
-	case n-bystander >= isolateAfter, n >= isolateBystanderAfter:
+	case n-bystander >= isolateAfter, n >= isolateBystanderAfter, oneOfFew:
 		return Isolated
 	case n > 0:
 		return Watched
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -46,6 +46,33 @@
 	}
 }
 
+// sole returns a crash of a worker just after it was ordered to start a run, beside
+// others that had run for longer.
+func sole(run uint64) isolator.Crash { return oneOf(run, 1) }
+
+// oneOf returns a crash of a worker just after it was ordered to start so many runs.
+func oneOf(run uint64, suspects int32) isolator.Crash {
+	return isolator.Crash{
+		Run: run,
+		Circumstances: isolator.Circumstances{
+			Prompt:   true,
+			Suspects: suspects,
+		},
+	}
+}
+
+// soleAlone returns a crash of a worker just after it was ordered to start its only run.
+func soleAlone(run uint64) isolator.Crash {
+	return isolator.Crash{
+		Run: run,
+		Circumstances: isolator.Circumstances{
+			Alone:    true,
+			Prompt:   true,
+			Suspects: 1,
+		},
+	}
+}
+
 // A harmless task that ran beside a deadly one is isolated and not given up: only
 // crashes with the task alone count for that, and one of them is not enough.
 func TestTreatment(t *testing.T) {
@@ -116,6 +143,34 @@
 			crashes: []isolator.Crash{shared(1), shared(2), shared(3), alone(4), shared(5)},
 			want:    isolator.GivenUp,
 		},
+		"the only one that was just started": {
+			crashes: []isolator.Crash{sole(1)},
+			want:    isolator.Isolated,
+		},
+		"one of a few that were just started": {
+			crashes: []isolator.Crash{oneOf(1, 3)},
+			want:    isolator.Isolated,
+		},
+		"one of many that were just started": {
+			crashes: []isolator.Crash{oneOf(1, 4)},
+			want:    isolator.Watched,
+		},
+		"twice the only one, never alone": {
+			crashes: []isolator.Crash{sole(1), sole(2)},
+			want:    isolator.Isolated,
+		},
+		"twice the only one, once alone": {
+			crashes: []isolator.Crash{sole(1), soleAlone(2)},
+			want:    isolator.GivenUp,
+		},
+		"one of a few, then alone": {
+			crashes: []isolator.Crash{oneOf(1, 2), soleAlone(2)},
+			want:    isolator.Isolated,
+		},
+		"once alone": {
+			crashes: []isolator.Crash{soleAlone(1)},
+			want:    isolator.Isolated,
+		},
 		"late news of an earlier crash": {
 			crashes: []isolator.Crash{prompt(7), prompt(9), shared(5)},
 			want:    isolator.GivenUp,
--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -211,6 +211,7 @@
 			Alone:     a.Alone,
 			Prompt:    a.Prompt,
 			Bystander: a.Bystander,
+			Suspects:  a.Suspects,
 		})
 	}
 	cmd := &jobwire.Command{
--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -117,6 +117,7 @@
 	GetAlone() bool
 	GetPrompt() bool
 	GetBystander() bool
+	GetSuspects() int32
 }
 
 // CircumstancesOf returns the circumstances that a message tells.
@@ -125,6 +126,7 @@
 		Alone:     m.GetAlone(),
 		Prompt:    m.GetPrompt(),
 		Bystander: m.GetBystander(),
+		Suspects:  m.GetSuspects(),
 	}
 }
 
@@ -145,6 +147,7 @@
 			Alone:     c.Alone,
 			Prompt:    c.Prompt,
 			Bystander: c.Bystander,
+			Suspects:  c.Suspects,
 		})
 	}
 	if p := r.Placement(); p.Run > 0 {
@@ -155,6 +158,7 @@
 			Alone:     p.Alone,
 			Prompt:    p.Prompt,
 			Bystander: p.Bystander,
+			Suspects:  p.Suspects,
 		}
 	}
 }
--- a/internal/jobkeeper/crash_test.go
+++ b/internal/jobkeeper/crash_test.go
@@ -175,3 +175,26 @@
 	is.Equal(len(crashes), 1)
 	is.Equal(crashes[0].Run, uint64(2))
 }
+
+// How many runs may have crashed a worker decides whether a task runs alone at once. A
+// replica that starts from a snapshot has to decide like the others.
+func TestSuspectsOutliveSnapshot(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := jobkeeper.New(timer.System())
+	apply(t, m, now, configure(1, 2))
+	apply(t, m, now, submit("job", 0, 2))
+	first := crash("job", 1)
+	first.GetCrashes().GetCrashes()[0].Alone = false
+	first.GetCrashes().GetCrashes()[0].Suspects = 1
+	apply(t, m, now, first)
+	data, err := m.Encode()
+	is.NoErr(err)
+	restored := jobkeeper.New(timer.System())
+	is.NoErr(restored.Restore(data))
+	for _, replica := range []*jobkeeper.StateMachine{m, restored} {
+		replica.View(func(s *jobkeeper.State) {
+			is.Equal(s.Jobs["job"].Task(&jobwire.Task{Job: "job"}).Crashes.Treatment(), isolator.Isolated)
+		})
+	}
+}
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -109,21 +109,31 @@
 	return lapsed
 }
 
-// markBystanders marks the runs of a crashed worker that were there when it started the
-// last ones, if it broke the connection just after that. What a former leader has
-// recorded stays.
-func markBystanders(runs []lapsedRun) {
+// markSuspects tells the runs of a crashed worker apart: those that were there when it
+// started the last ones are bystanders, if it broke the connection just after that. What
+// a former leader has recorded stays. It returns the number of runs that are none.
+func markSuspects(runs []lapsedRun) int32 {
 	var last time.Time
 	for _, r := range runs {
 		if r.circumstances.Prompt && r.startedAt.After(last) {
 			last = r.startedAt
 		}
 	}
+	suspects := int32(0)
 	for i, r := range runs {
 		if !r.restored {
 			runs[i].circumstances.Bystander = !last.IsZero() && (!r.circumstances.Prompt || last.Sub(r.startedAt) > suspectStartInterval)
 		}
+		if !runs[i].circumstances.Bystander {
+			suspects++
+		}
+	}
+	for i, r := range runs {
+		if !r.restored {
+			runs[i].circumstances.Suspects = suspects
+		}
 	}
+	return suspects
 }
 
 // fateTime returns how long a task waits for news of a worker that it may have crashed,
@@ -226,17 +236,18 @@
 	if planned != "" && len(runs) == 0 {
 		return
 	}
+	suspects := markSuspects(runs)
 	names := make([]string, 0, len(runs))
 	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
 		names = append(names, taskName(r.key.taskKey))
 	}
 	s.logger.Info("scheduler: incarnation of a worker has ended", "worker", w.info.GetId(), "born", w.info.GetBorn(),
-		"evidence", w.endEvidence, "planned", planned, "silent", s.now.Sub(w.heardAt), "runs", len(runs), "tasks", names)
+		"evidence", w.endEvidence, "planned", planned, "silent", s.now.Sub(w.heardAt), "runs", len(runs),
+		"suspects", suspects, "tasks", names)
 	if planned != "" {
 		return
 	}
 	s.counters.WorkerCrashes++
-	markBystanders(runs)
 	s.recordCrashes(runs)
 }
 
@@ -257,6 +268,7 @@
 			Alone:     r.circumstances.Alone,
 			Prompt:    r.circumstances.Prompt,
 			Bystander: r.circumstances.Bystander,
+			Suspects:  r.circumstances.Suspects,
 		})
 		s.logCrash(st, r)
 	}
@@ -279,7 +291,7 @@
 	case isolator.Isolated:
 		s.logger.Info("scheduler: task runs alone from now on, because workers have crashed that ran it",
 			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()),
-			"alone", r.circumstances.Alone, "prompt", r.circumstances.Prompt)
+			"alone", r.circumstances.Alone, "prompt", r.circumstances.Prompt, "suspects", r.circumstances.Suspects)
 	}
 }
 
@@ -346,7 +358,7 @@
 			runs = append(runs, s.lapse(w, r, alone))
 		}
 	}
-	markBystanders(runs)
+	markSuspects(runs)
 	for _, lapsed := range runs {
 		r := w.runs[lapsed.key]
 		if r.placementRecorded {
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -560,5 +560,6 @@
 	h.is.Equal(len(records[0].Crashes), 2)
 	for _, c := range records[0].Crashes {
 		h.is.Equal(c.GetBystander(), c.GetTask().GetJob() == "first")
+		h.is.Equal(c.GetSuspects(), int32(1))
 	}
 }
--- a/internal/jobscheduler/crashmodel_test.go
+++ b/internal/jobscheduler/crashmodel_test.go
@@ -127,6 +127,7 @@
 							Alone:     a.Alone,
 							Prompt:    a.Prompt,
 							Bystander: a.Bystander,
+							Suspects:  a.Suspects,
 						},
 					},
 				},
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -281,6 +281,7 @@
 							Alone:     a.Alone,
 							Prompt:    a.Prompt,
 							Bystander: a.Bystander,
+							Suspects:  a.Suspects,
 						},
 					},
 				},
