internal/isolator: an order that was held up is no evidence of a crash

Cause: run 4097 of the task was ordered at 18.336 s; the worker held the order up, as it did with others, and crashed at 18.510 s under another one that it had executed late. The start counted as the last one before the crash, so the task was the only suspect.

Change: each crash tells whether the worker had most likely begun the run: it had confirmed it, or it broke the connection within 100 ms of the order. A task is given up only after two such crashes, or after five of any kind.

Ruled out: to count only confirmed runs.

Result: TestCrashBeforeHeldUpStart and three of the new cases of TestTreatment need the change.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -30,15 +30,17 @@
 	// isolateBystanderAfter is that number with the crashes that another task has more
 	// likely caused.
 	isolateBystanderAfter = 3
-	// minCrashes is the number of crashes that a task needs at least to be given up.
-	minCrashes = 3
+	// minCrashes is the number of crashes that a task needs at least to be given up, and
+	// minBegunCrashes that of crashes with a run that had most likely begun.
+	minCrashes      = 3
+	minBegunCrashes = 2
 	// maxAlone is the number of crashes with the task alone on the worker after which it
 	// is given up, and maxPromptAlone that number if one of them was prompt: a worker
 	// that crashes by itself seldom does so just after a start.
 	maxAlone       = 3
 	maxPromptAlone = 2
 	// maxCrashes is the number of crashes after which a task that has run alone once is
-	// given up.
+	// given up, also if its runs may not have begun.
 	maxCrashes = 5
 	// maxConclusive is the number of conclusive crashes after which a task is given up,
 	// if it was alone in one of them.
@@ -61,11 +63,16 @@
 	// Suspects is the number of runs of the worker that are no bystanders; 0 when it is
 	// not known.
 	Suspects int32
+	// Begun is true when the worker has most likely begun the run. An order that it has
+	// not answered may never have reached it, or may be executed later.
+	Begun bool
 }
 
 // conclusive reports whether the run has crashed its worker unless that crashed by
 // itself.
-func (c Circumstances) conclusive() bool { return c.Prompt && !c.Bystander && c.Suspects == 1 }
+func (c Circumstances) conclusive() bool {
+	return c.Begun && c.Prompt && !c.Bystander && c.Suspects == 1
+}
 
 // oneOfFew reports whether the run is one of a few that may have crashed the worker.
 func (c Circumstances) oneOfFew() bool {
@@ -183,7 +190,7 @@
 	if r == nil {
 		return Normal
 	}
-	alone, prompt, bystander, conclusive := 0, 0, 0, 0
+	alone, prompt, bystander, begun, conclusive := 0, 0, 0, 0, 0
 	oneOfFew := false
 	for _, c := range r.crashes {
 		if c.Bystander {
@@ -195,13 +202,16 @@
 		if c.Alone && c.Prompt {
 			prompt++
 		}
+		if c.Begun {
+			begun++
+		}
 		if c.conclusive() {
 			conclusive++
 		}
 		oneOfFew = oneOfFew || c.oneOfFew()
 	}
 	switch n := len(r.crashes); {
-	case n >= minCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0),
+	case n >= minCrashes && begun >= minBegunCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0),
 		n >= maxCrashes && alone > 0,
 		conclusive >= maxConclusive && prompt > 0:
 		return GivenUp
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -12,6 +12,9 @@
 func shared(run uint64) isolator.Crash {
 	return isolator.Crash{
 		Run: run,
+		Circumstances: isolator.Circumstances{
+			Begun: true,
+		},
 	}
 }
 
@@ -21,6 +24,7 @@
 		Run: run,
 		Circumstances: isolator.Circumstances{
 			Alone: true,
+			Begun: true,
 		},
 	}
 }
@@ -31,6 +35,7 @@
 		Run: run,
 		Circumstances: isolator.Circumstances{
 			Bystander: true,
+			Begun:     true,
 		},
 	}
 }
@@ -42,6 +47,7 @@
 		Circumstances: isolator.Circumstances{
 			Alone:  true,
 			Prompt: true,
+			Begun:  true,
 		},
 	}
 }
@@ -57,6 +63,7 @@
 		Circumstances: isolator.Circumstances{
 			Prompt:   true,
 			Suspects: suspects,
+			Begun:    true,
 		},
 	}
 }
@@ -69,10 +76,17 @@
 			Alone:    true,
 			Prompt:   true,
 			Suspects: 1,
+			Begun:    true,
 		},
 	}
 }
 
+// unanswered returns a crash whose run the worker has not confirmed.
+func unanswered(c isolator.Crash) isolator.Crash {
+	c.Begun = false
+	return c
+}
+
 // A harmless task that ran beside a deadly one is isolated and not given up: only
 // crashes with the task alone count for that, and one of them is not enough.
 func TestTreatment(t *testing.T) {
@@ -171,6 +185,22 @@
 			crashes: []isolator.Crash{soleAlone(1)},
 			want:    isolator.Isolated,
 		},
+		"twice the only one, once alone, one start unanswered": {
+			crashes: []isolator.Crash{unanswered(sole(1)), soleAlone(2)},
+			want:    isolator.Isolated,
+		},
+		"three alone, two starts unanswered": {
+			crashes: []isolator.Crash{unanswered(soleAlone(1)), unanswered(soleAlone(2)), soleAlone(3)},
+			want:    isolator.Isolated,
+		},
+		"three alone, one start unanswered": {
+			crashes: []isolator.Crash{unanswered(soleAlone(1)), soleAlone(2), soleAlone(3)},
+			want:    isolator.GivenUp,
+		},
+		"five alone, starts unanswered": {
+			crashes: []isolator.Crash{unanswered(alone(1)), unanswered(alone(2)), unanswered(alone(3)), unanswered(alone(4)), unanswered(alone(5))},
+			want:    isolator.GivenUp,
+		},
 		"late news of an earlier crash": {
 			crashes: []isolator.Crash{prompt(7), prompt(9), shared(5)},
 			want:    isolator.GivenUp,
--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -212,6 +212,7 @@
 			Prompt:    a.Prompt,
 			Bystander: a.Bystander,
 			Suspects:  a.Suspects,
+			Begun:     a.Begun,
 		})
 	}
 	cmd := &jobwire.Command{
--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -118,6 +118,7 @@
 	GetPrompt() bool
 	GetBystander() bool
 	GetSuspects() int32
+	GetBegun() bool
 }
 
 // CircumstancesOf returns the circumstances that a message tells.
@@ -127,6 +128,7 @@
 		Prompt:    m.GetPrompt(),
 		Bystander: m.GetBystander(),
 		Suspects:  m.GetSuspects(),
+		Begun:     m.GetBegun(),
 	}
 }
 
@@ -148,6 +150,7 @@
 			Prompt:    c.Prompt,
 			Bystander: c.Bystander,
 			Suspects:  c.Suspects,
+			Begun:     c.Begun,
 		})
 	}
 	if p := r.Placement(); p.Run > 0 {
@@ -159,6 +162,7 @@
 			Prompt:    p.Prompt,
 			Bystander: p.Bystander,
 			Suspects:  p.Suspects,
+			Begun:     p.Begun,
 		}
 	}
 }
--- a/internal/jobkeeper/crash_test.go
+++ b/internal/jobkeeper/crash_test.go
@@ -26,6 +26,7 @@
 						Run:    run,
 						Alone:  true,
 						Prompt: true,
+						Begun:  true,
 					},
 				},
 			},
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -27,6 +27,9 @@
 	// promptCrashTime is how soon after the order to start a task a worker must have
 	// broken the connection, for its crash to count as one just after the start.
 	promptCrashTime = 300 * time.Millisecond
+	// startAnswerTime is how long a worker takes at most to answer an order to start a
+	// task. One that is held up for longer may be executed later, if at all.
+	startAnswerTime = 100 * time.Millisecond
 	// suspectStartInterval is the least time between two starts of suspects on a worker.
 	// If it crashes, the tasks that it started last, within that time, are more likely
 	// the cause than earlier ones.
@@ -95,6 +98,7 @@
 		key: r.key,
 		circumstances: isolator.Circumstances{
 			Alone: alone,
+			Begun: r.begun,
 		},
 		countsUntil: s.now.Add(crashNewsTime),
 	}
@@ -103,7 +107,9 @@
 		if r.confirmedAt.IsZero() {
 			lapsed.startedAt = w.disconnectedAt
 		}
-		lapsed.circumstances.Prompt = w.disconnectedAt.Sub(r.sentAt).Abs() <= promptCrashTime
+		sinceOrder := w.disconnectedAt.Sub(r.sentAt).Abs()
+		lapsed.circumstances.Prompt = sinceOrder <= promptCrashTime
+		lapsed.circumstances.Begun = r.begun || sinceOrder <= startAnswerTime
 		lapsed.countsUntil = s.now.Add(disconnectedNewsTime)
 	}
 	return lapsed
@@ -269,6 +275,7 @@
 			Prompt:    r.circumstances.Prompt,
 			Bystander: r.circumstances.Bystander,
 			Suspects:  r.circumstances.Suspects,
+			Begun:     r.circumstances.Begun,
 		})
 		s.logCrash(st, r)
 	}
@@ -291,7 +298,8 @@
 	case isolator.Isolated:
 		s.logger.Info("scheduler: task runs alone from now on, because workers have crashed that ran it",
 			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()),
-			"alone", r.circumstances.Alone, "prompt", r.circumstances.Prompt, "suspects", r.circumstances.Suspects)
+			"alone", r.circumstances.Alone, "prompt", r.circumstances.Prompt, "suspects", r.circumstances.Suspects,
+			"begun", r.circumstances.Begun)
 	}
 }
 
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -563,3 +563,39 @@
 		h.is.Equal(c.GetSuspects(), int32(1))
 	}
 }
+
+// An order that a worker holds up for long may be executed later or never, and the crash
+// of that worker then has another cause. If it counted like one just after a start, a
+// harmless task would be given up.
+func TestCrashBeforeHeldUpStart(t *testing.T) {
+	for name, test := range map[string]struct {
+		heldUp time.Duration
+		begun  bool
+	}{
+		"connection broken at once": {
+			heldUp: 20 * time.Millisecond,
+			begun:  true,
+		},
+		"held up before": {
+			heldUp: 175 * time.Millisecond,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.submit("job", tasks(1, 1000))
+			h.startTerm()
+			h.reconcileWorkers()
+			starts := takeAll[jobscheduler.Start](h)
+			h.is.Equal(len(starts), 1)
+			h.now = h.now.Add(test.heldUp)
+			h.withScheduler(func() { h.sched.StartAnswered(starts[0], jobscheduler.StartDisconnected, 0) })
+			h.disconnectPolls("a")
+			h.replaceWorker("a", "b")
+			h.advance(time.Millisecond)
+			records := takeAll[jobscheduler.RecordCrashes](h)
+			h.is.Equal(len(records), 1)
+			h.is.Equal(records[0].Crashes[0].GetBegun(), test.begun)
+		})
+	}
+}
--- a/internal/jobscheduler/crashmodel_test.go
+++ b/internal/jobscheduler/crashmodel_test.go
@@ -128,6 +128,7 @@
 							Prompt:    a.Prompt,
 							Bystander: a.Bystander,
 							Suspects:  a.Suspects,
+							Begun:     a.Begun,
 						},
 					},
 				},
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -282,6 +282,7 @@
 							Prompt:    a.Prompt,
 							Bystander: a.Bystander,
 							Suspects:  a.Suspects,
+							Begun:     a.Begun,
 						},
 					},
 				},
--- a/internal/scheduler/crash.go
+++ b/internal/scheduler/crash.go
@@ -38,6 +38,7 @@
 		Run: uint64(t.attempts),
 		Circumstances: isolator.Circumstances{
 			Alone: len(w.tasks) == 1,
+			Begun: true,
 		},
 	}
 }
@@ -162,6 +163,7 @@
 			Run: uint64(c.GetAttempt()),
 			Circumstances: isolator.Circumstances{
 				Alone: c.GetAlone(),
+				Begun: true,
 			},
 		})
 	}
