internal/scheduler: a worker that becomes smaller keeps only what fits

Callers saw: (by reading) a worker of the product's own queues that reported less capacity went on with all its tasks, and tasks that had been assigned before were still started there, over its capacity (LIMIT).

Cause: only the search for free workers compared the capacity. Jobs had been mended in, queues of tasks had not.

Change: after each poll of a worker that reports less than its host has and too little for its tasks, the newest leave it: not yet started ones are assigned anew, idempotent ones are checkpointed, others are throttled, as for an urgent task. What is leaving counts when it shrinks again.

Ruled out: to stop tasks that may not run twice. They would be lost for their callers; so their memory stays in use until they end (docs/FAULTS.md).

--- a/internal/scheduler/fleet_test.go
+++ b/internal/scheduler/fleet_test.go
@@ -39,6 +39,9 @@
 	// outcome returns the state in which a task ends on a worker at its next
 	// poll, or unspecified if it keeps running.
 	outcome func(worker, task string) wire.TaskState
+	// ignoreOrders makes the workers carry out no orders.
+	ignoreOrders bool
+
 	actions []scheduler.Action
 }
 
@@ -208,6 +211,9 @@
 	f.ended[name] = slices.DeleteFunc(f.ended[name], func(e *wire.EndedTask) bool {
 		return slices.Contains(orders.GetAcknowledged(), e.GetTask())
 	})
+	if f.ignoreOrders {
+		return orders
+	}
 	f.end(name, orders.GetStop(), wire.TaskState_TASK_STATE_STOPPED)
 	f.end(name, orders.GetCheckpoint(), wire.TaskState_TASK_STATE_QUEUED)
 	for _, t := range orders.GetStart() {
--- a/internal/scheduler/pass.go
+++ b/internal/scheduler/pass.go
@@ -274,9 +274,7 @@
 }
 
 // victims returns the newest tasks to preempt so that the size becomes free, and
-// whether that suffices. Throttling frees only cores. A checkpoint frees memory and
-// accelerators too, but is used only on idempotent tasks, because they may be
-// started again.
+// whether that suffices.
 func (w *worker) victims(size controller.Amount) ([]*task, bool) {
 	free := w.free()
 	if !size.FitsIn(w.capacity) {
@@ -292,13 +290,7 @@
 		if t.spec.GetUrgent() || t.preempted || t.cancelled || t.state != wire.TaskState_TASK_STATE_RUNNING {
 			continue
 		}
-		freed := t.cost()
-		if !t.spec.GetIdempotent() {
-			freed = controller.Amount{
-				MilliCores: freed.MilliCores,
-			}
-		}
-		free = free.Plus(freed)
+		free = free.Plus(t.preemptible())
 		found = append(found, t)
 	}
 	return found, size.FitsIn(free)
--- a/internal/scheduler/poll.go
+++ b/internal/scheduler/poll.go
@@ -50,6 +50,7 @@
 	actions = append(actions, s.processEnded(now, w, p.GetEnded(), orders, mayStart)...)
 	s.processRunning(now, w, p.GetRunning(), orders)
 	actions = append(actions, s.processMissing(now, w, p)...)
+	actions = append(actions, s.relieve(now, w)...)
 	s.fillOrders(now, w, orders, mayStart)
 	return append(actions, Ordered{
 		Worker: w.name,
--- a/internal/scheduler/task.go
+++ b/internal/scheduler/task.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// preemptible is what becomes free when the task is preempted. Throttling frees only
+// cores. A checkpoint frees memory and accelerators too, but is used only on idempotent
+// tasks, because they may be started again.
+func (t *task) preemptible() controller.Amount {
+	freed := t.cost()
+	if t.spec.GetIdempotent() {
+		return freed
+	}
+	return controller.Amount{
+		MilliCores: freed.MilliCores,
+	}
+}
+
 // usage is what counts towards its team's share: the grant until a report made
 // UsageLag after the start is in, then the reported usage.
 func (t *task) usage() controller.Amount {
