internal/jobscheduler: only what a worker has just begun may have crashed it

Cause: three runs counted as just started that were not. A run that a new leader found in its first poll counted from that poll, also if it had gone on for seconds. An order on its way when the poll broke counted as begun before its own connection had told so, also if that was refused or held up for long. And with 300 ms after the order nearly each worker that crashed by itself had just been ordered something.

Change: a run that a former leader has ordered has not just started; an order that was not confirmed has begun if its own connection broke within 100 ms; a crash is one just after the start within 100 ms of the confirmation, which takes the same way as the end of the connection (seen from order to broken connection: 11 to 30 ms on small sites, 100 to 300 ms where hosts relay orders).

Result: TestRunOfFormerLeaderHasNotJustStarted and one more case of TestCrashBeforeHeldUpStart fail before and pass after.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -24,12 +24,11 @@
 	// has crashed before, whatever the worker answers.
 	batchFateTime   = 6 * time.Second
 	lastingFateTime = 2 * time.Second
-	// promptCrashTime is how soon after the order to start a task a worker must have
-	// broken the connection, for its crash to count as one just after the start.
-	promptCrashTime = 300 * time.Millisecond
-	// startAnswerTime is how long a worker takes at most to answer an order to start a
-	// task. One that is held up for longer may be executed later, if at all.
-	startAnswerTime = 100 * time.Millisecond
+	// promptCrashTime is how soon after a worker has confirmed the start of a task, or if
+	// it has not, after the order, it must have broken the connection, for its crash to
+	// count as one just after the start. An order that a worker holds up for longer may
+	// be executed later, if at all.
+	promptCrashTime = 100 * time.Millisecond
 	// suspectStartInterval is the least time between two starts of suspects on a worker.
 	// If it crashes, the tasks that it started last, within that time, are more likely
 	// the cause than earlier ones.
@@ -98,18 +97,18 @@
 		key: r.key,
 		circumstances: isolator.Circumstances{
 			Alone: alone,
-			Begun: r.begun,
+			Begun: r.begun || r.brokenOff,
 		},
 		countsUntil: s.now.Add(crashNewsTime),
 	}
 	if w.disconnected() && r.step != nil {
+		started := r.confirmedAt
 		lapsed.startedAt = r.confirmedAt
 		if r.confirmedAt.IsZero() {
+			started = r.sentAt
 			lapsed.startedAt = w.disconnectedAt
 		}
-		sinceOrder := w.disconnectedAt.Sub(r.sentAt).Abs()
-		lapsed.circumstances.Prompt = sinceOrder <= promptCrashTime
-		lapsed.circumstances.Begun = r.begun || sinceOrder <= startAnswerTime
+		lapsed.circumstances.Prompt = !r.sentAt.IsZero() && w.disconnectedAt.Sub(started).Abs() <= promptCrashTime
 		lapsed.countsUntil = s.now.Add(disconnectedNewsTime)
 	}
 	return lapsed
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -570,32 +570,88 @@
 func TestCrashBeforeHeldUpStart(t *testing.T) {
 	for name, test := range map[string]struct {
 		heldUp time.Duration
-		begun  bool
+		// endsAtOnce is true when another order to the worker breaks off at once.
+		endsAtOnce bool
+		answer     jobscheduler.StartAnswer
+		crashes    int
+		begun      bool
 	}{
 		"connection broken at once": {
-			heldUp: 20 * time.Millisecond,
-			begun:  true,
+			heldUp:  20 * time.Millisecond,
+			answer:  jobscheduler.StartDisconnected,
+			crashes: 1,
+			begun:   true,
 		},
 		"held up before": {
-			heldUp: 175 * time.Millisecond,
+			heldUp:  175 * time.Millisecond,
+			answer:  jobscheduler.StartDisconnected,
+			crashes: 1,
+		},
+		"held up while the worker has ended": {
+			heldUp:     600 * time.Millisecond,
+			endsAtOnce: true,
+			answer:     jobscheduler.StartDisconnected,
+			crashes:    1,
+		},
+		"connection refused": {
+			heldUp:     5 * time.Millisecond,
+			endsAtOnce: true,
+			answer:     jobscheduler.StartUndelivered,
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			h.addWorker("a")
+			h.submit("other", tasks(1, 1000))
 			h.submit("job", tasks(1, 1000))
 			h.startTerm()
 			h.reconcileWorkers()
-			starts := takeAll[jobscheduler.Start](h)
-			h.is.Equal(len(starts), 1)
+			starts := make(map[string]jobscheduler.Start)
+			for _, start := range takeAll[jobscheduler.Start](h) {
+				starts[start.Task.GetJob()] = start
+			}
+			h.is.Equal(len(starts), 2)
+			if test.endsAtOnce {
+				h.withScheduler(func() { h.sched.StartAnswered(starts["other"], jobscheduler.StartDisconnected, 0) })
+			}
 			h.now = h.now.Add(test.heldUp)
-			h.withScheduler(func() { h.sched.StartAnswered(starts[0], jobscheduler.StartDisconnected, 0) })
+			h.withScheduler(func() { h.sched.StartAnswered(starts["job"], test.answer, 0) })
 			h.disconnectPolls("a")
 			h.replaceWorker("a", "b")
 			h.advance(time.Millisecond)
-			records := takeAll[jobscheduler.RecordCrashes](h)
-			h.is.Equal(len(records), 1)
-			h.is.Equal(records[0].Crashes[0].GetBegun(), test.begun)
+			crashes := 0
+			for _, r := range takeAll[jobscheduler.RecordCrashes](h) {
+				for _, c := range r.Crashes {
+					if c.GetTask().GetJob() == "job" {
+						crashes++
+						h.is.Equal(c.GetBegun(), test.begun)
+					}
+				}
+			}
+			h.is.Equal(crashes, test.crashes)
 		})
 	}
 }
+
+// A new leader learns of runs from the first polls. They may have gone on for long, so a
+// crash soon after tells nothing of them.
+func TestRunOfFormerLeaderHasNotJustStarted(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	starts := h.acceptStarts()
+	h.is.Equal(len(starts), 1)
+	h.now = h.now.Add(2 * time.Second)
+	h.startTerm()
+	h.advance(0)
+	h.answerPolls(runningOf(starts))
+	h.advance(20 * time.Millisecond)
+	h.disconnectPolls("a")
+	h.replaceWorker("a", "b")
+	h.advance(time.Millisecond)
+	records := takeAll[jobscheduler.RecordCrashes](h)
+	h.is.Equal(len(records), 1)
+	h.is.Equal(records[0].Crashes[0].GetPrompt(), false)
+}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -284,6 +284,7 @@
 	}
 	r := s.addRun(w, st, key, running)
 	r.confirmedAt = s.now
+	r.sentAt = time.Time{}
 	if !wanted {
 		s.logger.Info("scheduler: worker reports a run that its task does not need; the run is stopped",
 			"task", taskName(key.taskKey), "run", key.number, "worker", w.info.GetId())
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -44,8 +44,12 @@
 	undelivered   bool
 	startAttempts int
 	orderedAt     time.Time
-	// sentAt is when the last copy of the order to start the run was sent.
+	// sentAt is when the last copy of the order to start the run was sent; zero when
+	// another leader has ordered it.
 	sentAt time.Time
+	// brokenOff is true when the worker broke the connection soon after the order had
+	// been sent on it, so that it has most likely begun the run.
+	brokenOff bool
 	// confirmedAt is when the worker first confirmed the run, also by an answer
 	// StartOutdated, or, for a stopping run, when it confirmed the order to stop;
 	// zero while unconfirmed.
@@ -230,6 +234,7 @@
 		s.retryStart(a, r)
 	case StartDisconnected:
 		r.undelivered = false
+		r.brokenOff = r.brokenOff || s.now.Sub(r.sentAt) <= promptCrashTime
 		s.workerDisconnected(w)
 		s.retryStart(a, r)
 	case StartUnknown:
