internal/isolator: one likely crash beside others and one alone are enough

Change: a task is given up after two crashes if each came just after its start had been confirmed, with at most three such runs on the worker, and it was alone in one of them. Others need three as before.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -42,9 +42,9 @@
 	// maxCrashes is the number of crashes after which a task that has run alone once is
 	// given up, also if its runs may not have begun.
 	maxCrashes = 5
-	// maxConclusive is the number of conclusive crashes after which a task is given up,
-	// if it was alone in one of them.
-	maxConclusive = 2
+	// maxLikelyCrashes is the number of crashes which the task has most likely caused
+	// after which it is given up, if nothing else explains one of them.
+	maxLikelyCrashes = 2
 	// fewSuspects is the number of runs that may have crashed a worker up to which each
 	// of their tasks runs alone next. Another crash would take all runs of another worker
 	// along, and a few runs alone cost less.
@@ -69,9 +69,9 @@
 }
 
 // conclusive reports whether the run has crashed its worker unless that crashed by
-// itself.
+// itself just after the start.
 func (c Circumstances) conclusive() bool {
-	return c.Begun && c.Prompt && !c.Bystander && c.Suspects == 1
+	return c.Begun && c.Alone && c.oneOfFew() && c.Suspects == 1
 }
 
 // oneOfFew reports whether the run is one of a few that may have crashed the worker.
@@ -190,8 +190,8 @@
 	if r == nil {
 		return Normal
 	}
-	alone, prompt, bystander, begun, conclusive := 0, 0, 0, 0, 0
-	oneOfFew := false
+	alone, prompt, bystander, begun, oneOfFew, likely := 0, 0, 0, 0, 0, 0
+	conclusive := false
 	for _, c := range r.crashes {
 		if c.Bystander {
 			bystander++
@@ -205,17 +205,20 @@
 		if c.Begun {
 			begun++
 		}
-		if c.conclusive() {
-			conclusive++
+		if c.oneOfFew() {
+			oneOfFew++
 		}
-		oneOfFew = oneOfFew || c.oneOfFew()
+		if c.oneOfFew() && c.Begun {
+			likely++
+		}
+		conclusive = conclusive || c.conclusive()
 	}
 	switch n := len(r.crashes); {
 	case n >= minCrashes && begun >= minBegunCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0),
 		n >= maxCrashes && alone > 0,
-		conclusive >= maxConclusive && prompt > 0:
+		likely >= maxLikelyCrashes && conclusive:
 		return GivenUp
-	case n-bystander >= isolateAfter, n >= isolateBystanderAfter, oneOfFew:
+	case n-bystander >= isolateAfter, n >= isolateBystanderAfter, oneOfFew > 0:
 		return Isolated
 	case n > 0:
 		return Watched
