internal/jobscheduler: an order that another task's crash breaks off has not begun

Cause: at 28.507 s the order to start it went to a worker that crashed under another task at that moment. The connection broke off at once, as it does when the order itself crashes the worker, and counted as a begun run. Its second crash, alone, was its own: the task was given up after one real crash.

Change: an order that breaks off has begun only if no other run of the worker had just been started; else only a confirmed one has.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -55,6 +55,8 @@
 type lapsedRun struct {
 	key           runKey
 	circumstances isolator.Circumstances
+	// brokenOff is run.brokenOff.
+	brokenOff bool
 	// restored is true when a former leader has recorded the circumstances.
 	restored bool
 	// startedAt is when the worker confirmed the start; if it has not, when it broke the
@@ -94,10 +96,11 @@
 // lapse returns the record of a run that is given up now.
 func (s *Scheduler) lapse(w *worker, r *run, alone bool) lapsedRun {
 	lapsed := lapsedRun{
-		key: r.key,
+		key:       r.key,
+		brokenOff: r.brokenOff,
 		circumstances: isolator.Circumstances{
 			Alone: alone,
-			Begun: r.begun || r.brokenOff,
+			Begun: r.begun,
 		},
 		countsUntil: s.now.Add(crashNewsTime),
 	}
@@ -134,9 +137,13 @@
 		}
 	}
 	for i, r := range runs {
-		if !r.restored {
-			runs[i].circumstances.Suspects = suspects
+		if r.restored {
+			continue
 		}
+		c := &runs[i].circumstances
+		c.Suspects = suspects
+		// Beside another suspect, the worker may have crashed before the order reached it.
+		c.Begun = c.Begun || r.brokenOff && !c.Bystander && suspects == 1
 	}
 	return suspects
 }
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -48,7 +48,7 @@
 	// another leader has ordered it.
 	sentAt time.Time
 	// brokenOff is true when the worker broke the connection soon after the order had
-	// been sent on it, so that it has most likely begun the run.
+	// been sent on it. Unless something else has crashed it, it has begun the run.
 	brokenOff bool
 	// confirmedAt is when the worker first confirmed the run, also by an answer
 	// StartOutdated, or, for a stopping run, when it confirmed the order to stop;
