internal/jobscheduler: a few tasks of a crashing queue start at a time

Cause: each new deadly task of a queue crashed a worker that had just started many others, so that nothing told which it was, and all of them came under suspicion, were watched, and then waited for a worker of their own.

Change: for 15 s after a task of a queue has certainly crashed a worker, at most three tasks of that queue are started on a worker within 50 ms. A crash leaves at most three suspects, which run alone next. A new leader takes this over from the open jobs.

Ruled out: one at a time.

Result: TestTasksOfCrashingQueueStartApart fails without it.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -45,12 +45,13 @@
 	// maxLikelyCrashes is the number of crashes which the task has most likely caused
 	// after which it is given up, if nothing else explains one of them.
 	maxLikelyCrashes = 2
-	// fewSuspects is the number of runs that may have crashed a worker up to which each
-	// of their tasks runs alone next. Another crash would take all runs of another worker
-	// along, and a few runs alone cost less.
-	fewSuspects = 3
 )
 
+// FewSuspects is the number of runs that may have crashed a worker up to which each of
+// their tasks runs alone next. Another crash would take all runs of another worker along,
+// and a few runs alone cost less.
+const FewSuspects = 3
+
 // Circumstances tell how likely a run has crashed its worker.
 type Circumstances struct {
 	// Alone is true when the worker had no other run.
@@ -76,7 +77,7 @@
 
 // oneOfFew reports whether the run is one of a few that may have crashed the worker.
 func (c Circumstances) oneOfFew() bool {
-	return c.Prompt && !c.Bystander && c.Suspects > 0 && c.Suspects <= fewSuspects
+	return c.Prompt && !c.Bystander && c.Suspects > 0 && c.Suspects <= FewSuspects
 }
 
 // Crash is the crash of a worker during a run of a task.
@@ -177,6 +178,12 @@
 	return r.crashes
 }
 
+// Conclusive reports whether the task has certainly crashed a worker, unless that crashed
+// by itself just after the start.
+func (r *Record) Conclusive() bool {
+	return slices.ContainsFunc(r.Crashes(), func(c Crash) bool { return c.conclusive() })
+}
+
 // Placement returns the last known placement; its Run is 0 when there is none.
 func (r *Record) Placement() Placement {
 	if r == nil {
--- a/internal/jobscheduler/choose.go
+++ b/internal/jobscheduler/choose.go
@@ -35,7 +35,7 @@
 	var best *worker
 	var bestCost float64
 	for _, w := range workers {
-		if !s.mayRun(st, index, w, chosen[w]) {
+		if !s.mayRun(st, index, w, chosen[w]) || !s.mayStartBesideSuspects(st, w) {
 			continue
 		}
 		cost := s.placementCost(st, index, w)
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -296,6 +296,9 @@
 		Run:           r.key.number,
 		Circumstances: r.circumstances,
 	})
+	if crashes.Conclusive() {
+		s.noteCrashingQueue(st.occurrence.job.saved.Spec.GetQueue())
+	}
 	switch crashes.Treatment() {
 	case isolator.GivenUp:
 		s.counters.GivenUp++
@@ -407,6 +410,7 @@
 func (s *Scheduler) restorePlacement(st *step, index int32) {
 	key := st.key(index)
 	progress := st.occurrence.job.saved.Task(key.task())
+	s.restoreCrashingQueue(st.occurrence.job, progress.Crashes)
 	placement := progress.Crashes.Placement()
 	if progress.Done || placement.Run <= progress.Run {
 		return
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -254,16 +254,20 @@
 // on a worker, or was just now. Meanwhile no other one is, so that a crash just after a
 // start tells which it was.
 func (s *Scheduler) startsSuspect(w *worker) bool {
-	if w.pendingPlacements > 0 {
-		return true
-	}
+	return w.pendingPlacements > 0 || s.suspectStarts(w) > 0
+}
+
+// suspectStarts returns how many tasks that may crash the worker are being started on it,
+// or were just now.
+func (s *Scheduler) suspectStarts(w *worker) int {
+	n := 0
 	for key, r := range w.runs {
 		justStarted := r.state == starting && !r.begun || r.state == running && s.now.Sub(r.confirmedAt) <= suspectStartInterval
-		if justStarted && r.step != nil && s.treatment(r.step, key.index) != isolator.Normal {
-			return true
+		if justStarted && r.step != nil && (s.treatment(r.step, key.index) != isolator.Normal || s.crashing(r.step)) {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // watchedTasks returns the number of runs on a worker under whose tasks another one has
--- a/internal/jobscheduler/isolate_test.go
+++ b/internal/jobscheduler/isolate_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/heathermux/heathermux/internal/isolator"
 	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
@@ -84,3 +85,73 @@
 	h.is.True(len(order) > 3)
 	h.is.Equal(order[:3], []string{"suspect0", "suspect1", "suspect2"})
 }
+
+// Where one task of a queue has crashed a worker that it had for itself, others of the
+// queue may do so as well. If many started together on a worker, its crash would put all
+// of them under suspicion, and take all along.
+func TestTasksOfCrashingQueueStartApart(t *testing.T) {
+	for name, test := range map[string]struct {
+		crash *jobwire.TaskCrash
+		// atOnce holds how many tasks start together.
+		atOnce []int
+	}{
+		"a task has certainly crashed its worker": {
+			crash: &jobwire.TaskCrash{
+				Task:     task("deadly", 0, 0),
+				Run:      1,
+				Alone:    true,
+				Prompt:   true,
+				Suspects: 1,
+				Begun:    true,
+			},
+			atOnce: []int{isolator.FewSuspects, 1},
+		},
+		"a worker may have crashed by itself": {
+			crash: &jobwire.TaskCrash{
+				Task:  task("deadly", 0, 0),
+				Run:   1,
+				Alone: true,
+				Begun: true,
+			},
+			atOnce: []int{4},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.addWorker("b") // one is kept free for the task that has crashed its worker
+			h.submit("deadly", tasks(1, 1000))
+			h.apply(&jobwire.Command{
+				Change: &jobwire.Command_Crashes{
+					Crashes: &jobwire.TaskCrashes{
+						Crashes: []*jobwire.TaskCrash{test.crash},
+					},
+				},
+			})
+			h.submit("job", tasks(4, 1000))
+			h.startTerm()
+			h.reconcileWorkers()
+			var startedAt []time.Time
+			var started []jobscheduler.Start
+			var atOnce []int
+			for range 60 {
+				before := len(started)
+				for _, start := range h.acceptStarts() {
+					if start.Task.GetJob() == "job" {
+						started = append(started, start)
+					}
+				}
+				if n := len(started) - before; n > 0 {
+					startedAt = append(startedAt, h.now)
+					atOnce = append(atOnce, n)
+				}
+				h.answerPolls(runningOf(started))
+				h.advance(10 * time.Millisecond)
+			}
+			h.is.Equal(atOnce, test.atOnce)
+			for i := 1; i < len(startedAt); i++ {
+				h.is.True(startedAt[i].Sub(startedAt[i-1]) > 50*time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -30,7 +30,7 @@
 	}
 	s.updateWorkers(contact)
 	s.updateRuns()
-	if s.now.Sub(s.allMarkedAt) >= maxPassInterval {
+	if s.now.Sub(s.allMarkedAt) >= s.passInterval() {
 		// No event tells when start delays, quarantines and tickets end.
 		s.allMarkedAt = s.now
 		s.markAllPoolsDirty()
@@ -260,7 +260,7 @@
 // Next returns the time by which Pass has to be called again if no event occurs
 // before.
 func (s *Scheduler) Next() time.Time {
-	next := s.now.Add(maxPassInterval)
+	next := s.now.Add(s.passInterval())
 	if s.startsLeft <= 0 {
 		return s.now
 	}
@@ -272,5 +272,16 @@
 	return next
 }
 
+// passInterval returns the time until the next pass if no event occurs before.
+func (s *Scheduler) passInterval() time.Duration {
+	for _, until := range s.crashingUntil {
+		if s.now.Before(until) {
+			// The next start on a worker may follow so soon.
+			return suspectStartInterval
+		}
+	}
+	return maxPassInterval
+}
+
 // maxPassInterval is the longest time between two passes.
 const maxPassInterval = 100 * time.Millisecond
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -78,6 +78,8 @@
 	// pendingPlacements holds the tasks with crashes whose placement is being written to
 	// the log, or is there, and whose start has not been ordered.
 	pendingPlacements map[taskKey]*pendingPlacement
+	// crashingUntil holds until when queues count as crashing, by name.
+	crashingUntil map[string]time.Time
 
 	hosts hosts
 	// adviceCallsInFlight is the number of unanswered calls to the placement
@@ -177,6 +179,7 @@
 		unrecordedEnds:     make(map[taskKey]int),
 		unknownFates:       make(map[taskKey]time.Time),
 		pendingPlacements:  make(map[taskKey]*pendingPlacement),
+		crashingUntil:      make(map[string]time.Time),
 		removedWhilePolled: make(map[incarnation]*worker),
 		hosts: hosts{
 			maintenances: make(map[string]*hostMaintenance),
