internal/jobscheduler: two suspects at a time, and more workers for isolated tasks

Cause: three suspects for each crash brought up to 20 isolated tasks a second in the worst seconds, and half of the pool's workers could run 8 a second.

Change: two suspects (starts at a time in a crashing queue, and tasks that run alone at once after a crash), and up to two thirds of the workers.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -50,7 +50,7 @@
 // FewSuspects is the number of runs that may have crashed a worker up to which each of
 // their tasks runs alone next. Another crash would take all runs of another worker along,
 // and a few runs alone cost less.
-const FewSuspects = 3
+const FewSuspects = 2
 
 // Circumstances tell how likely a run has crashed its worker.
 type Circumstances struct {
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -17,9 +17,9 @@
 const (
 	// reservationTime is how long a worker is reserved for a task that has not started.
 	reservationTime = 6 * time.Second
-	// reservedWorkersDivisor bounds the reserved workers to that part of a pool's; one
-	// may always be.
-	reservedWorkersDivisor = 2
+	// maxReservedShare bounds the reserved workers to that part of a pool's; one may
+	// always be.
+	maxReservedShare = 2.0 / 3
 	// placementTime is how long a task waits for the log write of its placement and for
 	// an answer of the worker.
 	placementTime = 2 * time.Second
@@ -326,7 +326,7 @@
 			reserved++
 		}
 	}
-	return reserved < max(1, len(workers)/reservedWorkersDivisor)
+	return reserved < max(1, int(maxReservedShare*float64(len(workers))))
 }
 
 // reservableWorkers returns the workers that can become idle for a task and may run it
