internal/jobscheduler: a crash together with others is not certain

Cause: its task had been one of two suspects of a crash. It ran alone from 17.472 s, and at 17.478 s seven workers crashed for a reason outside, its own among them. The second crash looked like its own, and two were enough.

Change: if other workers break their connections within 30 ms, a crash alone is not conclusive, and the bounds of three and more crashes hold. So that a task with such crashes stays within its starts, four crashes, two of them alone, end it whether or not its runs are known to have begun.

Ruled out: three crashes always, or two only where nothing else had just been started.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -40,8 +40,10 @@
 	maxAlone       = 3
 	maxPromptAlone = 2
 	// maxCrashes is the number of crashes after which a task that has run alone once is
-	// given up, also if its runs may not have begun.
-	maxCrashes = 5
+	// given up, also if its runs may not have begun, and maxCrashesTwiceAlone that number
+	// if it has run alone twice.
+	maxCrashes           = 5
+	maxCrashesTwiceAlone = 4
 	// maxLikelyCrashes is the number of crashes which the task has most likely caused
 	// after which it is given up, if nothing else explains one of them.
 	maxLikelyCrashes = 2
@@ -223,6 +225,7 @@
 	switch n := len(r.crashes); {
 	case n >= minCrashes && begun >= minBegunCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0),
 		n >= maxCrashes && alone > 0,
+		n >= maxCrashesTwiceAlone && alone > 1,
 		likely >= maxLikelyCrashes && conclusive:
 		return GivenUp
 	case n-bystander >= isolateAfter, n >= isolateBystanderAfter, oneOfFew > 0:
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -46,6 +46,11 @@
 	// survivalTime is how long a long-running task runs after a crash before the
 	// crash counts as one with another cause.
 	survivalTime = 8 * time.Second
+	// crashTogetherTime is how close to each other two workers break their connections if
+	// the same event has ended both, and disconnectionMemory how long that is remembered:
+	// until a crash is settled, with the lease and the time to come back.
+	crashTogetherTime   = 30 * time.Millisecond
+	disconnectionMemory = 10 * time.Second
 	// maxLoggedRuns bounds the runs that one log line names.
 	maxLoggedRuns = 32
 )
@@ -148,6 +153,16 @@
 	return suspects
 }
 
+// withoutCertainty marks that a crash with a run alone on its worker may have another
+// cause.
+func withoutCertainty(runs []lapsedRun) {
+	for i, r := range runs {
+		if r.circumstances.Alone && !r.restored {
+			runs[i].circumstances.Suspects = 0
+		}
+	}
+}
+
 // fateTime returns how long a task waits for news of a worker that it may have crashed,
 // from the end of the lease there.
 func (s *Scheduler) fateTime(st *step, index int32, disconnected bool) time.Duration {
@@ -190,12 +205,37 @@
 func (s *Scheduler) workerDisconnected(w *worker) {
 	if !w.disconnected() {
 		w.disconnectedAt = s.now
+		s.noteDisconnection(w)
 	}
 	if s.plannedEnd(w) == "" {
 		s.recordPlacements(w)
 	}
 }
 
+// disconnection is a worker breaking or refusing its connection.
+type disconnection struct {
+	worker incarnation
+	at     time.Time
+}
+
+func (s *Scheduler) noteDisconnection(w *worker) {
+	s.disconnections = slices.DeleteFunc(s.disconnections, func(d disconnection) bool {
+		return s.now.Sub(d.at) > disconnectionMemory
+	})
+	s.disconnections = append(s.disconnections, disconnection{
+		worker: w.incarnation(),
+		at:     s.now,
+	})
+}
+
+// crashedWithOthers reports whether other workers broke their connections at the same
+// time, so that one event outside may have ended them all.
+func (s *Scheduler) crashedWithOthers(w *worker) bool {
+	return slices.ContainsFunc(s.disconnections, func(d disconnection) bool {
+		return d.worker != w.incarnation() && d.at.Sub(w.disconnectedAt).Abs() <= crashTogetherTime
+	})
+}
+
 // runsAlone reports whether the worker has the run of one task, or the runs of one
 // gang, and no start that it may still execute.
 func (w *worker) runsAlone() bool {
@@ -249,6 +289,9 @@
 		return
 	}
 	suspects := markSuspects(runs)
+	if w.disconnected() && s.crashedWithOthers(w) {
+		withoutCertainty(runs)
+	}
 	names := make([]string, 0, len(runs))
 	for _, r := range runs[:min(len(runs), maxLoggedRuns)] {
 		names = append(names, taskName(r.key.taskKey))
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -686,3 +686,44 @@
 		h.is.Equal(c.GetBegun(), c.GetTask().GetJob() == "deadly")
 	}
 }
+
+// Many workers may end at once for a reason outside, just after one of them has started a
+// task alone. That crash tells less than one by itself, and the task must not be given up
+// for it as early.
+func TestCrashTogetherWithOthersIsNotCertain(t *testing.T) {
+	for name, test := range map[string]struct {
+		other    time.Duration
+		suspects int32
+	}{
+		"another worker at the same time": {
+			other: 5 * time.Millisecond,
+		},
+		"another worker later": {
+			other:    500 * time.Millisecond,
+			suspects: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.addWorker("b")
+			step := tasks(2, 1000)
+			step.MostPerWorker = 1
+			h.submit("job", step)
+			h.startTerm()
+			h.reconcileWorkers()
+			starts := h.acceptStarts()
+			h.is.Equal(len(starts), 2)
+			h.now = h.now.Add(10 * time.Millisecond)
+			h.withScheduler(func() { h.sched.StartAnswered(starts[0], jobscheduler.StartDisconnected, 0) })
+			h.now = h.now.Add(test.other)
+			h.withScheduler(func() { h.sched.StartAnswered(starts[1], jobscheduler.StartDisconnected, 0) })
+			h.replaceWorker(starts[0].Target.ID, "c")
+			h.advance(time.Millisecond)
+			records := takeAll[jobscheduler.RecordCrashes](h)
+			h.is.Equal(len(records), 1)
+			h.is.True(records[0].Crashes[0].GetAlone())
+			h.is.Equal(records[0].Crashes[0].GetSuspects(), test.suspects)
+		})
+	}
+}
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -78,6 +78,8 @@
 	// pendingPlacements holds the tasks with crashes whose placement is being written to
 	// the log, or is there, and whose start has not been ordered.
 	pendingPlacements map[taskKey]*pendingPlacement
+	// disconnections holds the workers that broke their connections lately.
+	disconnections []disconnection
 	// crashingUntil holds until when queues count as crashing, by name.
 	crashingUntil map[string]time.Time
 
