internal/jobscheduler: what tells of a crash in a file of its own

Cause: crash.go had grown past 450 lines, its test past 700, with two jobs: to count crashes, and to tell which runs may have caused one.

Change: the second goes to crashevidence.go, its tests along.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -24,15 +24,6 @@
 	// has crashed before, whatever the worker answers.
 	batchFateTime   = 6 * time.Second
 	lastingFateTime = 2 * time.Second
-	// promptCrashTime is how soon after a worker has confirmed the start of a task, or if
-	// it has not, after the order, it must have broken the connection, for its crash to
-	// count as one just after the start. An order that a worker holds up for longer may
-	// be executed later, if at all.
-	promptCrashTime = 100 * time.Millisecond
-	// suspectStartInterval is the least time between two starts of suspects on a worker.
-	// If it crashes, the tasks that it started last, within that time, are more likely
-	// the cause than earlier ones.
-	suspectStartInterval = 50 * time.Millisecond
 	// crashNewsTime is how long after the end of its lease a worker may be back under
 	// another id for that to count as a crash under its runs: a worker that was silent
 	// for longer may have been cut off first and have ended later.
@@ -46,31 +37,10 @@
 	// survivalTime is how long a long-running task runs after a crash before the
 	// crash counts as one with another cause.
 	survivalTime = 8 * time.Second
-	// crashTogetherTime is how close to each other two workers break their connections if
-	// the same event has ended both, and disconnectionMemory how long that is remembered:
-	// until a crash is settled, with the lease and the time to come back.
-	crashTogetherTime   = 30 * time.Millisecond
-	disconnectionMemory = 10 * time.Second
 	// maxLoggedRuns bounds the runs that one log line names.
 	maxLoggedRuns = 32
 )
 
-// lapsedRun is a run that was given up when the lease of its worker ended. Whether the
-// worker has crashed is not known.
-type lapsedRun struct {
-	key           runKey
-	circumstances isolator.Circumstances
-	// brokenOff is run.brokenOff.
-	brokenOff bool
-	// restored is true when a former leader has recorded the circumstances.
-	restored bool
-	// startedAt is when the worker confirmed the start; if it has not, when it broke the
-	// connection.
-	startedAt time.Time
-	// countsUntil is until when the run counts if the worker turns out to have crashed.
-	countsUntil time.Time
-}
-
 // RecordCrashes requests a log write of crashes of workers during runs of tasks; the
 // outcome goes to CrashesRecorded.
 type RecordCrashes struct {
@@ -98,71 +68,6 @@
 	}
 }
 
-// lapse returns the record of a run that is given up now.
-func (s *Scheduler) lapse(w *worker, r *run, alone bool) lapsedRun {
-	lapsed := lapsedRun{
-		key:       r.key,
-		brokenOff: r.brokenOff,
-		circumstances: isolator.Circumstances{
-			Alone: alone,
-			Begun: r.begun,
-		},
-		countsUntil: s.now.Add(crashNewsTime),
-	}
-	if w.disconnected() && r.step != nil {
-		started := r.confirmedAt
-		lapsed.startedAt = r.confirmedAt
-		if r.confirmedAt.IsZero() {
-			started = r.sentAt
-			lapsed.startedAt = w.disconnectedAt
-		}
-		lapsed.circumstances.Prompt = !r.sentAt.IsZero() && w.disconnectedAt.Sub(started).Abs() <= promptCrashTime
-		lapsed.countsUntil = s.now.Add(disconnectedNewsTime)
-	}
-	return lapsed
-}
-
-// markSuspects tells the runs of a crashed worker apart: those that were there when it
-// started the last ones are bystanders, if it broke the connection just after that. What
-// a former leader has recorded stays. It returns the number of runs that are none.
-func markSuspects(runs []lapsedRun) int32 {
-	var last time.Time
-	for _, r := range runs {
-		if r.circumstances.Prompt && r.startedAt.After(last) {
-			last = r.startedAt
-		}
-	}
-	suspects := int32(0)
-	for i, r := range runs {
-		if !r.restored {
-			runs[i].circumstances.Bystander = !last.IsZero() && (!r.circumstances.Prompt || last.Sub(r.startedAt) > suspectStartInterval)
-		}
-		if !runs[i].circumstances.Bystander {
-			suspects++
-		}
-	}
-	for i, r := range runs {
-		if r.restored {
-			continue
-		}
-		c := &runs[i].circumstances
-		c.Suspects = suspects
-		// Beside another suspect, the worker may have crashed before the order reached it.
-		c.Begun = c.Begun || r.brokenOff && !c.Bystander && suspects == 1
-	}
-	return suspects
-}
-
-// withoutCertainty marks that a crash with a run alone on its worker may have another
-// cause.
-func withoutCertainty(runs []lapsedRun) {
-	for i, r := range runs {
-		if r.circumstances.Alone && !r.restored {
-			runs[i].circumstances.Suspects = 0
-		}
-	}
-}
-
 // fateTime returns how long a task waits for news of a worker that it may have crashed,
 // from the end of the lease there.
 func (s *Scheduler) fateTime(st *step, index int32, disconnected bool) time.Duration {
@@ -197,64 +102,6 @@
 	return ok
 }
 
-// disconnected reports whether the worker has broken or refused the connection since it
-// last answered.
-func (w *worker) disconnected() bool { return !w.disconnectedAt.IsZero() }
-
-// workerDisconnected notes that the worker has broken or refused the connection.
-func (s *Scheduler) workerDisconnected(w *worker) {
-	if !w.disconnected() {
-		w.disconnectedAt = s.now
-		s.noteDisconnection(w)
-	}
-	if s.plannedEnd(w) == "" {
-		s.recordPlacements(w)
-	}
-}
-
-// disconnection is a worker breaking or refusing its connection.
-type disconnection struct {
-	worker incarnation
-	at     time.Time
-}
-
-func (s *Scheduler) noteDisconnection(w *worker) {
-	s.disconnections = slices.DeleteFunc(s.disconnections, func(d disconnection) bool {
-		return s.now.Sub(d.at) > disconnectionMemory
-	})
-	s.disconnections = append(s.disconnections, disconnection{
-		worker: w.incarnation(),
-		at:     s.now,
-	})
-}
-
-// crashedWithOthers reports whether other workers broke their connections at the same
-// time, so that one event outside may have ended them all.
-func (s *Scheduler) crashedWithOthers(w *worker) bool {
-	return slices.ContainsFunc(s.disconnections, func(d disconnection) bool {
-		return d.worker != w.incarnation() && d.at.Sub(w.disconnectedAt).Abs() <= crashTogetherTime
-	})
-}
-
-// runsAlone reports whether the worker has the run of one task, or the runs of one
-// gang, and no start that it may still execute.
-func (w *worker) runsAlone() bool {
-	if len(w.abandonedStarts) > 0 {
-		return false
-	}
-	var gang *step
-	for _, r := range w.runs {
-		switch {
-		case len(w.runs) == 1:
-			return true
-		case r.step == nil || !r.step.spec.GetGang() || gang != nil && gang != r.step:
-			return false
-		}
-		gang = r.step
-	}
-	return gang != nil
-}
-
 // workerEnded handles evidence that an incarnation of a worker has ended. If it has
 // crashed, the crash counts for each task that it had. While a poll is in flight this
 // waits for its answer, which may list the ends of runs.
