internal/isolator: one crash does not make a queue a crashing one

Cause: by reading. A queue was slowed down for 15 s after one crash of a worker that had just started one task alone; on a large fleet workers that crash by themselves have often done that.

Change: a task has certainly crashed a worker only after two crashes.

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -180,10 +180,10 @@
 	return r.crashes
 }
 
-// Conclusive reports whether the task has certainly crashed a worker, unless that crashed
-// by itself just after the start.
+// Conclusive reports whether the task has certainly crashed a worker. One crash is not
+// enough for that: workers that crash by themselves have often just started a task.
 func (r *Record) Conclusive() bool {
-	return slices.ContainsFunc(r.Crashes(), func(c Crash) bool { return c.conclusive() })
+	return len(r.Crashes()) > 1 && slices.ContainsFunc(r.Crashes(), func(c Crash) bool { return c.conclusive() })
 }
 
 // Placement returns the last known placement; its Run is 0 when there is none.
