internal/jobgateway: revert: a call at a former leader goes to the next one at once

Supposed: all calls in flight reach a new leader at once, in its first moments. Not traced further.

Change: reverts.

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heathermux/heathermux/internal/jobwire"
@@ -78,27 +77,14 @@
 	verifying bool
 	// leaderChanged is closed and replaced on each change of the leader.
 	leaderChanged chan struct{}
-	// inFlight holds the attempts that wait for an answer.
-	inFlight map[*inFlightAttempt]struct{}
 }
 
-// inFlightAttempt is a call to a host that has not answered.
-type inFlightAttempt struct {
-	host   string
-	cancel context.CancelCauseFunc
-}
-
-// errSuperseded ends an attempt because another host has turned out to lead. Its host
-// would hold the answer back, if it is frozen, until the attempt times out.
-var errSuperseded = errors.New("gateway: another host leads")
-
 // New returns a gateway that doesn't know the leader yet.
 func New(opts Options) *Gateway {
 	return &Gateway{
 		opts:          opts,
 		hosts:         slices.Compact(slices.Sorted(slices.Values(opts.Hosts))),
 		leaderChanged: make(chan struct{}),
-		inFlight:      make(map[*inFlightAttempt]struct{}),
 	}
 }
 
@@ -178,8 +164,6 @@
 			// The caller's context has ended, which says nothing about the leader.
 			g.verifyLeader(host)
 			return nil, true
-		case errors.Is(err, errSuperseded):
-			sent = true
 		case err != nil:
 			sent = sent || !messenger.NotSent(err)
 			g.clearLeader(host, err.Error())
@@ -211,43 +195,20 @@
 	return ok && call.GetSubmit() != nil
 }
 
-// attempt calls a host once, until another one turns out to lead.
+// attempt calls a host once.
 func attempt[R any, PR interface {
 	*R
 	leaderResponse
 }](ctx context.Context, g *Gateway, host, method string, req proto.Message) (PR, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	ctx, supersede := context.WithCancelCause(ctx)
-	defer supersede(nil)
-	defer g.trackAttempt(host, supersede)()
 	resp := PR(new(R))
 	if err := g.opts.Caller.Call(ctx, host, method, req, resp); err != nil {
-		if errors.Is(context.Cause(ctx), errSuperseded) {
-			return nil, errSuperseded
-		}
 		return nil, err
 	}
 	return resp, nil
 }
 
-// trackAttempt notes an attempt, which cancel ends when another host turns out to lead,
-// until the returned function is called.
-func (g *Gateway) trackAttempt(host string, cancel context.CancelCauseFunc) (done func()) {
-	a := &inFlightAttempt{
-		host:   host,
-		cancel: cancel,
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inFlight[a] = struct{}{}
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		delete(g.inFlight, a)
-	}
-}
-
 // awaitLeader returns the leader. It starts a search if the leader is unknown, and
 // returns an empty name if none is found in time.
 func (g *Gateway) awaitLeader(ctx context.Context, timeout time.Duration) string {
@@ -342,18 +303,12 @@
 	}
 }
 
-// setLeader changes the leader, and ends the attempts at other hosts when a new one is
-// known; g.mu is held.
+// setLeader changes the leader; g.mu is held.
 func (g *Gateway) setLeader(host string) {
 	if g.leader == host {
 		return
 	}
 	g.leader = host
-	for a := range g.inFlight {
-		if host != "" && a.host != host {
-			a.cancel(errSuperseded)
-		}
-	}
 	close(g.leaderChanged)
 	g.leaderChanged = make(chan struct{})
 }
