internal/jobscheduler: a start that a later incarnation accepts is stopped there

Cause: the scheduler took the answer to a start for one of the incarnation that it had ordered. If the new process accepts the start first and its heartbeat arrives after that, the run counted as ended with the former process and its task was queued again at once, beside the run in the new process.

Change: a run counts as one of this incarnation once a poll, which names it, has reported it. Until then the order may have gone to a later one: after a restart the run is carried over, stopped there, and its task waits for that; at the end of a lease it is one of the starts that the worker has to reject before it gets a lease again.

Evidence: the model of interleaved orders had answers to starts and stops that name the incarnation. TestStartForFormerIncarnationIsStopped is a table now, and two of its cases failed before.

--- a/internal/jobscheduler/crashmodel_test.go
+++ b/internal/jobscheduler/crashmodel_test.go
@@ -54,13 +54,6 @@
 	})
 }
 
-// bornOf returns the start time of the current incarnation of a worker, by the state.
-func (m *model) bornOf(id string) int64 {
-	var born int64
-	m.machine.View(func(s *jobkeeper.State) { born = s.Workers[id].GetBorn() })
-	return born
-}
-
 // unansweredStart returns the outcome of a start that a worker has not answered.
 func (m *model) unansweredStart(w *modelWorker) jobscheduler.StartAnswer {
 	if m.down(w) {
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -237,6 +237,21 @@
 	return starts
 }
 
+// listStarts accepts all pending starts, has the next poll of a worker report their
+// runs, and returns them.
+func (h *harness) listStarts(worker string) []jobscheduler.Start {
+	starts := h.acceptStarts()
+	var answer jobscheduler.PollAnswer
+	for _, start := range starts {
+		answer.Running = append(answer.Running, runningTask(start.Task, start.Run))
+	}
+	h.advance(100 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		worker: answer,
+	})
+	return starts
+}
+
 // recordEnds applies the pending log writes of ends.
 func (h *harness) recordEnds() {
 	for _, r := range takeAll[jobscheduler.RecordEnds](h) {
@@ -312,6 +327,13 @@
 	})
 }
 
+// bornOf returns the start time of the current incarnation of a worker, by the state.
+func (h *harness) bornOf(id string) int64 {
+	var born int64
+	h.machine.View(func(s *jobkeeper.State) { born = s.Workers[id].GetBorn() })
+	return born
+}
+
 // startAfterCrash lets tasks start under which a worker has crashed: the crash and then
 // the start are written to the log.
 func (h *harness) startAfterCrash() {
--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -207,8 +207,8 @@
 
 // send executes an order now or later and reports its answer, or that there was
 // none, to the scheduler of the term in which it was sent.
-// A later incarnation of the worker executes the order, too; the answer is then that
-// the worker has restarted.
+// A later incarnation of the worker executes the order, too. It then reports restarted
+// where the answer names the incarnation; restarted is nil where it does not.
 func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, undelivered, restarted, gone func()) {
 	w := m.worker(target.ID)
 	sched := m.sched
@@ -245,7 +245,7 @@
 				// The order has crashed the worker.
 				report(unanswered)
 				return
-			case w.born.UnixMilli() != target.Born:
+			case w.born.UnixMilli() != target.Born && restarted != nil:
 				answer = restarted
 			}
 			m.after(m.between(time.Millisecond, 30*time.Millisecond), func() { report(answer) })
@@ -382,7 +382,7 @@
 				}
 			}
 			m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, term, a), m.clockOf(w)) },
-				func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), answer(jobscheduler.StartUnknown, 0), answer(jobscheduler.StartGone, 0))
+				func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), nil, answer(jobscheduler.StartGone, 0))
 		case jobscheduler.Stop:
 			w := m.worker(a.Target.ID)
 			m.note("%s run %d stop ordered on %s", taskText(a.Task), a.Run, w.id)
@@ -393,7 +393,7 @@
 					m.note("%s run %d stop answered by %s: %v", taskText(a.Task), a.Run, w.id, confirmed)
 					sched.StopAnswered(a, confirmed, clock)
 				}
-			}, unconfirmed, unconfirmed, unconfirmed, unconfirmed)
+			}, unconfirmed, unconfirmed, nil, unconfirmed)
 		case jobscheduler.Poll:
 			w := m.worker(a.Target.ID)
 			sentAt := m.now
--- a/internal/jobscheduler/lateorder_test.go
+++ b/internal/jobscheduler/lateorder_test.go
@@ -85,7 +85,7 @@
 	h.submit("job", tasks(1, 1000))
 	h.startTerm()
 	h.reconcileWorkers()
-	h.acceptStarts()
+	h.listStarts("a")
 	for range 60 {
 		h.advance(100 * time.Millisecond)
 		h.failPolls("a")
@@ -108,48 +108,64 @@
 }
 
 // A worker that restarts under its id may execute a start that was sent to its
-// former incarnation. The task must not start elsewhere before that run is stopped.
+// former incarnation, and answers it like any other. The task must not start elsewhere
+// before that run is stopped.
 func TestStartForFormerIncarnationIsStopped(t *testing.T) {
-	h := newHarness(t)
-	h.addWorker("a")
-	h.submit("job", tasks(1, 1000))
-	h.startTerm()
-	h.reconcileWorkers()
-	start := takeAll[jobscheduler.Start](h)[0]
-	h.addWorker("b")
-	h.advance(time.Second)
-	h.answerPolls(nil) // b may take tasks now
-	h.apply(&jobwire.Command{
-		Change: &jobwire.Command_Worker{
-			Worker: &jobwire.Worker{
-				Id:      "a",
-				Born:    2,
-				Pool:    "p",
-				Address: "a:1",
-			},
+	tests := map[string]struct {
+		answered bool
+		outcome  jobscheduler.StartAnswer
+		// listed is true when the first poll of the later incarnation reports the run;
+		// else the worker executes that poll before the start.
+		listed bool
+	}{
+		"not answered": {},
+		"not answered, and executed before the first poll": {
+			listed: true,
+		},
+		"accepted by the later incarnation": {
+			answered: true,
+			outcome:  jobscheduler.StartAccepted,
+		},
+		"rejected by the later incarnation, after an order to stop": {
+			answered: true,
+			outcome:  jobscheduler.StartOutdated,
 		},
-	})
-	h.advance(time.Second)
-	for _, poll := range takeAll[jobscheduler.Poll](h) {
-		answer := jobscheduler.PollAnswer{
-			Clock:  h.clock(),
-			SentAt: h.now,
-		}
-		if poll.Target.ID == "a" {
-			answer.Running = []jobscheduler.RunningTask{runningTask(start.Task, start.Run)}
-		}
-		h.withScheduler(func() { h.sched.PollAnswered(poll, answer) })
 	}
-	h.advance(time.Millisecond)
-	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
-	stops := takeAll[jobscheduler.Stop](h)
-	h.is.True(len(stops) > 0)
-	h.is.Equal(stops[0].Target.Born, int64(2))
-	h.withScheduler(func() { h.sched.StopAnswered(stops[0], true, h.clock()) })
-	h.advance(time.Second)
-	h.answerPolls(nil)
-	h.startAfterCrash()
-	h.is.Equal(len(takeAll[jobscheduler.Start](h)), 1)
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.submit("job", tasks(1, 1000))
+			h.startTerm()
+			h.reconcileWorkers()
+			start := takeAll[jobscheduler.Start](h)[0]
+			h.addWorker("b")
+			h.advance(time.Second)
+			h.answerPolls(nil) // b may take tasks now
+			if test.answered {
+				h.withScheduler(func() { h.sched.StartAnswered(start, test.outcome, h.clock()) })
+			}
+			h.restartWorker("a")
+			h.advance(time.Millisecond)
+			var first jobscheduler.PollAnswer
+			if test.listed {
+				first.Running = []jobscheduler.RunningTask{runningTask(start.Task, start.Run)}
+			}
+			h.answerPolls(map[string]jobscheduler.PollAnswer{
+				"a": first,
+			})
+			h.startAfterCrash()
+			h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+			stops := takeAll[jobscheduler.Stop](h)
+			h.is.True(len(stops) > 0)
+			h.is.Equal(stops[0].Target.Born, h.bornOf("a"))
+			h.withScheduler(func() { h.sched.StopAnswered(stops[0], true, h.clock()) })
+			h.advance(time.Second)
+			h.answerPolls(nil)
+			h.startAfterCrash()
+			h.is.Equal(len(takeAll[jobscheduler.Start](h)), 1)
+		})
+	}
 }
 
 // A worker that restarts under its id may execute a poll that was sent to its former
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -263,7 +263,7 @@
 	if t.Checkpoint != "" {
 		r.checkpoint = t.Checkpoint
 	}
-	r.begun = true
+	r.begun, r.listed = true, true
 	r.reportedFigure, r.progressPercent = t.Figure, t.Percent
 	if r.state == starting {
 		r.state, r.confirmedAt = running, s.now
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -39,6 +39,10 @@
 	state runState
 	// begun is true once the worker has accepted the start or reported the run.
 	begun bool
+	// listed is true once a poll of this incarnation of the worker has reported the run.
+	// The answers to orders don't name the incarnation: a later one, under the same id,
+	// may have accepted the start.
+	listed bool
 	// undelivered is true while all answered copies of the order to start the run have
 	// not reached the worker.
 	undelivered   bool
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -220,7 +220,7 @@
 
 // mayBeginAfterRestart reports whether an order to start the run may still be
 // executed by a later incarnation of its worker, which has the same id.
-func (r *run) mayBeginAfterRestart() bool { return !r.begun || r.startAttempts > 0 }
+func (r *run) mayBeginAfterRestart() bool { return !r.listed || r.startAttempts > 0 }
 
 // carryOver moves the runs that the next incarnation of a worker may begin to it.
 // They are stopped there; their tasks wait until that is confirmed.
@@ -331,7 +331,7 @@
 // before their runs are dropped.
 func (w *worker) abandonStarts() {
 	for key, r := range w.runs {
-		if !r.begun {
+		if r.mayBeginAfterRestart() {
 			w.abandonedStarts[key] = time.Time{}
 		}
 	}
