internal/jobscheduler: an unanswered start is not given up with the lease

Cause: at the end of its lease a silent worker's runs counted as lost, also those whose start it had not answered. The deadline in the order keeps the same incarnation from executing it later, but a later one under the same id has a clock of its own and gives the run the longest lease. Then the task ran elsewhere as well.

Change: such a run is kept until the worker answers, a later incarnation has confirmed the stop, another worker has its address, or 15 s have passed since the last copy of the order. Starts that met a refused or a broken connection are given up with the lease as before, so ordinary crashes cost nothing more. An accepted start counts as one of this incarnation also if the answer shows its clock; an answer with another clock no longer counts as a sign of life of the former incarnation.

Evidence: TestUnansweredStartOfSilentWorkerIsNotGivenUpAtLeaseEnd, two cases failed before.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -53,17 +53,17 @@
 	Run  uint64
 }
 
-// noteLapsedRuns notes the runs that are given up because the lease of their worker has
-// ended. Tasks that may have crashed it wait for news of the worker.
-func (s *Scheduler) noteLapsedRuns(w *worker) {
+// noteLapsedRuns notes the given runs, which are given up because the lease of their
+// worker has ended. Tasks that may have crashed it wait for news of the worker.
+func (s *Scheduler) noteLapsedRuns(w *worker, runs []*run) {
 	alone := w.runsAlone()
-	for key, r := range w.runs {
+	for _, r := range runs {
 		if r.step == nil || r.undelivered {
 			continue
 		}
 		w.lapsedRuns = append(w.lapsedRuns, s.lapse(w, r, alone))
-		if wait := s.fateTime(r.step, key.index, w.disconnected()); wait > 0 {
-			s.unknownFates[key.taskKey] = s.now.Add(wait)
+		if wait := s.fateTime(r.step, r.key.index, w.disconnected()); wait > 0 {
+			s.unknownFates[r.key.taskKey] = s.now.Add(wait)
 		}
 	}
 }
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -237,21 +237,6 @@
 	return starts
 }
 
-// listStarts accepts all pending starts, has the next poll of a worker report their
-// runs, and returns them.
-func (h *harness) listStarts(worker string) []jobscheduler.Start {
-	starts := h.acceptStarts()
-	var answer jobscheduler.PollAnswer
-	for _, start := range starts {
-		answer.Running = append(answer.Running, runningTask(start.Task, start.Run))
-	}
-	h.advance(100 * time.Millisecond)
-	h.answerPolls(map[string]jobscheduler.PollAnswer{
-		worker: answer,
-	})
-	return starts
-}
-
 // recordEnds applies the pending log writes of ends.
 func (h *harness) recordEnds() {
 	for _, r := range takeAll[jobscheduler.RecordEnds](h) {
--- a/internal/jobscheduler/lateorder_test.go
+++ b/internal/jobscheduler/lateorder_test.go
@@ -85,7 +85,7 @@
 	h.submit("job", tasks(1, 1000))
 	h.startTerm()
 	h.reconcileWorkers()
-	h.listStarts("a")
+	h.acceptStarts()
 	for range 60 {
 		h.advance(100 * time.Millisecond)
 		h.failPolls("a")
@@ -107,6 +107,9 @@
 	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@a ")
 }
 
+// laterClock is the clock in the answer of a later incarnation, which begins anew.
+const laterClock = 1000
+
 // A worker that restarts under its id may execute a start that was sent to its
 // former incarnation, and answers it like any other. The task must not start elsewhere
 // before that run is stopped.
@@ -143,7 +146,7 @@
 			h.advance(time.Second)
 			h.answerPolls(nil) // b may take tasks now
 			if test.answered {
-				h.withScheduler(func() { h.sched.StartAnswered(start, test.outcome, h.clock()) })
+				h.withScheduler(func() { h.sched.StartAnswered(start, test.outcome, laterClock) })
 			}
 			h.restartWorker("a")
 			h.advance(time.Millisecond)
@@ -168,6 +171,87 @@
 	}
 }
 
+// A worker that has ended may have left the order to start a task unanswered, and a later
+// incarnation under its id may execute it: its clock begins anew, so that the deadline in
+// the order does not hold it back. The task must not start elsewhere when the lease ends.
+func TestUnansweredStartOfSilentWorkerIsNotGivenUpAtLeaseEnd(t *testing.T) {
+	tests := map[string]struct {
+		answers []jobscheduler.StartAnswer
+		waits   bool
+	}{
+		"not answered": {
+			answers: []jobscheduler.StartAnswer{jobscheduler.StartUnknown, jobscheduler.StartUnknown, jobscheduler.StartUnknown},
+			waits:   true,
+		},
+		"accepted, but not known by which incarnation": {
+			answers: []jobscheduler.StartAnswer{jobscheduler.StartAccepted},
+			waits:   true,
+		},
+		"refused the connection": {
+			answers: []jobscheduler.StartAnswer{jobscheduler.StartUndelivered, jobscheduler.StartUndelivered, jobscheduler.StartUndelivered},
+		},
+		"broke the connection, then refused it": {
+			answers: []jobscheduler.StartAnswer{jobscheduler.StartDisconnected, jobscheduler.StartUndelivered, jobscheduler.StartUndelivered},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.submit("job", tasks(1, 1000))
+			h.startTerm()
+			h.reconcileWorkers()
+			start := takeAll[jobscheduler.Start](h)[0]
+			h.addWorker("b")
+			for _, answer := range test.answers {
+				h.withScheduler(func() { h.sched.StartAnswered(start, answer, laterClock) })
+			}
+			h.advance(time.Millisecond)
+			takeAll[jobscheduler.Start](h) // the copies
+			for range 60 {
+				h.advance(100 * time.Millisecond)
+				h.failPolls("a")
+			}
+			if !test.waits {
+				h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@b ")
+				return
+			}
+			h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+			h.restartWorker("a")
+			h.advance(time.Millisecond)
+			h.answerPolls(nil)
+			h.startAfterCrash()
+			h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+			for _, stop := range takeAll[jobscheduler.Stop](h) {
+				h.withScheduler(func() { h.sched.StopAnswered(stop, true, h.clock()) })
+			}
+			h.advance(time.Second)
+			h.answerPolls(nil)
+			h.startAfterCrash()
+			h.is.Equal(len(takeAll[jobscheduler.Start](h)), 1)
+		})
+	}
+}
+
+// A worker that never comes back does not keep a task waiting for ever.
+func TestUnansweredStartIsGivenUpWhenItCanNoLongerBeExecuted(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.addWorker("b")
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartUnknown, 0) })
+	h.advance(time.Millisecond)
+	takeAll[jobscheduler.Start](h) // the copy
+	for range 200 {
+		h.advance(100 * time.Millisecond)
+		h.failPolls("a")
+	}
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@b ")
+}
+
 // A worker that restarts under its id may execute a poll that was sent to its former
 // incarnation, whose clock was ahead, and then holds a lease of up to the longest length.
 // A start that it executes late must not run beside the next run of the task.
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -146,7 +146,7 @@
 			h.submit("job", tasks(2, 1000))
 			h.startTerm()
 			h.reconcileWorkers()
-			starts := h.listStarts("a")
+			starts := h.acceptStarts()
 			h.is.Equal(len(starts), 2)
 			h.addWorker("b")
 			h.advance(time.Second)
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -263,7 +263,7 @@
 	if t.Checkpoint != "" {
 		r.checkpoint = t.Checkpoint
 	}
-	r.begun, r.listed = true, true
+	r.begun, r.begunHere = true, true
 	r.reportedFigure, r.progressPercent = t.Figure, t.Percent
 	if r.state == starting {
 		r.state, r.confirmedAt = running, s.now
@@ -392,16 +392,24 @@
 }
 
 // expireLease counts the runs of an unresponsive worker as lost if its leases have
-// ended, and marks it as lapsed.
+// ended, except those that may begin later, and marks it as lapsed once it has none.
 func (s *Scheduler) expireLease(w *worker) {
 	if !w.unresponsive || !s.now.After(w.leaseEnd) || s.unreconciled[w.info.GetId()] == w {
 		return
 	}
 	if len(w.runs) > 0 {
-		s.noteLapsedRuns(w)
-		w.abandonStarts()
-		s.markAllRunsLost(w, "the worker does not answer and its lease has ended")
-		s.markLapsed(w, true)
+		lost := s.lostWithLease(w)
+		if len(lost) == 0 {
+			return
+		}
+		s.noteLapsedRuns(w, lost)
+		w.abandonStarts(lost)
+		for _, r := range lost {
+			s.markRunLost(r, "the worker does not answer and its lease has ended")
+		}
+		if len(w.runs) == 0 {
+			s.markLapsed(w, true)
+		}
 		return
 	}
 	if s.silent(w) && !w.info.GetLapsed() && w.lapsedWrites == 0 {
@@ -409,6 +417,18 @@
 	}
 }
 
+// lostWithLease returns the runs of a worker that cannot be at work, now or later, once
+// its lease has ended.
+func (s *Scheduler) lostWithLease(w *worker) []*run {
+	var lost []*run
+	for _, r := range w.runs {
+		if !r.mayBeginLate(s.now) {
+			lost = append(lost, r)
+		}
+	}
+	return lost
+}
+
 // silent reports whether neither answers nor heartbeats of a worker have arrived for
 // several heartbeats.
 func (s *Scheduler) silent(w *worker) bool {
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -39,15 +39,20 @@
 	state runState
 	// begun is true once the worker has accepted the start or reported the run.
 	begun bool
-	// listed is true once a poll of this incarnation of the worker has reported the run.
-	// The answers to orders don't name the incarnation: a later one, under the same id,
-	// may have accepted the start.
-	listed bool
+	// begunHere is true once it is known that this incarnation of the worker has begun
+	// the run. The answer to a start doesn't name the incarnation, so a later one may have
+	// accepted it, under the same id; a poll does.
+	begunHere bool
 	// undelivered is true while all answered copies of the order to start the run have
 	// not reached the worker.
-	undelivered   bool
+	undelivered bool
+	// unanswered is true once a copy of the order to start the run was not answered
+	// though the worker kept the connection. It may be executed seconds later.
+	unanswered    bool
 	startAttempts int
 	orderedAt     time.Time
+	// copySentAt is when the last copy of the order to start the run was sent.
+	copySentAt time.Time
 	// sentAt is when the last copy of the order to start the run was sent; zero when
 	// another leader has ordered it.
 	sentAt time.Time
@@ -86,6 +91,7 @@
 		state:        state,
 		orderedAt:    s.now,
 		sentAt:       s.now,
+		copySentAt:   s.now,
 		speedPercent: 100,
 	}
 	if st != nil {
@@ -212,7 +218,8 @@
 // in milliseconds; 0 when it did not state it.
 func (s *Scheduler) StartAnswered(a Start, answer StartAnswer, clock int64) {
 	w, r := s.findRun(a.Target, a.Task, a.Run)
-	if w != nil && clock > 0 {
+	here := w != nil && w.showsClock(clock, s.now)
+	if here {
 		w.setClock(clock, s.now)
 		w.heardAt, w.unresponsive = s.now, false
 		w.disconnectedAt = time.Time{}
@@ -228,6 +235,7 @@
 	switch answer {
 	case StartAccepted:
 		r.begun, r.undelivered = true, false
+		r.begunHere = r.begunHere || here
 		if r.state == starting {
 			r.state, r.confirmedAt = running, s.now
 		}
@@ -242,7 +250,7 @@
 		s.workerDisconnected(w)
 		s.retryStart(a, r)
 	case StartUnknown:
-		r.undelivered = false
+		r.undelivered, r.unanswered = false, true
 		s.retryStart(a, r)
 	default:
 		s.handleRefusedStart(r, answer)
@@ -265,6 +273,7 @@
 	if !r.undelivered && !r.worker.disconnected() {
 		r.sentAt = s.now
 	}
+	r.copySentAt = s.now
 	s.emit(a)
 }
 
@@ -312,7 +321,7 @@
 	if w == nil {
 		return
 	}
-	if clock > 0 {
+	if w.showsClock(clock, s.now) {
 		w.setClock(clock, s.now)
 	}
 	if !confirmed {
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -13,6 +13,9 @@
 	maxClockSlowdown = 1.02
 	// leaseEndMargin covers rounding to milliseconds and late timers.
 	leaseEndMargin = 100 * time.Millisecond
+	// clockTolerance bounds the difference between the clock in an answer and the one
+	// expected: the way of the answers, and the drift since the last one.
+	clockTolerance = 250 * time.Millisecond
 	// missedHeartbeats is how many heartbeats of a worker without runs may fail to
 	// appear before it is polled; silenceMargin covers their way to the leader.
 	missedHeartbeats = 2
@@ -34,6 +37,9 @@
 	pollIntervalPerWorker = 300 * time.Microsecond
 	// failedPollRetryDelay is the time before the next poll after a failed one.
 	failedPollRetryDelay = 250 * time.Millisecond
+	// lateOrderTime is how long after it was sent a worker, or a later incarnation of it,
+	// may execute an order that it has not answered.
+	lateOrderTime = 15 * time.Second
 	// quarantineFailures is the number of consecutive failures that put a worker
 	// into quarantine.
 	quarantineFailures = 3
@@ -183,6 +189,16 @@
 	}
 }
 
+// showsClock reports whether an answer that came at the given local time states the
+// clock of this incarnation. The clock of a later one begins anew.
+func (w *worker) showsClock(millis int64, at time.Time) bool {
+	if millis <= 0 || w.clockAt.IsZero() {
+		return false
+	}
+	expected := w.clockMillis + at.Sub(w.clockAt).Milliseconds()
+	return (time.Duration(millis-expected) * time.Millisecond).Abs() <= clockTolerance
+}
+
 // WorkerChanged implements jobkeeper.Observer. A worker with another start time
 // replaces the former incarnation.
 func (s *Scheduler) WorkerChanged(info *jobwire.Worker) {
@@ -220,7 +236,15 @@
 
 // mayBeginAfterRestart reports whether an order to start the run may still be
 // executed by a later incarnation of its worker, which has the same id.
-func (r *run) mayBeginAfterRestart() bool { return !r.listed || r.startAttempts > 0 }
+func (r *run) mayBeginAfterRestart() bool { return !r.begunHere || r.startAttempts > 0 }
+
+// mayBeginLate reports whether the run may begin after the lease of its worker has ended.
+// The deadline in the order is one on the clock of this incarnation; that of a later one
+// begins anew.
+func (r *run) mayBeginLate(now time.Time) bool {
+	executable := r.unanswered || r.begun && !r.begunHere
+	return executable && now.Sub(r.copySentAt) <= lateOrderTime
+}
 
 // carryOver moves the runs that the next incarnation of a worker may begin to it.
 // They are stopped there; their tasks wait until that is confirmed.
@@ -327,12 +351,12 @@
 	w.nextPollAt = s.now.Add(failedPollRetryDelay)
 }
 
-// abandonStarts notes the starts that the worker is not known to have executed,
-// before their runs are dropped.
-func (w *worker) abandonStarts() {
-	for key, r := range w.runs {
+// abandonStarts notes those of the given runs whose starts the worker is not known to
+// have executed, before they are dropped.
+func (w *worker) abandonStarts(runs []*run) {
+	for _, r := range runs {
 		if r.mayBeginAfterRestart() {
-			w.abandonedStarts[key] = time.Time{}
+			w.abandonedStarts[r.key] = time.Time{}
 		}
 	}
 }
