internal/jobscheduler: a later incarnation rejects copies of runs that the former has stopped

Cause: a worker rejects a run that it has ended or stopped, but a later incarnation under its id doesn't know of it and would execute a copy of the start that was not answered. The scheduler forgot such copies with the run.

What remains: the copy may be executed between the start of the process and that order, some tens of milliseconds.

--- a/internal/jobscheduler/lateorder_test.go
+++ b/internal/jobscheduler/lateorder_test.go
@@ -233,6 +233,40 @@
 	}
 }
 
+// A worker has stopped a run of which a copy of the start was not answered, and restarts
+// under its id. The later incarnation has to reject that copy too, before it gets a lease.
+func TestLaterIncarnationRejectsCopyOfStoppedRun(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartUnknown, 0) })
+	h.advance(time.Millisecond)
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartAccepted, h.clock()) })
+	h.advance(100 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Ended: []jobscheduler.EndedTask{endedTask(1, start.Task, start.Run, jobwire.Ending_ENDING_STOPPED)},
+		},
+	})
+	takeAll[jobscheduler.Start](h)
+	h.restartWorker("a")
+	h.submit("more", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	h.answerPolls(nil)
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Run, start.Run)
+	h.is.Equal(stops[0].Target.Born, h.bornOf("a"))
+	h.withScheduler(func() { h.sched.StopAnswered(stops[0], true, h.clock()) })
+	h.advance(time.Millisecond)
+	h.is.True(len(takeAll[jobscheduler.Start](h)) > 0)
+}
+
 // A worker that never comes back does not keep a task waiting for ever.
 func TestUnansweredStartIsGivenUpWhenItCanNoLongerBeExecuted(t *testing.T) {
 	h := newHarness(t)
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -134,6 +134,9 @@
 		return
 	}
 	delete(w.runs, r.key)
+	if r.unanswered {
+		w.noteLateStart(r.key, r.copySentAt)
+	}
 	w.used = w.used.Minus(r.reservation)
 	s.usedByAccount[r.account] = s.usedByAccount[r.account].Minus(r.request)
 	if s.liveRuns[r.key.taskKey]--; s.liveRuns[r.key.taskKey] == 0 {
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -1,6 +1,7 @@
 package jobscheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/heathermux/heathermux/internal/controller"
@@ -60,6 +61,9 @@
 	// may execute such an order as soon as it holds a lease again, so it gets
 	// none before it has confirmed that it rejects each of these runs.
 	abandonedStarts map[runKey]time.Time
+	// lateStarts holds the starts with an unanswered copy whose runs have ended here or are
+	// rejected, with the time of the last copy. A later incarnation doesn't know that.
+	lateStarts map[runKey]time.Time
 	// lapsedRuns holds the runs that were given up with the lease since the worker last
 	// answered.
 	lapsedRuns []lapsedRun
@@ -215,6 +219,7 @@
 		capacity:        controller.AmountOf(info.GetCapacity()),
 		runs:            make(map[runKey]*run),
 		abandonedStarts: make(map[runKey]time.Time),
+		lateStarts:      make(map[runKey]time.Time),
 		heardAt:         s.now,
 		nextPollAt:      s.now,
 	}
@@ -250,6 +255,11 @@
 // They are stopped there; their tasks wait until that is confirmed.
 func (s *Scheduler) carryOver(from, to *worker) {
 	to.abandonedStarts = from.abandonedStarts
+	for key, sentAt := range from.lateStarts {
+		if s.now.Sub(sentAt) <= lateOrderTime {
+			to.abandonedStarts[key] = time.Time{}
+		}
+	}
 	for key, r := range from.runs {
 		if !r.mayBeginAfterRestart() {
 			continue
@@ -386,12 +396,20 @@
 		return
 	}
 	delete(w.abandonedStarts, key)
+	w.noteLateStart(key, s.now)
 	if len(w.abandonedStarts) == 0 {
 		s.logger.Info("scheduler: worker rejects all starts that were given up; tasks may start there again", "worker", w.info.GetId())
 		s.markPoolDirty(w.info.GetPool())
 	}
 }
 
+// noteLateStart notes a start that a later incarnation has to reject, and forgets those
+// that can no longer be executed.
+func (w *worker) noteLateStart(key runKey, sentAt time.Time) {
+	w.lateStarts[key] = sentAt
+	maps.DeleteFunc(w.lateStarts, func(_ runKey, at time.Time) bool { return sentAt.Sub(at) > lateOrderTime })
+}
+
 // mayHoldLease reports whether the worker may be given a lease: it rejects all
 // starts that were given up, and a new leader would wait for it.
 func (w *worker) mayHoldLease() bool {
