internal/jobscheduler: a clock tells incarnations apart only after a later poll

Cause: an accepted start counted as one of the incarnation whose clock the answer shows. Two incarnations that begin within 250 ms of each other show nearly the same clock, so a start that the second one accepted counted for the first.

Change: the clock counts only if a poll was answered later than two tolerances after the incarnation was first known: the later one has begun after that poll. Otherwise the next poll, which names the incarnation, has to report the run.

--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -146,6 +146,8 @@
 			h.submit("job", tasks(2, 1000))
 			h.startTerm()
 			h.reconcileWorkers()
+			h.advance(time.Second)
+			h.answerPolls(nil) // known long enough for its clock to tell the incarnation
 			starts := h.acceptStarts()
 			h.is.Equal(len(starts), 2)
 			h.addWorker("b")
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -16,7 +16,7 @@
 	leaseEndMargin = 100 * time.Millisecond
 	// clockTolerance bounds the difference between the clock in an answer and the one
 	// expected: the way of the answers, and the drift since the last one.
-	clockTolerance = 250 * time.Millisecond
+	clockTolerance = 200 * time.Millisecond
 	// missedHeartbeats is how many heartbeats of a worker without runs may fail to
 	// appear before it is polled; silenceMargin covers their way to the leader.
 	missedHeartbeats = 2
@@ -87,6 +87,8 @@
 	// leaseEnd is a local time by which all leases of the worker have certainly
 	// ended.
 	leaseEnd time.Time
+	// knownAt is when this leader first knew of the incarnation.
+	knownAt time.Time
 	// heardAt is when the worker last answered or sent a heartbeat, or when this
 	// leader first knew of it.
 	heardAt      time.Time
@@ -194,9 +196,10 @@
 }
 
 // showsClock reports whether an answer that came at the given local time states the
-// clock of this incarnation. The clock of a later one begins anew.
+// clock of this incarnation. A later one has begun after the last answered poll; its clock
+// began anew then, so it differs if this incarnation was long known.
 func (w *worker) showsClock(millis int64, at time.Time) bool {
-	if millis <= 0 || w.clockAt.IsZero() {
+	if millis <= 0 || w.clockAt.IsZero() || w.answeredPollSentAt.Sub(w.knownAt) <= 2*clockTolerance {
 		return false
 	}
 	expected := w.clockMillis + at.Sub(w.clockAt).Milliseconds()
@@ -220,6 +223,7 @@
 		runs:            make(map[runKey]*run),
 		abandonedStarts: make(map[runKey]time.Time),
 		lateStarts:      make(map[runKey]time.Time),
+		knownAt:         s.now,
 		heardAt:         s.now,
 		nextPollAt:      s.now,
 	}
