platform/standin: a worker that starts again knows nothing and is not told from its predecessor

Cause: the stand-in of the soak stated its start time in the answers to starts and stops, and its clock was that of the machine. On the users' platform only heartbeats and lists of runs state the start time, and the clock begins anew with each incarnation.

--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -92,7 +92,7 @@
 type JobRuns struct {
 	taskTime time.Duration
 	ledger   JobLedger
-	born     int64
+	born     time.Time
 
 	mu sync.Mutex
 	// killed is set once Run has dropped the remaining runs; none starts after that.
@@ -121,7 +121,7 @@
 	return &JobRuns{
 		taskTime:   taskTime,
 		ledger:     ledger,
-		born:       time.Now().UnixMilli(),
+		born:       time.Now(),
 		running:    make(map[string]*activeRun),
 		highestRun: make(map[string]uint64),
 	}
@@ -129,10 +129,11 @@
 
 // Born returns the creation time in Unix milliseconds. It distinguishes successive
 // incarnations of a worker with the same id.
-func (j *JobRuns) Born() int64 { return j.born }
+func (j *JobRuns) Born() int64 { return j.born.UnixMilli() }
 
-// Clock returns the worker's current time in Unix milliseconds.
-func (j *JobRuns) Clock() int64 { return time.Now().UnixMilli() }
+// Clock returns the time on the worker's own clock in milliseconds. It starts anew with
+// each incarnation, so a deadline for an earlier one is far in the future of the next.
+func (j *JobRuns) Clock() int64 { return 1 + time.Since(j.born).Milliseconds() }
 
 // Active returns the number of runs in progress.
 func (j *JobRuns) Active() int {
