--- a/cmd/heathermux-soak/main.go
+++ b/cmd/heathermux-soak/main.go
@@ -20,6 +20,7 @@
 	Seed    uint64  `long:"seed" description:"first seed" default:"1"`
 	Seeds   int     `long:"seeds" description:"number of seeds" default:"1"`
 	Seconds float64 `long:"seconds" description:"time in which faults begin, for each seed" default:"20"`
+	Only    string  `long:"only" description:"inject only the faults whose names contain this text"`
 	Keep    bool    `long:"keep" description:"keep the folder of a seed that passes"`
 }
 
@@ -53,6 +54,7 @@
 	report, err := soaker.Run(soaker.Options{
 		Seed:    seed,
 		Length:  time.Duration(args.Seconds * float64(time.Second)),
+		Only:    args.Only,
 		Program: args.Program,
 		Dir:     dir,
 		Logger:  slog.New(slog.NewTextHandler(os.Stderr, nil)),
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/heathermux/heathermux/internal/emulator"
 )
@@ -27,6 +28,8 @@
 	lastDone   map[string]int
 	// crashes counts the workers that each deadly task has crashed.
 	crashes map[string]int
+	// history holds, for each task, a line for each start, end and acknowledged end.
+	history map[string][]string
 	// violations describes the guarantees that were violated.
 	violations []string
 }
@@ -40,6 +43,7 @@
 		lastStart: make(map[string]int),
 		lastDone:  make(map[string]int),
 		crashes:   make(map[string]int),
+		history:   make(map[string][]string),
 	}
 }
 
@@ -48,26 +52,57 @@
 	c.violations = append(c.violations, fmt.Sprintf(format, args...))
 }
 
+// addTaskViolationf records a guarantee that was violated for a task, with what happened
+// to the task before; c.mu must be held.
+func (c *runChecker) addTaskViolationf(task, format string, args ...any) {
+	c.addViolationf("%s", strings.Join(append([]string{fmt.Sprintf(format, args...)}, c.history[task]...), "\n    "))
+}
+
+// note appends an event to the history of a task; c.mu must be held.
+func (c *runChecker) note(worker, task string, run uint64, event string) {
+	c.history[task] = append(c.history[task],
+		fmt.Sprintf("%s run %d on %s: %s", time.Now().UTC().Format("15:04:05.000"), run, worker, event))
+}
+
+// ledger is the emulator.JobLedger of one incarnation of a worker.
+type ledger struct {
+	checker *runChecker
+	worker  string
+}
+
 // Started implements emulator.JobLedger.
-func (c *runChecker) Started(task string, run uint64) {
+func (l *ledger) Started(task string, run uint64) { l.checker.started(l.worker, task, run) }
+
+// Ended implements emulator.JobLedger.
+func (l *ledger) Ended(task string, run uint64, how emulator.JobEnding) {
+	l.checker.ended(l.worker, task, run, how)
+}
+
+// Noted implements emulator.JobLedger.
+func (l *ledger) Noted(task string, run uint64, how emulator.JobEnding) {
+	l.checker.acknowledged(l.worker, task, run, how)
+}
+
+func (c *runChecker) started(worker, task string, run uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.note(worker, task, run, "starts")
 	job, _, _ := strings.Cut(task, ".")
 	c.startedJobs[job] = true
 	c.eventCount++
 	c.lastStart[task] = c.eventCount
 	if c.activeRuns[task]++; c.activeRuns[task] > 1 {
-		c.addViolationf("task %s run %d started while another run was active", task, run)
+		c.addTaskViolationf(task, "task %s run %d started while another run was active", task, run)
 	}
 	if c.doneAcknowledged[task] {
-		c.addViolationf("task %s run %d started after an acknowledged completion", task, run)
+		c.addTaskViolationf(task, "task %s run %d started after an acknowledged completion", task, run)
 	}
 }
 
-// Ended implements emulator.JobLedger.
-func (c *runChecker) Ended(task string, _ uint64, how emulator.JobEnding) {
+func (c *runChecker) ended(worker, task string, run uint64, how emulator.JobEnding) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.note(worker, task, run, endingNames[how])
 	c.activeRuns[task]--
 	if how == emulator.JobDone {
 		c.eventCount++
@@ -75,15 +110,23 @@
 	}
 }
 
-// Noted implements emulator.JobLedger.
-func (c *runChecker) Noted(task string, run uint64, how emulator.JobEnding) {
+// endingNames maps the ends of runs to how the history of a task states them.
+var endingNames = map[emulator.JobEnding]string{
+	emulator.JobDone:         "done",
+	emulator.JobStopped:      "stopped",
+	emulator.JobLapsed:       "lapsed",
+	emulator.JobWorkerKilled: "gone with its worker",
+}
+
+func (c *runChecker) acknowledged(worker, task string, run uint64, how emulator.JobEnding) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.note(worker, task, run, "end acknowledged")
 	if how != emulator.JobDone {
 		return
 	}
 	c.doneAcknowledged[task] = true
 	if c.lastStart[task] > c.lastDone[task] {
-		c.addViolationf("task %s started again after its completion, but the completion of run %d was then acknowledged", task, run)
+		c.addTaskViolationf(task, "task %s started again after its completion, but the completion of run %d was then acknowledged", task, run)
 	}
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -50,6 +50,8 @@
 	Seed uint64
 	// Length is the time during which faults are injected.
 	Length time.Duration
+	// Only, if not empty, is part of the names of the faults that are injected.
+	Only string
 	// Program is the path of the program under test.
 	Program string
 	// Dir is for settings, data and logs; it must be empty.
@@ -79,16 +81,19 @@
 
 // soak is the state of one run.
 type soak struct {
-	opts             Options
-	random           *rand.Rand
-	machines         []machine
-	processes        []*process
-	workers          []*worker
-	proxies          []*proxy
-	checker          *runChecker
-	client           *http.Client
-	submissions      submissions
-	faultCount       int
+	opts        Options
+	random      *rand.Rand
+	machines    []machine
+	processes   []*process
+	workers     []*worker
+	proxies     []*proxy
+	checker     *runChecker
+	client      *http.Client
+	submissions submissions
+	faultCount  int
+	active      []activeFault
+	// deadAddress is a control address at which no machine is.
+	deadAddress      string
 	providerListener net.Listener
 }
 
@@ -133,6 +138,7 @@
 		return errors.Wrap(err, "soaker: listen for the emulated cloud provider")
 	}
 	go standin.ServeProvider(s.providerListener)
+	s.deadAddress = fmt.Sprintf("%s.99:%d", subnet, controlPort)
 	for i := range cores {
 		s.machines = append(s.machines, machine{
 			name: fmt.Sprint("core-", i),
@@ -161,6 +167,8 @@
 			dir:      s.opts.Dir,
 			program:  s.opts.Program,
 			settings: settingsText(m, controls, s.opts.Dir, s.providerListener.Addr().String()),
+
+			exitedByItself: s.exitedByItself,
 		}
 		if s.opts.Seed%2 == 0 {
 			// With an even seed, other core machines carry the leader's orders.
@@ -179,6 +187,13 @@
 	return nil
 }
 
+// exitedByItself records a process that has ended without being told to.
+func (s *soak) exitedByItself(p *process, state *os.ProcessState) {
+	s.checker.mu.Lock()
+	defer s.checker.mu.Unlock()
+	s.checker.addViolationf("process %s exited by itself: %v", p.name, state)
+}
+
 func (s *soak) close() {
 	for _, p := range s.processes {
 		if p.cmd != nil && p.exited != nil {
--- a/internal/soaker/worker.go
+++ b/internal/soaker/worker.go
@@ -18,7 +18,7 @@
 	deadlyInterval = 50
 	// maxCrashes is the most workers that one task may crash.
 	maxCrashes = 5
-	// workerDownTime is how long a worker is down after a crash.
+	// workerDownTime is how long a worker is down after a crash by a task.
 	workerDownTime = 2 * time.Second
 	// shrunkMilliCores is the capacity of a worker that has become smaller.
 	shrunkMilliCores = 1000
@@ -27,14 +27,20 @@
 	capacitySlack = 3*maxFaultDuration + standin.HeartbeatInterval
 )
 
-// worker is the place of an emulated worker: a crashed one is replaced there by another.
+// worker is the place of an emulated worker: one that has crashed is followed there by
+// another, or by itself under the id that it had.
 type worker struct {
 	soak    *soak
 	options standin.Options
+	proxy   *proxy
 
 	mu      sync.Mutex
 	current *standin.Worker
-	// crashes counts the crashes, and is part of the id of the worker.
+	// down is true from a crash until the next start.
+	down bool
+	// starts counts the starts, to tell the incarnations apart in reports.
+	starts int
+	// crashes counts the crashes by tasks, and is part of the id of the worker.
 	crashes int
 	// shrunkAt is when the capacity was reduced last; zero while it is whole.
 	shrunkAt time.Time
@@ -47,6 +53,7 @@
 	announce := fmt.Sprintf("%s.%d:%d", subnet, 151+i, workerPort)
 	w := &worker{
 		soak: s,
+		down: true,
 	}
 	w.options = standin.Options{
 		ID:               fmt.Sprint("worker-", i),
@@ -56,19 +63,17 @@
 		Announce:         announce,
 		ControlAddresses: controls,
 		TaskTime:         taskTime,
-		Ledger:           s.checker,
 		OnStart:          w.started,
 	}
 	var err error
-	if w.current, err = standin.Start(w.options); err != nil {
+	if w.proxy, err = newProxy(announce, listen, s.opts.Seed+uint64(i)); err != nil {
+		return errors.Wrap(err, "soaker: start proxy of a worker")
+	}
+	s.proxies = append(s.proxies, w.proxy)
+	if err := w.start(); err != nil {
 		return err
 	}
 	s.workers = append(s.workers, w)
-	p, err := newProxy(announce, listen)
-	if err != nil {
-		return errors.Wrap(err, "soaker: start proxy of a worker")
-	}
-	s.proxies = append(s.proxies, p)
 	return nil
 }
 
@@ -101,38 +106,75 @@
 		return
 	}
 	if c.crashes[task]++; c.crashes[task] > maxCrashes {
-		c.addViolationf("task %s has crashed %d workers", task, c.crashes[task])
+		c.addTaskViolationf(task, "task %s has crashed %d workers", task, c.crashes[task])
 	}
-	go w.crash()
+	go w.crashAndReplace()
 }
 
-// crash ends the worker and starts another one at its address later.
-func (w *worker) crash() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.closed {
+// crashAndReplace ends the worker and starts another one at its address later.
+func (w *worker) crashAndReplace() {
+	if w.crash() == nil {
 		return
 	}
-	w.current.Close()
 	time.Sleep(workerDownTime)
+	w.mu.Lock()
 	w.crashes++
-	w.shrunkAt = time.Time{}
-	options := w.options
-	options.ID = fmt.Sprintf("%s-%d", w.options.ID, w.crashes)
-	next, err := standin.Start(options)
-	if err != nil {
+	w.mu.Unlock()
+	w.restart()
+}
+
+// crash ends the worker and returns it, or nil if it is down already.
+func (w *worker) crash() *standin.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed || w.down {
+		return nil
+	}
+	w.down = true
+	w.current.Close()
+	return w.current
+}
+
+// restart starts the worker after a crash, under its id unless a task has crashed it.
+func (w *worker) restart() {
+	if err := w.start(); err != nil {
 		w.soak.checker.mu.Lock()
 		defer w.soak.checker.mu.Unlock()
 		w.soak.checker.addViolationf("worker did not restart after a crash: %v", err)
-		return
 	}
-	w.current = next
+}
+
+// start starts the next incarnation, which knows nothing of the one before.
+func (w *worker) start() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.closed {
+		return nil
+	}
+	options := w.options
+	if w.crashes > 0 {
+		options.ID = fmt.Sprintf("%s-%d", w.options.ID, w.crashes)
+	}
+	w.starts++
+	options.Ledger = &ledger{
+		checker: w.soak.checker,
+		worker:  fmt.Sprintf("%s, start %d", options.ID, w.starts),
+	}
+	next, err := standin.Start(options)
+	if err != nil {
+		return err
+	}
+	w.current, w.down, w.shrunkAt = next, false, time.Time{}
+	return nil
 }
 
 // shrink reduces the capacity of the worker for the rest of the run, or restores it.
 func (w *worker) shrink() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.down {
+		return
+	}
 	if w.shrunkAt.IsZero() {
 		w.shrunkAt = time.Now()
 		w.current.Resize(shrunkMilliCores)
