internal/soaker: tasks that outlast leases, and harmless tasks that lost many workers

Cause: all tasks lasted 300 ms, so a second run on another worker began after the first one had ended, and a fault that starts a task twice stayed hidden.

Change: the first step of one job in ten lasts 4 s. A harmless job may be shown as failed only if one of its tasks was lost with four crashed workers according to the workers; such jobs are counted and printed ("suspected").

--- a/cmd/heathermux-soak/main.go
+++ b/cmd/heathermux-soak/main.go
@@ -60,8 +60,8 @@
 		Logger:  slog.New(slog.NewTextHandler(os.Stderr, nil)),
 	})
 	passed := err == nil && len(report.Violations) == 0
-	fmt.Printf("seed %d: passed %v, accepted %d, completed %d, given up %d, refused %d, unknown %d, faults %d\n",
-		seed, passed, report.Accepted, report.Completed, report.GivenUp, report.Refused, report.Unknown, report.Faults)
+	fmt.Printf("seed %d: passed %v, accepted %d, completed %d, given up %d, suspected %d, refused %d, unknown %d, faults %d\n",
+		seed, passed, report.Accepted, report.Completed, report.GivenUp, report.Suspected, report.Refused, report.Unknown, report.Faults)
 	if err != nil {
 		fmt.Println("  ", err)
 	}
--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -88,9 +88,9 @@
 }
 
 // JobRuns holds the runs of one emulated job worker, whose tasks do nothing for a
-// fixed time. It is safe for concurrent use; create one with NewJobRuns.
+// time. It is safe for concurrent use; create one with NewJobRuns.
 type JobRuns struct {
-	taskTime time.Duration
+	taskTime func(task string) time.Duration
 	ledger   JobLedger
 	born     time.Time
 
@@ -112,9 +112,9 @@
 	endsAt time.Time
 }
 
-// NewJobRuns returns a JobRuns without runs. Runs end and leases expire only while
+// NewJobRuns returns a JobRuns without runs; taskTime returns the run time of a task. Runs end and leases expire only while
 // Run is executing. The ledger may be nil.
-func NewJobRuns(taskTime time.Duration, ledger JobLedger) *JobRuns {
+func NewJobRuns(taskTime func(task string) time.Duration, ledger JobLedger) *JobRuns {
 	if ledger == nil {
 		ledger = discardLedger{}
 	}
@@ -225,7 +225,7 @@
 	}
 	j.running[task] = &activeRun{
 		run:    run,
-		endsAt: time.Now().Add(j.taskTime),
+		endsAt: time.Now().Add(j.taskTime(task)),
 	}
 	j.ledger.Started(task, run)
 	return JobAccepted
--- a/internal/emulator/jobworker.go
+++ b/internal/emulator/jobworker.go
@@ -61,7 +61,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &JobWorker{
 		opts:    opts,
-		runs:    NewJobRuns(opts.TaskTime, opts.Ledger),
+		runs:    NewJobRuns(func(string) time.Duration { return opts.TaskTime }, opts.Ledger),
 		client:  announcer.NewClient(opts.EntryHosts...),
 		cancel:  cancel,
 		address: listener.Addr().String(),
--- a/internal/soaker/checker.go
+++ b/internal/soaker/checker.go
@@ -28,6 +28,9 @@
 	lastDone   map[string]int
 	// crashes counts the workers that each deadly task has crashed.
 	crashes map[string]int
+	// lostRuns holds, for each job, the most runs of one of its tasks that were lost with
+	// crashed workers; lostTaskRuns counts them for each task.
+	lostRuns, lostTaskRuns map[string]int
 	// history holds, for each task, a line for each start, end and acknowledged end.
 	history map[string][]string
 	// violations describes the guarantees that were violated.
@@ -44,6 +47,9 @@
 		lastDone:  make(map[string]int),
 		crashes:   make(map[string]int),
 		history:   make(map[string][]string),
+
+		lostRuns:     make(map[string]int),
+		lostTaskRuns: make(map[string]int),
 	}
 }
 
@@ -104,6 +110,11 @@
 	defer c.mu.Unlock()
 	c.note(worker, task, run, endingNames[how])
 	c.activeRuns[task]--
+	if how == emulator.JobWorkerKilled {
+		job, _, _ := strings.Cut(task, ".")
+		c.lostTaskRuns[task]++
+		c.lostRuns[job] = max(c.lostRuns[job], c.lostTaskRuns[task])
+	}
 	if how == emulator.JobDone {
 		c.eventCount++
 		c.lastDone[task] = c.eventCount
--- a/internal/soaker/jobs.go
+++ b/internal/soaker/jobs.go
@@ -22,6 +22,9 @@
 	submitAttempts = 3
 	// tasksPerStep is the number of tasks of each of the two steps of a job.
 	tasksPerStep = 2
+	// minLostRuns is with how many crashed workers a harmless task must have been lost
+	// before its job may fail: the system can't tell it from a deadly one then.
+	minLostRuns = 4
 	// milliCoresPerTask is what each task reserves.
 	milliCoresPerTask = 500
 )
@@ -106,8 +109,10 @@
 // submitJob submits a job of two steps, the second depending on the first, and
 // records the outcome. Each attempt goes to the next front.
 func (s *soak) submitJob(n int, id string) {
-	const step = `{"count":%d,"cpu":%d,"mem_mb":10,"est_duration_ms":300%s}`
-	body := fmt.Sprintf(`{"spec":"","steps":[`+step+`,`+step+`]}`, tasksPerStep, milliCoresPerTask, "", tasksPerStep, milliCoresPerTask, `,"depends_on":[0]`)
+	const step = `{"count":%d,"cpu":%d,"mem_mb":10,"est_duration_ms":%d%s}`
+	body := fmt.Sprintf(`{"spec":"","steps":[`+step+`,`+step+`]}`,
+		tasksPerStep, milliCoresPerTask, timeOf(id+".0.0.0").Milliseconds(), "",
+		tasksPerStep, milliCoresPerTask, timeOf(id+".0.1.0").Milliseconds(), `,"depends_on":[0]`)
 	outcome := outcomeRefused
 	for attempt := range submitAttempts {
 		status, _ := s.callFront(n+attempt, http.MethodPost, id, body)
@@ -162,7 +167,8 @@
 }
 
 // report compares the answers that submitters got with what has run: an accepted
-// job must be completed, or have failed if it is deadly, and one that was refused in all attempts must not run.
+// job must be completed, or have failed if it is deadly or was lost with many workers, and
+// one that was refused in all attempts must not run.
 func (s *submissions) report(checker *runChecker) Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -176,6 +182,8 @@
 				r.Completed++
 			case state == "failed" && isDeadly(id+".0.0.0"):
 				r.GivenUp++
+			case state == "failed" && checker.lostRuns[id] >= minLostRuns:
+				r.Suspected++
 			default:
 				r.Violations = append(r.Violations, fmt.Sprintf("job %s was accepted but is not completed; last state seen: %q", id, s.finalStates[id]))
 			}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -32,8 +32,11 @@
 	fronts  = 2
 	workers = 5
 
-	// taskTime is the run time of each task.
-	taskTime = 300 * time.Millisecond
+	// taskTime is the run time of most tasks, longTaskTime that of the tasks of the first
+	// step of one job in longInterval. The latter outlast the leases that workers hold.
+	taskTime     = 300 * time.Millisecond
+	longTaskTime = 4 * time.Second
+	longInterval = 10
 	// startupTimeout bounds the time from the start of all processes until the
 	// configuration is acknowledged.
 	startupTimeout = 15 * time.Second
@@ -71,8 +74,9 @@
 	// Accepted, Refused and Unknown count the jobs by the outcome of their
 	// submission; Completed counts the accepted jobs that were completed.
 	Accepted, Completed, Refused, Unknown int
-	// GivenUp counts the accepted jobs with a deadly task, which have failed.
-	GivenUp int
+	// GivenUp counts the accepted jobs with a deadly task, which have failed; Suspected
+	// counts the others that have failed after several workers crashed that ran them.
+	GivenUp, Suspected int
 	// Faults counts the injected faults.
 	Faults int
 	// Violations describes the violated guarantees; the run passes if it is empty.
--- a/internal/soaker/worker.go
+++ b/internal/soaker/worker.go
@@ -62,7 +62,7 @@
 		Listen:           listen,
 		Announce:         announce,
 		ControlAddresses: controls,
-		TaskTime:         taskTime,
+		TaskTime:         timeOf,
 		OnStart:          w.started,
 	}
 	var err error
@@ -84,6 +84,16 @@
 	w.current.Close()
 }
 
+// timeOf returns how long a task runs.
+func timeOf(task string) time.Duration {
+	job, rest, _ := strings.Cut(task, ".")
+	n, err := strconv.ParseUint(job, 16, 64)
+	if err == nil && n%longInterval == 0 && strings.HasPrefix(rest, "0.0.") {
+		return longTaskTime
+	}
+	return taskTime
+}
+
 // isDeadly reports whether a task crashes its workers.
 func isDeadly(task string) bool {
 	job, rest, _ := strings.Cut(task, ".")
