--- a/internal/soaker/restarts.go
+++ b/internal/soaker/restarts.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// maxCrashedWorkers bounds the number of workers that crash at the same moment; the
+	// others may run their tasks.
+	maxCrashedWorkers = 4
 	// maxWorkersDownTime bounds how long several workers are down together. It is longer
 	// than the leases that they hold.
 	maxWorkersDownTime = 6 * time.Second
@@ -40,8 +43,13 @@
 // connections are refused. They start again under the ids that they had, almost at the
 // same time. If disturb is set, the leader is frozen or killed just before or after that.
 func (s *soak) crashWorkers(silent, disturb bool) func() {
+	if s.workersDown {
+		// Most of the pool would be down all the time.
+		return func() {}
+	}
+	s.workersDown = true
 	var crashed []crashedWorker
-	count := 2 + s.random.IntN(len(s.workers)-1)
+	count := 2 + s.random.IntN(maxCrashedWorkers-1)
 	for _, i := range s.random.Perm(len(s.workers))[:count] {
 		w := s.workers[i]
 		reconnect := w.disconnect(silent)
@@ -58,6 +66,7 @@
 	}
 	group.Wait()
 	return func() {
+		s.workersDown = false
 		offset := time.Duration(s.random.Int64N(int64(maxLeaderOffset)))
 		before := disturb && s.random.IntN(2) == 0
 		if before {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -30,7 +30,7 @@
 
 	cores   = 3
 	fronts  = 2
-	workers = 5
+	workers = 7
 
 	// taskTime is the run time of most tasks, longTaskTime that of the tasks of the first
 	// step of one job in longInterval. The latter outlast the leases that workers hold.
@@ -96,6 +96,8 @@
 	submissions submissions
 	faultCount  int
 	active      []activeFault
+	// workersDown is true while several workers are down that crashed together.
+	workersDown bool
 	// deadAddress is a control address at which no machine is.
 	deadAddress      string
 	providerListener net.Listener
