--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -88,11 +88,11 @@
 }
 
 // JobRuns holds the runs of one emulated job worker, whose tasks do nothing for a
-// fixed time. It is safe for concurrent use; create one with NewJobRuns.
+// time. It is safe for concurrent use; create one with NewJobRuns.
 type JobRuns struct {
-	taskTime time.Duration
+	taskTime func(task string) time.Duration
 	ledger   JobLedger
-	born     int64
+	born     time.Time
 
 	mu sync.Mutex
 	// killed is set once Run has dropped the remaining runs; none starts after that.
@@ -112,16 +112,16 @@
 	endsAt time.Time
 }
 
-// NewJobRuns returns a JobRuns without runs. Runs end and leases expire only while
+// NewJobRuns returns a JobRuns without runs; taskTime returns the run time of a task. Runs end and leases expire only while
 // Run is executing. The ledger may be nil.
-func NewJobRuns(taskTime time.Duration, ledger JobLedger) *JobRuns {
+func NewJobRuns(taskTime func(task string) time.Duration, ledger JobLedger) *JobRuns {
 	if ledger == nil {
 		ledger = discardLedger{}
 	}
 	return &JobRuns{
 		taskTime:   taskTime,
 		ledger:     ledger,
-		born:       time.Now().UnixMilli(),
+		born:       time.Now(),
 		running:    make(map[string]*activeRun),
 		highestRun: make(map[string]uint64),
 	}
@@ -129,10 +129,11 @@
 
 // Born returns the creation time in Unix milliseconds. It distinguishes successive
 // incarnations of a worker with the same id.
-func (j *JobRuns) Born() int64 { return j.born }
+func (j *JobRuns) Born() int64 { return j.born.UnixMilli() }
 
-// Clock returns the worker's current time in Unix milliseconds.
-func (j *JobRuns) Clock() int64 { return time.Now().UnixMilli() }
+// Clock returns the time on the worker's own clock in milliseconds. It starts anew with
+// each incarnation, so a deadline for an earlier one is far in the future of the next.
+func (j *JobRuns) Clock() int64 { return 1 + time.Since(j.born).Milliseconds() }
 
 // Active returns the number of runs in progress.
 func (j *JobRuns) Active() int {
@@ -224,7 +225,7 @@
 	}
 	j.running[task] = &activeRun{
 		run:    run,
-		endsAt: time.Now().Add(j.taskTime),
+		endsAt: time.Now().Add(j.taskTime(task)),
 	}
 	j.ledger.Started(task, run)
 	return JobAccepted
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -30,10 +30,13 @@
 
 	cores   = 3
 	fronts  = 2
-	workers = 5
+	workers = 7
 
-	// taskTime is the run time of each task.
-	taskTime = 300 * time.Millisecond
+	// taskTime is the run time of most tasks, longTaskTime that of the tasks of the first
+	// step of one job in longInterval. The latter outlast the leases that workers hold.
+	taskTime     = 300 * time.Millisecond
+	longTaskTime = 4 * time.Second
+	longInterval = 10
 	// startupTimeout bounds the time from the start of all processes until the
 	// configuration is acknowledged.
 	startupTimeout = 15 * time.Second
@@ -50,6 +53,8 @@
 	Seed uint64
 	// Length is the time during which faults are injected.
 	Length time.Duration
+	// Only, if not empty, is part of the names of the faults that are injected.
+	Only string
 	// Program is the path of the program under test.
 	Program string
 	// Dir is for settings, data and logs; it must be empty.
@@ -69,8 +74,9 @@
 	// Accepted, Refused and Unknown count the jobs by the outcome of their
 	// submission; Completed counts the accepted jobs that were completed.
 	Accepted, Completed, Refused, Unknown int
-	// GivenUp counts the accepted jobs with a deadly task, which have failed.
-	GivenUp int
+	// GivenUp counts the accepted jobs with a deadly task, which have failed; Suspected
+	// counts the others that have failed after several workers crashed that ran them.
+	GivenUp, Suspected int
 	// Faults counts the injected faults.
 	Faults int
 	// Violations describes the violated guarantees; the run passes if it is empty.
@@ -79,16 +85,21 @@
 
 // soak is the state of one run.
 type soak struct {
-	opts             Options
-	random           *rand.Rand
-	machines         []machine
-	processes        []*process
-	workers          []*worker
-	proxies          []*proxy
-	checker          *runChecker
-	client           *http.Client
-	submissions      submissions
-	faultCount       int
+	opts        Options
+	random      *rand.Rand
+	machines    []machine
+	processes   []*process
+	workers     []*worker
+	proxies     []*proxy
+	checker     *runChecker
+	client      *http.Client
+	submissions submissions
+	faultCount  int
+	active      []activeFault
+	// workersDown is true while several workers are down that crashed together.
+	workersDown bool
+	// deadAddress is a control address at which no machine is.
+	deadAddress      string
 	providerListener net.Listener
 }
 
@@ -133,6 +144,7 @@
 		return errors.Wrap(err, "soaker: listen for the emulated cloud provider")
 	}
 	go standin.ServeProvider(s.providerListener)
+	s.deadAddress = fmt.Sprintf("%s.99:%d", subnet, controlPort)
 	for i := range cores {
 		s.machines = append(s.machines, machine{
 			name: fmt.Sprint("core-", i),
@@ -161,6 +173,8 @@
 			dir:      s.opts.Dir,
 			program:  s.opts.Program,
 			settings: settingsText(m, controls, s.opts.Dir, s.providerListener.Addr().String()),
+
+			exitedByItself: s.exitedByItself,
 		}
 		if s.opts.Seed%2 == 0 {
 			// With an even seed, other core machines carry the leader's orders.
@@ -179,6 +193,13 @@
 	return nil
 }
 
+// exitedByItself records a process that has ended without being told to.
+func (s *soak) exitedByItself(p *process, state *os.ProcessState) {
+	s.checker.mu.Lock()
+	defer s.checker.mu.Unlock()
+	s.checker.addViolationf("process %s exited by itself: %v", p.name, state)
+}
+
 func (s *soak) close() {
 	for _, p := range s.processes {
 		if p.cmd != nil && p.exited != nil {
