internal/jobscheduler: a poll acknowledges ends once

Cause: each poll repeated the number of the last recorded end. A poll that was meant for the former incarnation of a worker and executed by the next one, which numbers its ends anew, made it drop ends that nobody had read, so done tasks ran again.

Change: the number goes with a poll only until one that carries it has been answered; then it is 0.

Evidence: TestEndsAreAcknowledgedOnce failed before. What remains: a later incarnation can execute the one poll that does acknowledge ends.

--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -48,7 +48,7 @@
 	// extends no lease.
 	Deadline int64
 	// LastRecordedEnd is the number of the last recorded end; the worker drops
-	// the ends up to it.
+	// the ends up to it. It is 0 if the worker has dropped them.
 	LastRecordedEnd uint64
 	// Wait is how long the worker may hold the poll open until a run ends.
 	Wait time.Duration
--- a/internal/jobscheduler/lost_test.go
+++ b/internal/jobscheduler/lost_test.go
@@ -310,3 +310,36 @@
 	h.advance(time.Millisecond)
 	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "second.0.0@a ")
 }
+
+// A poll that a later incarnation of the worker executes makes it drop the ends up to a
+// number of the former one, also those that nobody has read; their tasks would run again.
+func TestEndsAreAcknowledgedOnce(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(2, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	starts := h.acceptStarts()
+	h.advance(100 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(starts[1].Task, starts[1].Run)},
+			Ended:   []jobscheduler.EndedTask{endedTask(7, starts[0].Task, starts[0].Run, jobwire.Ending_ENDING_DONE)},
+		},
+	})
+	h.advance(time.Millisecond)
+	h.recordEnds()
+	for _, number := range []uint64{7, 0} {
+		h.advance(100 * time.Millisecond)
+		polls := takeAll[jobscheduler.Poll](h)
+		h.is.Equal(len(polls), 1)
+		h.is.Equal(polls[0].LastRecordedEnd, number)
+		h.withScheduler(func() {
+			h.sched.PollAnswered(polls[0], jobscheduler.PollAnswer{
+				Clock:   h.clock(),
+				SentAt:  h.now,
+				Running: []jobscheduler.RunningTask{runningTask(starts[1].Task, starts[1].Run)},
+			})
+		})
+	}
+}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -105,6 +105,7 @@
 	w.heardAt, w.unresponsive, w.loggedPollFailure = s.now, false, ""
 	w.disconnectedAt = time.Time{}
 	w.answeredPollSentAt = answer.SentAt
+	w.acknowledgedEnd = max(w.acknowledgedEnd, a.LastRecordedEnd)
 	if len(s.pendingPlacements) > 0 {
 		s.markPoolDirty(w.info.GetPool())
 	}
@@ -450,8 +451,12 @@
 
 func (s *Scheduler) sendPoll(w *worker, contact time.Time) {
 	poll := Poll{
-		Target:          w.target(),
-		LastRecordedEnd: w.lastRecordedEnd,
+		Target: w.target(),
+	}
+	if w.lastRecordedEnd > w.acknowledgedEnd {
+		// Repeated without need, it would make a later incarnation, which numbers its
+		// ends anew, forget ends that nobody has read.
+		poll.LastRecordedEnd = w.lastRecordedEnd
 	}
 	// The worker may receive a poll whose answer is lost, so an unresponsive worker
 	// gets no further lease: its runs count as lost when the last lease ends.
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -104,6 +104,8 @@
 
 	// lastRecordedEnd is the number of the worker's last end that is in the log.
 	lastRecordedEnd uint64
+	// acknowledgedEnd is the number of the last end that an answered poll has acknowledged.
+	acknowledgedEnd uint64
 	recordInFlight  bool
 	pollInFlight    bool
 	nextPollAt      time.Time
