--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -159,7 +159,7 @@
 	s.dropRun(r)
 	s.counters.Lost++
 	s.logger.Info("scheduler: run is lost; its task is queued again unless it is done", "task", taskName(r.key.taskKey), "run", r.key.number,
-		"worker", r.worker.info.GetId(), "cause", cause)
+		"worker", r.worker.info.GetId(), "born", r.worker.info.GetBorn(), "begun", r.begun, "unanswered", r.unanswered, "cause", cause)
 	s.requeueIfNotRunning(r.key.taskKey)
 }
 
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -260,6 +260,9 @@
 // carryOver moves the runs that the next incarnation of a worker may begin to it.
 // They are stopped there; their tasks wait until that is confirmed.
 func (s *Scheduler) carryOver(from, to *worker) {
+	s.logger.Info("scheduler: worker has restarted under its id; starts that it may still execute are stopped there first",
+		"worker", to.info.GetId(), "born", to.info.GetBorn(), "former-born", from.info.GetBorn(),
+		"runs", len(from.runs), "abandoned-starts", len(from.abandonedStarts), "late-starts", len(from.lateStarts))
 	to.abandonedStarts = from.abandonedStarts
 	for key, sentAt := range from.lateStarts {
 		if s.now.Sub(sentAt) <= lateOrderTime {
