internal/jobscheduler: a task that has just started is not stopped on a smaller worker while others are away

Cause: on a worker whose capacity has shrunk, stopExcess stops long-running tasks within what their step may miss. A task that had run for less than 1.5 s does not count as available, and mayStopOne took that for "away": it let the stop through whatever else of the step was down. Such a task serves already (AVAIL). Found by reading.

Change: mayStopOne compares the other tasks of the step that are unavailable with what it may miss; the task itself never counts.

Evidence: TestShrunkWorkerKeepsTaskThatHasJustStarted failed before with 2 stops where none may be (one order and its repetition).

--- a/internal/jobscheduler/excess.go
+++ b/internal/jobscheduler/excess.go
@@ -60,12 +60,17 @@
 }
 
 // mayStopOne reports whether a run may be stopped without more tasks of its step being
-// unavailable than it may miss.
+// unavailable than it may miss. A task that has just started does not count as available,
+// but it may serve already.
 func (s *Scheduler) mayStopOne(r *run) bool {
-	if r.step == nil || !r.step.spec.GetLasting() || r.step.spec.GetMayMiss() == 0 || !s.isHealthy(r) {
+	if r.step == nil || !r.step.spec.GetLasting() || r.step.spec.GetMayMiss() == 0 {
 		return true
 	}
-	return s.unavailableTasks(r.step, nil) < int(r.step.spec.GetMayMiss()) && !s.maintenanceOrdered(r.step)
+	others := s.unavailableTasks(r.step, nil)
+	if r.step.runs[r.key.index] == r && !s.isHealthy(r) {
+		others--
+	}
+	return others < int(r.step.spec.GetMayMiss()) && !s.maintenanceOrdered(r.step)
 }
 
 // guarded reports whether the workers of a pool refuse what does not fit.
--- a/internal/jobscheduler/excess_test.go
+++ b/internal/jobscheduler/excess_test.go
@@ -130,3 +130,21 @@
 	h.advance(100 * time.Millisecond)
 	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@a ")
 }
+
+// A long-running task that has just started serves as well. It was stopped on a worker
+// that became smaller, as if it were away anyway, while another one of its step was down.
+func TestShrunkWorkerKeepsTaskThatHasJustStarted(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	step := tasks(2, 2000)
+	step.Lasting, step.MostPerWorker, step.MayMiss = true, 1, 1
+	h.submit("lasting", step)
+	h.startTerm()
+	h.reconcileWorkers()
+	starts := h.acceptStarts()
+	h.is.Equal(len(starts), 1) // the other one finds no worker
+	h.play(time.Second, starts)
+	h.resize("a", 1000)
+	_, stopped := h.play(time.Second, starts)
+	h.is.Equal(len(stopped), 0)
+}
