internal/jobscheduler: a new leader maintains no host whose runs it does not know

Cause: a new leader waits for the order delay of the provider (a lease) before it goes on with a maintenance wave. A worker that it has not reached by then may run tasks for some 0.3 s longer, under a lease of the former leader, and for up to the longest lease where it has restarted under its id. To the new leader such a worker had no runs, so its host was even the first to be ordered, and no task there was compared with what its step may miss (AVAIL).

Change: the maintenance of a host waits until its worker has reported its runs, or until the leases there have ended.

Evidence: TestNewLeaderMaintainsNoHostWhoseRunsItDoesNotKnow failed before: the order went out 3 s after the change of leader, while the other task of the step was away.

--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -164,11 +164,15 @@
 	}
 }
 
-// workerKnown reports whether the worker on a host is known, or whether a listing that
-// was requested since has shown that there is none. An order by an older listing could
-// end tasks of a worker that has just registered, unchecked.
+// workerKnown reports whether the runs of the worker on a host are known, or whether a
+// listing that was requested since has shown that there is no worker. An order by an older
+// listing could end tasks of a worker that has just registered, and a new leader's order
+// tasks that the worker has not reported yet, unchecked.
 func (s *Scheduler) workerKnown(m *hostMaintenance) bool {
-	return m.unknownSince.IsZero() || s.hosts.listedAt.After(m.unknownSince)
+	if !m.unknownSince.IsZero() {
+		return s.hosts.listedAt.After(m.unknownSince)
+	}
+	return s.unreconciled[m.worker.info.GetId()] != m.worker
 }
 
 // advanceMaintenance orders the maintenance of a prepared host once its runs may
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -476,3 +476,23 @@
 		})
 	}
 }
+
+// A new leader that reaches all workers but one doesn't know which tasks are at work
+// there. It ordered the maintenance of that host as if none were, while the other task of
+// the step was away.
+func TestNewLeaderMaintainsNoHostWhoseRunsItDoesNotKnow(t *testing.T) {
+	h := newHarness(t)
+	h.providerOrderDelay = 3 * time.Second
+	running := servingStep(h)
+	h.forget("b")
+	h.startTerm()
+	for range 35 {
+		h.advance(100 * time.Millisecond)
+		answerHostLists(h)
+		h.failPolls("a")
+		h.is.Equal(len(takeAll[jobscheduler.Maintain](h)), 0)
+	}
+	// Once it has reported its task, the host waits because both would be away.
+	_, ordered := awaitMaintenance(h, map[string]jobscheduler.PollAnswer{"a": running["a"]})
+	h.is.True(!ordered)
+}
