internal/jobscheduler, internal/jobkeeper: a new leader waits for the former leader's orders for hosts before it stops tasks of their steps

Cause: while a maintenance order is on its way, the other tasks of its steps stay where they are.

Change: orders for hosts are announced in the log with their workers. The state keeps them by worker too, and a step counts as one with an ordered maintenance for as long as the orders of two leaders must be apart.

Evidence: TestNewLeaderWaitsForMaintenanceOrderOfFormerLeader failed before in both cases, with the stop in the first pass of the new leader.

--- a/internal/jobkeeper/hostorder.go
+++ b/internal/jobkeeper/hostorder.go
@@ -30,7 +30,12 @@
 			At:   now,
 		}
 	}
+	maps.DeleteFunc(m.state.workerOrders, func(_ string, o HostOrder) bool { return now.Sub(o.At) > hostOrderRetention })
 	for _, w := range orders.GetWorkers() {
+		m.state.workerOrders[w.GetId()] = HostOrder{
+			Term: orders.GetTerm(),
+			At:   now,
+		}
 		m.state.clearPlacements(w.GetId(), w.GetBorn())
 	}
 	return nil
@@ -39,7 +44,17 @@
 // OrderedBefore returns the latest time at which a leader of an earlier term than the
 // given one may have announced an order for a host.
 func (s *State) OrderedBefore(host string, term uint64) time.Time {
-	o, ok := s.HostOrders[host]
+	return s.orderedBefore(s.HostOrders, host, term)
+}
+
+// WorkerOrderedBefore returns that time for the host of a worker, which a new leader
+// knows before it has a listing of the hosts.
+func (s *State) WorkerOrderedBefore(worker string, term uint64) time.Time {
+	return s.orderedBefore(s.workerOrders, worker, term)
+}
+
+func (s *State) orderedBefore(orders map[string]HostOrder, name string, term uint64) time.Time {
+	o, ok := orders[name]
 	switch {
 	case !ok:
 		return s.HostOrdersSince
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -75,6 +75,8 @@
 	// which on it is complete. Both are times of this replica's clock.
 	HostOrders      map[string]HostOrder
 	HostOrdersSince time.Time
+	// workerOrders holds the same orders by the worker on the host, where one was known.
+	workerOrders map[string]HostOrder
 
 	// Arrivals holds the latest job arrivals in log order. It is best effort:
 	// snapshots don't contain it, so replicas may differ.
@@ -101,6 +103,7 @@
 func newState(now time.Time) State {
 	return State{
 		HostOrders:       make(map[string]HostOrder),
+		workerOrders:     make(map[string]HostOrder),
 		HostOrdersSince:  now,
 		Evacuated:        make(map[string]bool),
 		Jobs:             make(map[string]*Job),
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -282,8 +282,14 @@
 }
 
 // maintenanceOrdered reports whether a maintenance order is on its way, or may have
-// been executed, for a host with a run of the step.
+// been executed, for a host with a run of the step. Those of a former leader are known
+// from their announcements in the log.
 func (s *Scheduler) maintenanceOrdered(st *step) bool {
+	for id, n := range st.runsPerWorker {
+		if n > 0 && s.now.Sub(s.state.WorkerOrderedBefore(id, s.term)) < s.settings.ProviderOrderDelay {
+			return true
+		}
+	}
 	for _, m := range s.hosts.maintenances {
 		if m.worker != nil && (m.orderInFlight || m.orderUnknown || s.ending(m)) && st.runsPerWorker[m.worker.info.GetId()] > 0 {
 			return true
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -496,3 +496,34 @@
 	_, ordered := awaitMaintenance(h, map[string]jobscheduler.PollAnswer{"a": running["a"]})
 	h.is.True(!ordered)
 }
+
+// The former leader's order for a host may be executed after the change of leader. The
+// next leader stopped another task of the step at once, on a worker that drains or has
+// become smaller, so that more were away than the step may miss.
+func TestNewLeaderWaitsForMaintenanceOrderOfFormerLeader(t *testing.T) {
+	tests := map[string]func(h *harness){
+		"another worker drains":  func(h *harness) { drainWorker(h, "b") },
+		"another worker shrinks": func(h *harness) { h.resize("b", 500) },
+	}
+	for name, leave := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.providerOrderDelay = 3 * time.Second
+			running := servingStep(h)
+			h.now = h.now.Add(10 * time.Second)
+			h.announceHostOrder("a", 1)
+			h.startTerm()
+			leave(h)
+			stopped := func(d time.Duration) (n int) {
+				for range int(d / (100 * time.Millisecond)) {
+					h.advance(100 * time.Millisecond)
+					h.answerPolls(running)
+					n += len(takeAll[jobscheduler.Stop](h))
+				}
+				return n
+			}
+			h.is.Equal(stopped(2900*time.Millisecond), 0)
+			h.is.True(stopped(time.Second) > 0)
+		})
+	}
+}
