internal/jobscheduler: a host listed without a worker is listed again before it moves

Cause: the rebalancer counts a host without a worker as idle. The listing may be 3 s old; a worker that has registered since may run tasks, and the order to move its host ended them without a look at what their steps may miss (AVAIL). MayOrder compares with the same listing, so it let the order through. Found by reading.

Change: such a move waits for a listing that was requested after it was decided on, and ends if that one names a worker. Hosts of a standby pool, which are off, move at once as before.

Evidence: TestHostListedWithoutWorkerIsListedAgainBeforeItMoves failed before: the move was ordered by the old listing.

--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -338,11 +338,23 @@
 	s.advanceMove(m.Host, begun)
 }
 
-// advanceMove orders a move, and repeats the order while its outcome is unknown.
+// advanceMove orders a move, and repeats the order while its outcome is unknown. A host
+// that was listed without a worker is listed again first: one may have registered since,
+// and the order would end its tasks, unchecked.
 func (s *Scheduler) advanceMove(host string, m *move) {
 	if m.orderAccepted || m.orderInFlight || s.now.Before(m.retryAt) {
 		return
 	}
+	h := s.hosts.known[host]
+	if m.worker == nil && !s.standby(h.Pool) {
+		if h.Worker != "" {
+			s.endMove(host, m)
+			return
+		}
+		if !s.hosts.listedAt.After(m.since) {
+			return
+		}
+	}
 	m.orderInFlight = true
 	s.emit(MoveHost{
 		Host:   host,
--- a/internal/jobscheduler/capacity_test.go
+++ b/internal/jobscheduler/capacity_test.go
@@ -102,3 +102,61 @@
 	}
 	h.is.True(moves <= 4)
 }
+
+// A listing may have a host without a worker while one has registered there since and
+// runs tasks. The host was moved by that listing, which ended them.
+func TestHostListedWithoutWorkerIsListedAgainBeforeItMoves(t *testing.T) {
+	const workers = 8
+	h := newHarness(t)
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Configure{
+			Configure: &jobwire.Configuration{
+				Version: 2,
+				Pools: []*jobwire.Pool{
+					{
+						Name: "p",
+					},
+					{
+						Name: "short",
+					},
+				},
+			},
+		},
+	})
+	for i := range workers {
+		h.addWorker(fmt.Sprint("w", i))
+	}
+	h.startTerm()
+	h.reconcileWorkers()
+	host := jobscheduler.Host{
+		Name:  "host",
+		Pool:  "p",
+		State: jobscheduler.HostUp,
+	}
+	registered, moves := false, 0
+	for range 60 {
+		h.advance(100 * time.Millisecond)
+		for range takeAll[jobscheduler.ListHosts](h) {
+			listed := []jobscheduler.Host{host}
+			for i := range workers {
+				listed = append(listed, jobscheduler.Host{
+					Name:   fmt.Sprint("host-", i),
+					Pool:   "p",
+					State:  jobscheduler.HostUp,
+					Worker: fmt.Sprint("w", i),
+				})
+			}
+			h.withScheduler(func() { h.sched.HostsListed(h.now, listed) })
+			if !registered {
+				h.addWorker("late")
+				registered, host.Worker = true, "late" // as the next listing has it
+			}
+		}
+		h.answerPolls(nil)
+		for _, m := range takeAll[jobscheduler.MoveHost](h) {
+			h.is.True(m.Host != "host" || m.Worker.ID == "late")
+			moves++
+		}
+	}
+	h.is.True(registered && moves > 0)
+}
