internal/jobkeeper: the other long-running tasks of a job outlive one that is given up

Cause: a job with a task that is given up ended at once, and with it all its tasks. Those that last serve users.

Change: such a job ends only when none of its long-running tasks is left (a gang is left while none of its members is given up). Until then the given-up task stays down and the job is shown as it is, running; a cancellation stops the rest as before. A run of the task that had started before the crash became known goes on, and clears the task after 8 s like any survivor. Placements of a task that is given up are dropped; the end of the job did that.

Ways compared: stops staggered within what the step may miss never end, since the given-up task is away for good and each stop would be one more (with 1 of 5). A caller that is shown a failure would hand the job in again beside the tasks that still serve, and the state would have to change back when a task is cleared, so it is running.

--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -13,7 +13,8 @@
 func (j *Job) HasCrashRecords() bool { return j.hasCrashRecords }
 
 // recordCrashes records crashes of workers during runs of tasks. A job with a task that
-// is given up has failed.
+// is given up has failed, unless long-running tasks of it are left: they serve users, and
+// stopping them would take away more than the job may miss.
 func (m *StateMachine) recordCrashes(now time.Time, crashes []*jobwire.TaskCrash) any {
 	for _, c := range crashes {
 		j, p := m.state.openTask(c.GetTask())
@@ -26,7 +27,7 @@
 			Run:           c.GetRun(),
 			Circumstances: CircumstancesOf(c),
 		})
-		if p.Crashes.Treatment() == isolator.GivenUp {
+		if p.Crashes.Treatment() == isolator.GivenUp && !j.servesOn() {
 			j.EndState = jobwire.JobState_JOB_STATE_FAILED
 			m.endJob(now, j)
 		}
@@ -34,6 +35,37 @@
 	return nil
 }
 
+// servesOn reports whether a long-running task of the job is left that is not given up.
+func (j *Job) servesOn() bool {
+	for i, spec := range j.Spec.GetSteps() {
+		if !spec.GetLasting() {
+			continue
+		}
+		if len(j.occurrences) < int(j.Occurrences()) {
+			// No task of the other occurrences has had a crash.
+			return true
+		}
+		for _, o := range j.occurrences {
+			if !o.steps[i].givenUp(spec) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// givenUp reports whether no task of the step is started any more. The members of a gang
+// run together or not at all.
+func (s *stepProgress) givenUp(spec *jobwire.Step) bool {
+	n := 0
+	for _, p := range s.tasks {
+		if p.Crashes.Treatment() == isolator.GivenUp {
+			n++
+		}
+	}
+	return n == int(spec.GetTasks()) || n > 0 && spec.GetGang()
+}
+
 // recordPlacements records on which workers runs are or are about to be. An earlier
 // placement may be written later, because log writes are repeated.
 func (m *StateMachine) recordPlacements(placements []*jobwire.Placement) any {
--- a/internal/jobkeeper/crash_test.go
+++ b/internal/jobkeeper/crash_test.go
@@ -199,3 +199,31 @@
 		})
 	}
 }
+
+// A job whose long-running tasks are all given up serves no one and ends, so that its
+// caller learns of it. Until then it goes on, also on a replica that starts from a
+// snapshot.
+func TestJobFailsWithItsLastLongRunningTask(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := jobkeeper.New(timer.System())
+	apply(t, m, now, configure(1, 2))
+	lasting := submit("job", 0, 2)
+	lasting.GetSubmit().Steps[0].Lasting = true
+	apply(t, m, now, lasting)
+	giveUp := func(index int32) {
+		for run := uint64(1); run <= 3; run++ {
+			c := crash("job", run)
+			c.GetCrashes().GetCrashes()[0].Task.Index = index
+			apply(t, m, now, c)
+		}
+	}
+	giveUp(0)
+	is.Equal(endState(m, "job"), jobwire.JobState_JOB_STATE_UNSPECIFIED)
+	data, err := m.Encode()
+	is.NoErr(err)
+	is.NoErr(m.Restore(data))
+	is.Equal(endState(m, "job"), jobwire.JobState_JOB_STATE_UNSPECIFIED)
+	giveUp(1)
+	is.Equal(endState(m, "job"), jobwire.JobState_JOB_STATE_FAILED)
+}
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -192,7 +192,7 @@
 	switch crashes.Treatment() {
 	case isolator.GivenUp:
 		s.counters.GivenUp++
-		s.logger.Info("scheduler: task is given up and its job fails, because workers crash when they run it alone",
+		s.logger.Info("scheduler: task is given up, because workers crash when they run it alone; its job fails unless long-running tasks of it are left",
 			"task", taskName(r.key.taskKey), "run", r.key.number, "crashes", len(crashes.Crashes()))
 	case isolator.Isolated:
 		s.logger.Info("scheduler: task runs alone from now on, because workers have crashed that ran it",
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -193,10 +193,10 @@
 }
 
 // dropIdlePlacements forgets the placements of tasks that no longer wait to be started,
-// as when a task has ended meanwhile.
+// as when a task has ended or was given up meanwhile.
 func (s *Scheduler) dropIdlePlacements() {
 	for key, p := range s.pendingPlacements {
-		if st := s.findTaskStep(key); st == nil || !slices.Contains(st.pending, key.index) {
+		if st := s.findTaskStep(key); st == nil || !slices.Contains(st.pending, key.index) || s.treatment(st, key.index) == isolator.GivenUp {
 			s.dropPlacement(key)
 			s.markPoolDirty(p.worker.info.GetPool())
 		}
@@ -425,11 +425,11 @@
 }
 
 // gangNeedsCare reports whether a gang has to run alone, and whether it has to wait for
-// news of a worker.
+// news of a worker, or for good because one of its tasks is given up.
 func (s *Scheduler) gangNeedsCare(st *step) (alone, wait bool) {
 	for _, index := range st.pending {
 		alone = alone || s.treatment(st, index) == isolator.Isolated
-		wait = wait || s.fateUnknown(st.key(index))
+		wait = wait || s.fateUnknown(st.key(index)) || s.treatment(st, index) == isolator.GivenUp
 	}
 	return alone, wait
 }
