internal/jobscheduler: a model of orders that end long-running tasks

A job of long-running tasks on workers that crash, drain, shrink and go into maintenance, under leaders that change and can't reach a worker at first, with orders for hosts that are executed after a change of leader. Each order that ends a task at work is compared with what the step may miss, by the truth of the workers and not by what a leader knows.

--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -90,6 +90,11 @@
 	faults float64
 	// failures is the share of runs that fail.
 	failures float64
+	// lasting is true when tasks run until they are stopped.
+	lasting bool
+	// onStop is called when a worker begins to stop a run; nil when nothing is to be
+	// checked then.
+	onStop func(w *modelWorker, name string)
 	// deadly reports whether a task crashes each worker that starts it; nil when none
 	// does.
 	deadly func(name string) bool
@@ -311,12 +316,16 @@
 		ending = jobwire.Ending_ENDING_FAILED
 	}
 	m.note("%s run %d begins on %s", name, a.Run, w.id)
-	w.runs[name] = &modelRun{
+	r := &modelRun{
 		task:   a.Task,
 		number: a.Run,
 		endsAt: m.now.Add(m.between(100*time.Millisecond, 4*time.Second)),
 		ending: ending,
 	}
+	if m.lasting {
+		r.endsAt = m.now.Add(time.Hour)
+	}
+	w.runs[name] = r
 	if m.deadly != nil && m.deadly(name) {
 		m.crash(w, name)
 	}
@@ -330,6 +339,9 @@
 	w.fence = term
 	name := taskText(a.Task)
 	if r, ok := w.runs[name]; ok && r.number == a.Run {
+		if m.onStop != nil && r.ending != jobwire.Ending_ENDING_STOPPED {
+			m.onStop(w, name)
+		}
 		r.ending = jobwire.Ending_ENDING_STOPPED
 		if at := m.now.Add(modelStopTime); at.Before(r.endsAt) {
 			r.endsAt = at
