internal/jobscheduler: a new leader waits for the former one's orders also where it can't reach their workers

Cause: a step counts as one with an ordered maintenance if a run of it is known on the ordered worker. A new leader that does not reach that worker knows of no run there.

Change: an unreconciled worker with an order of a former leader counts as one that may have runs of any step. The order names the incarnation, and only that one counts.

Evidence: the third case of TestNewLeaderWaitsForMaintenanceOrderOfFormerLeader failed before, with the stop in the first pass.

--- a/internal/jobkeeper/hostorder.go
+++ b/internal/jobkeeper/hostorder.go
@@ -30,11 +30,14 @@
 			At:   now,
 		}
 	}
-	maps.DeleteFunc(m.state.workerOrders, func(_ string, o HostOrder) bool { return now.Sub(o.At) > hostOrderRetention })
+	maps.DeleteFunc(m.state.workerOrders, func(_ string, o workerOrder) bool { return now.Sub(o.At) > hostOrderRetention })
 	for _, w := range orders.GetWorkers() {
-		m.state.workerOrders[w.GetId()] = HostOrder{
-			Term: orders.GetTerm(),
-			At:   now,
+		m.state.workerOrders[w.GetId()] = workerOrder{
+			HostOrder: HostOrder{
+				Term: orders.GetTerm(),
+				At:   now,
+			},
+			born: w.GetBorn(),
 		}
 		m.state.clearPlacements(w.GetId(), w.GetBorn())
 	}
@@ -44,17 +47,7 @@
 // OrderedBefore returns the latest time at which a leader of an earlier term than the
 // given one may have announced an order for a host.
 func (s *State) OrderedBefore(host string, term uint64) time.Time {
-	return s.orderedBefore(s.HostOrders, host, term)
-}
-
-// WorkerOrderedBefore returns that time for the host of a worker, which a new leader
-// knows before it has a listing of the hosts.
-func (s *State) WorkerOrderedBefore(worker string, term uint64) time.Time {
-	return s.orderedBefore(s.workerOrders, worker, term)
-}
-
-func (s *State) orderedBefore(orders map[string]HostOrder, name string, term uint64) time.Time {
-	o, ok := orders[name]
+	o, ok := s.HostOrders[host]
 	switch {
 	case !ok:
 		return s.HostOrdersSince
@@ -63,3 +56,20 @@
 	}
 	return o.At
 }
+
+// workerOrder is an announced order for the host of an incarnation of a worker.
+type workerOrder struct {
+	HostOrder
+
+	born int64
+}
+
+// WorkerOrderedBefore returns when a leader of an earlier term than the given one has
+// announced an order for the host of a worker, as far as this replica knows; zero if it
+// knows of none. A new leader knows this before it has a listing of the hosts.
+func (s *State) WorkerOrderedBefore(w *jobwire.Worker, term uint64) time.Time {
+	if o, ok := s.workerOrders[w.GetId()]; ok && o.born == w.GetBorn() && o.Term != term {
+		return o.At
+	}
+	return time.Time{}
+}
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -76,7 +76,7 @@
 	HostOrders      map[string]HostOrder
 	HostOrdersSince time.Time
 	// workerOrders holds the same orders by the worker on the host, where one was known.
-	workerOrders map[string]HostOrder
+	workerOrders map[string]workerOrder
 
 	// Arrivals holds the latest job arrivals in log order. It is best effort:
 	// snapshots don't contain it, so replicas may differ.
@@ -103,7 +103,7 @@
 func newState(now time.Time) State {
 	return State{
 		HostOrders:       make(map[string]HostOrder),
-		workerOrders:     make(map[string]HostOrder),
+		workerOrders:     make(map[string]workerOrder),
 		HostOrdersSince:  now,
 		Evacuated:        make(map[string]bool),
 		Jobs:             make(map[string]*Job),
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -286,7 +286,13 @@
 // from their announcements in the log.
 func (s *Scheduler) maintenanceOrdered(st *step) bool {
 	for id, n := range st.runsPerWorker {
-		if n > 0 && s.now.Sub(s.state.WorkerOrderedBefore(id, s.term)) < s.settings.ProviderOrderDelay {
+		if w, ok := s.workers[id]; ok && n > 0 && s.orderedByFormerLeader(w) {
+			return true
+		}
+	}
+	for _, w := range s.unreconciled {
+		// It may have runs of the step.
+		if s.orderedByFormerLeader(w) {
 			return true
 		}
 	}
@@ -298,6 +304,12 @@
 	return false
 }
 
+// orderedByFormerLeader reports whether an order of a former leader for the host of a
+// worker may still be executed.
+func (s *Scheduler) orderedByFormerLeader(w *worker) bool {
+	return s.now.Sub(s.state.WorkerOrderedBefore(w.info, s.term)) < s.settings.ProviderOrderDelay
+}
+
 // unavailableTasks returns the number of tasks of a step that are not healthy,
 // without those on one worker if it is not nil.
 func (s *Scheduler) unavailableTasks(st *step, except *worker) int {
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -501,11 +501,18 @@
 // next leader stopped another task of the step at once, on a worker that drains or has
 // become smaller, so that more were away than the step may miss.
 func TestNewLeaderWaitsForMaintenanceOrderOfFormerLeader(t *testing.T) {
-	tests := map[string]func(h *harness){
-		"another worker drains":  func(h *harness) { drainWorker(h, "b") },
-		"another worker shrinks": func(h *harness) { h.resize("b", 500) },
+	drain := func(h *harness) { drainWorker(h, "b") }
+	shrink := func(h *harness) { h.resize("b", 500) }
+	tests := map[string]struct {
+		leave func(h *harness)
+		// unreachable is true when the new leader does not reach the ordered worker.
+		unreachable bool
+	}{
+		"another worker drains":                     {leave: drain},
+		"another worker shrinks":                    {leave: shrink},
+		"another worker drains, one is unreachable": {leave: drain, unreachable: true},
 	}
-	for name, leave := range tests {
+	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			h.providerOrderDelay = 3 * time.Second
@@ -513,7 +520,10 @@
 			h.now = h.now.Add(10 * time.Second)
 			h.announceHostOrder("a", 1)
 			h.startTerm()
-			leave(h)
+			test.leave(h)
+			if test.unreachable {
+				running["a"] = jobscheduler.PollAnswer{Failed: true}
+			}
 			stopped := func(d time.Duration) (n int) {
 				for range int(d / (100 * time.Millisecond)) {
 					h.advance(100 * time.Millisecond)
