internal/jobscheduler: a new leader starts nothing on a host that the former one has ordered away

Cause: an order for a host that was announced just before a change of leader may be executed after it. The next leader leaves such hosts alone with orders of its own, but started tasks on their workers, which ended with the host: work lost, and tasks that last ended while as many others as may be missed were away (AVAIL).

Change: such a worker gets no starts for as long as the orders of two leaders must be apart.

Evidence: TestNewLeaderStartsNothingOnHostOrderedByFormerLeader failed before, with a start in the first passes.

--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -537,3 +537,20 @@
 		})
 	}
 }
+
+// A new leader started tasks on a worker whose host the former leader had ordered into
+// maintenance. They ended soon after, while others of their step were away.
+func TestNewLeaderStartsNothingOnHostOrderedByFormerLeader(t *testing.T) {
+	h := newHarness(t)
+	h.providerOrderDelay = 3 * time.Second
+	h.addWorker("a")
+	h.now = h.now.Add(10 * time.Second)
+	h.announceHostOrder("a", 1)
+	h.term = 1
+	h.startTerm()
+	h.submit("job", tasks(1, 1000))
+	started, _ := h.play(2900*time.Millisecond, nil)
+	h.is.Equal(len(started), 0)
+	started, _ = h.play(time.Second, nil)
+	h.is.Equal(len(started), 1)
+}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -378,7 +378,7 @@
 func (s *Scheduler) schedulable(w *worker) bool {
 	return w.reconciled && w.mayHoldLease() && !w.unresponsive && !w.cordoned && !w.shuttingDown && !w.info.GetDraining() &&
 		!s.state.Evacuated[w.info.GetDataCentre()] && (w.unknownRuns == 0 || s.guarded(w.info.GetPool())) &&
-		!s.now.Before(w.quarantinedUntil) && !s.now.Before(w.startsPausedUntil)
+		!s.now.Before(w.quarantinedUntil) && !s.now.Before(w.startsPausedUntil) && !s.orderedByFormerLeader(w)
 }
 
 // countFailure counts consecutive failures of a worker. One that fails whatever
