internal/jobscheduler: an unanswered start is not stopped while others of its step are away

Cause: after three copies of a start without an answer the run is stopped, whether or not the worker has begun it. Where only the answers were lost, the stop ends a task at work, also while as many others of its step are away as it may miss (AVAIL).

Change: such a run is left alone until a poll that was sent after the last copy timed out is answered. If it lists the run, the task is at work; if not, the run is stopped as before, since the worker may still begin it. Batch tasks, and tasks whose step can spare them, are stopped at once as before.

Evidence: TestUnansweredStartIsNotStoppedWhileOthersAreAway failed before with a stop after the third copy.

--- a/internal/jobscheduler/lasting_test.go
+++ b/internal/jobscheduler/lasting_test.go
@@ -97,3 +97,39 @@
 		})
 	}
 }
+
+// The answers to a start may be lost while the task is at work. After three copies of the
+// order it was stopped, whatever else of its step was down at that time.
+func TestUnansweredStartIsNotStoppedWhileOthersAreAway(t *testing.T) {
+	tests := map[string]struct {
+		begun       bool
+		wantStopped bool
+	}{
+		"the worker has begun the run": {begun: true},
+		"the worker does not list it":  {wantStopped: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			step := tasks(2, 1000)
+			step.Lasting, step.MostPerWorker, step.MayMiss = true, 1, 1
+			h.submit("job", step)
+			h.startTerm()
+			h.reconcileWorkers()
+			var start jobscheduler.Start
+			for range 3 {
+				start = takeAll[jobscheduler.Start](h)[0]
+				h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartUnknown, 0) })
+				h.advance(500 * time.Millisecond)
+			}
+			h.is.Equal(len(takeAll[jobscheduler.Stop](h)), 0) // the other task has no worker
+			var begun []jobscheduler.Start
+			if test.begun {
+				begun = []jobscheduler.Start{start}
+			}
+			_, stopped := h.play(3*time.Second, begun)
+			h.is.Equal(len(stopped) > 0, test.wantStopped)
+		})
+	}
+}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -60,6 +60,10 @@
 			if w.info.GetDraining() && r.state == running && r.step != nil && r.step.spec.GetLasting() && !s.maintenanceOrdered(r.step) {
 				s.stop(r)
 			}
+			if r.state == starting && !r.unansweredAt.IsZero() && w.answeredSince(r.unansweredAt) {
+				// The worker does not list the run, but may still begin it.
+				s.stop(r)
+			}
 			if r.state == stopping && r.confirmedAt.IsZero() && s.now.Sub(r.stopSent) > stopRetryInterval {
 				s.stop(r)
 			}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -43,7 +43,9 @@
 	// not reached the worker.
 	undelivered   bool
 	startAttempts int
-	orderedAt     time.Time
+	// unansweredAt is when the last of maxStartAttempts copies got no answer; zero before.
+	unansweredAt time.Time
+	orderedAt    time.Time
 	// sentAt is when the last copy of the order to start the run was sent; zero when
 	// another leader has ordered it.
 	sentAt time.Time
@@ -247,7 +249,8 @@
 
 // retryStart sends an unanswered start again, or stops the run after
 // maxStartAttempts. A repeated order has no effect where the first one was
-// carried out.
+// carried out. While as many others of the step are unavailable as it may miss, the run is
+// not stopped, because it may be at work; the next poll tells.
 func (s *Scheduler) retryStart(a Start, r *run) {
 	if r.state != starting {
 		return
@@ -255,7 +258,10 @@
 	r.startAttempts++
 	if r.startAttempts >= maxStartAttempts {
 		r.worker.unresponsive = true
-		s.stop(r)
+		r.unansweredAt = s.now
+		if s.mayStopOne(r) {
+			s.stop(r)
+		}
 		return
 	}
 	if !r.undelivered && !r.worker.disconnected() {
