--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -164,11 +164,15 @@
 	}
 }
 
-// workerKnown reports whether the worker on a host is known, or whether a listing that
-// was requested since has shown that there is none. An order by an older listing could
-// end tasks of a worker that has just registered, unchecked.
+// workerKnown reports whether the runs of the worker on a host are known, or whether a
+// listing that was requested since has shown that there is no worker. An order by an older
+// listing could end tasks of a worker that has just registered, and a new leader's order
+// tasks that the worker has not reported yet, unchecked.
 func (s *Scheduler) workerKnown(m *hostMaintenance) bool {
-	return m.unknownSince.IsZero() || s.hosts.listedAt.After(m.unknownSince)
+	if !m.unknownSince.IsZero() {
+		return s.hosts.listedAt.After(m.unknownSince)
+	}
+	return s.unreconciled[m.worker.info.GetId()] != m.worker
 }
 
 // advanceMaintenance orders the maintenance of a prepared host once its runs may
@@ -278,8 +282,20 @@
 }
 
 // maintenanceOrdered reports whether a maintenance order is on its way, or may have
-// been executed, for a host with a run of the step.
+// been executed, for a host with a run of the step. Those of a former leader are known
+// from their announcements in the log.
 func (s *Scheduler) maintenanceOrdered(st *step) bool {
+	for id, n := range st.runsPerWorker {
+		if w, ok := s.workers[id]; ok && n > 0 && s.orderedByFormerLeader(w) {
+			return true
+		}
+	}
+	for _, w := range s.unreconciled {
+		// It may have runs of the step.
+		if s.orderedByFormerLeader(w) {
+			return true
+		}
+	}
 	for _, m := range s.hosts.maintenances {
 		if m.worker != nil && (m.orderInFlight || m.orderUnknown || s.ending(m)) && st.runsPerWorker[m.worker.info.GetId()] > 0 {
 			return true
@@ -288,6 +304,12 @@
 	return false
 }
 
+// orderedByFormerLeader reports whether an order of a former leader for the host of a
+// worker may still be executed.
+func (s *Scheduler) orderedByFormerLeader(w *worker) bool {
+	return s.now.Sub(s.state.WorkerOrderedBefore(w.info, s.term)) < s.settings.ProviderOrderDelay
+}
+
 // unavailableTasks returns the number of tasks of a step that are not healthy,
 // without those on one worker if it is not nil.
 func (s *Scheduler) unavailableTasks(st *step, except *worker) int {
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -476,3 +476,81 @@
 		})
 	}
 }
+
+// A new leader that reaches all workers but one doesn't know which tasks are at work
+// there. It ordered the maintenance of that host as if none were, while the other task of
+// the step was away.
+func TestNewLeaderMaintainsNoHostWhoseRunsItDoesNotKnow(t *testing.T) {
+	h := newHarness(t)
+	h.providerOrderDelay = 3 * time.Second
+	running := servingStep(h)
+	h.forget("b")
+	h.startTerm()
+	for range 35 {
+		h.advance(100 * time.Millisecond)
+		answerHostLists(h)
+		h.failPolls("a")
+		h.is.Equal(len(takeAll[jobscheduler.Maintain](h)), 0)
+	}
+	// Once it has reported its task, the host waits because both would be away.
+	_, ordered := awaitMaintenance(h, map[string]jobscheduler.PollAnswer{"a": running["a"]})
+	h.is.True(!ordered)
+}
+
+// The former leader's order for a host may be executed after the change of leader. The
+// next leader stopped another task of the step at once, on a worker that drains or has
+// become smaller, so that more were away than the step may miss.
+func TestNewLeaderWaitsForMaintenanceOrderOfFormerLeader(t *testing.T) {
+	drain := func(h *harness) { drainWorker(h, "b") }
+	shrink := func(h *harness) { h.resize("b", 500) }
+	tests := map[string]struct {
+		leave func(h *harness)
+		// unreachable is true when the new leader does not reach the ordered worker.
+		unreachable bool
+	}{
+		"another worker drains":                     {leave: drain},
+		"another worker shrinks":                    {leave: shrink},
+		"another worker drains, one is unreachable": {leave: drain, unreachable: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.providerOrderDelay = 3 * time.Second
+			running := servingStep(h)
+			h.now = h.now.Add(10 * time.Second)
+			h.announceHostOrder("a", 1)
+			h.startTerm()
+			test.leave(h)
+			if test.unreachable {
+				running["a"] = jobscheduler.PollAnswer{Failed: true}
+			}
+			stopped := func(d time.Duration) (n int) {
+				for range int(d / (100 * time.Millisecond)) {
+					h.advance(100 * time.Millisecond)
+					h.answerPolls(running)
+					n += len(takeAll[jobscheduler.Stop](h))
+				}
+				return n
+			}
+			h.is.Equal(stopped(2900*time.Millisecond), 0)
+			h.is.True(stopped(time.Second) > 0)
+		})
+	}
+}
+
+// A new leader started tasks on a worker whose host the former leader had ordered into
+// maintenance. They ended soon after, while others of their step were away.
+func TestNewLeaderStartsNothingOnHostOrderedByFormerLeader(t *testing.T) {
+	h := newHarness(t)
+	h.providerOrderDelay = 3 * time.Second
+	h.addWorker("a")
+	h.now = h.now.Add(10 * time.Second)
+	h.announceHostOrder("a", 1)
+	h.term = 1
+	h.startTerm()
+	h.submit("job", tasks(1, 1000))
+	started, _ := h.play(2900*time.Millisecond, nil)
+	h.is.Equal(len(started), 0)
+	started, _ = h.play(time.Second, nil)
+	h.is.Equal(len(started), 1)
+}
