internal/isolator: crashes with another cause give no task up

Cause: each crash under a task counted in full once the task had run alone.

Change: the log carries two more figures with a crash. Others: how many other workers, without a run of the task's job, ended within 0.1 s. A worker with a run of the same job is no other one, so that tasks of one job that crash their workers slowly are still given up.

TestCrashTogetherWithOtherJobs fails for the new leader without the second record (0 instead of 1 other).

--- a/internal/isolator/isolator.go
+++ b/internal/isolator/isolator.go
@@ -4,7 +4,10 @@
 // first. A run alone on a worker tells them apart.
 package isolator
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Treatment is how a task is started.
 type Treatment int
@@ -44,6 +47,11 @@
 	// if it has run alone twice.
 	maxCrashes           = 5
 	maxCrashesTwiceAlone = 4
+	// startTime is how long after its start a task that crashes workers as they start it has
+	// done so. survivalTime is how long a run must last for its task to have nothing to do
+	// with the crash of the worker.
+	startTime    = 500 * time.Millisecond
+	survivalTime = 8 * time.Second
 	// maxLikelyCrashes is the number of crashes which the task has most likely caused
 	// after which it is given up, if nothing else explains one of them.
 	maxLikelyCrashes = 2
@@ -69,6 +77,39 @@
 	// Begun is true when the worker has most likely begun the run. An order that it has
 	// not answered may never have reached it, or may be executed later.
 	Begun bool
+	// Others is the number of other workers, without a run of the task's job, that ended at
+	// the same time; not all are counted.
+	Others int32
+	// Lived is how long after the start of the run the worker is known to have lived.
+	Lived time.Duration
+}
+
+// worth is what a crash under a task says about it.
+type worth int
+
+const (
+	// worthless crashes have another cause: the same event has ended other workers, or the
+	// task has run for long.
+	worthless worth = iota
+	// weak crashes came some time after the start. A task that crashes its workers slowly
+	// shows as several of them in a row; one or two happen to any task.
+	weak
+	// full crashes came just after the start, or may have: when is not known.
+	full
+)
+
+// worth returns what the crash says about the task. What came just after the start counts
+// whatever other workers did: several tasks that crash their workers often start at once.
+func (c Circumstances) worth() worth {
+	switch {
+	case c.Prompt:
+		return full
+	case c.Others > 0, c.Lived >= survivalTime:
+		return worthless
+	case c.Lived >= startTime:
+		return weak
+	}
+	return full
 }
 
 // conclusive reports whether the run has crashed its worker unless that crashed by
@@ -116,7 +157,7 @@
 }
 
 // WithCrash returns a record that also has the crash. A crash during a run that is
-// known already changes nothing.
+// known already changes nothing, nor does one that says nothing about the task.
 func (r *Record) WithCrash(c Crash) *Record {
 	at, found := slices.BinarySearchFunc(r.Crashes(), c.Run, func(known Crash, run uint64) int {
 		switch {
@@ -127,7 +168,7 @@
 		}
 		return 0
 	})
-	if found {
+	if found || c.worth() == worthless {
 		return r
 	}
 	return &Record{
@@ -199,12 +240,19 @@
 	if r == nil {
 		return Normal
 	}
-	alone, prompt, bystander, begun, oneOfFew, likely := 0, 0, 0, 0, 0, 0
+	certain, alone, everAlone, prompt, bystander, begun, oneOfFew, likely := 0, 0, 0, 0, 0, 0, 0, 0
 	conclusive := false
 	for _, c := range r.crashes {
+		if c.Alone {
+			everAlone++
+		}
 		if c.Bystander {
 			bystander++
 		}
+		if c.worth() == weak {
+			continue
+		}
+		certain++
 		if c.Alone {
 			alone++
 		}
@@ -223,9 +271,9 @@
 		conclusive = conclusive || c.conclusive()
 	}
 	switch n := len(r.crashes); {
-	case n >= minCrashes && begun >= minBegunCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0),
-		n >= maxCrashes && alone > 0,
-		n >= maxCrashesTwiceAlone && alone > 1,
+	case certain >= minCrashes && begun >= minBegunCrashes && (alone >= maxAlone || alone >= maxPromptAlone && prompt > 0),
+		n >= maxCrashes && everAlone > 0,
+		certain >= maxCrashesTwiceAlone && alone > 1,
 		likely >= maxLikelyCrashes && conclusive:
 		return GivenUp
 	case n-bystander >= isolateAfter, n >= isolateBystanderAfter, oneOfFew > 0:
--- a/internal/isolator/isolator_test.go
+++ b/internal/isolator/isolator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -87,6 +88,18 @@
 	return c
 }
 
+// together returns a crash that came with that of another worker.
+func together(c isolator.Crash) isolator.Crash {
+	c.Others = 1
+	return c
+}
+
+// after returns a crash so long after the start of the run.
+func after(lived time.Duration, c isolator.Crash) isolator.Crash {
+	c.Lived = lived
+	return c
+}
+
 // A harmless task that ran beside a deadly one is isolated and not given up: only
 // crashes with the task alone count for that, and one of them is not enough.
 func TestTreatment(t *testing.T) {
@@ -221,6 +234,26 @@
 			crashes: []isolator.Crash{shared(1), shared(2), shared(3), alone(4)},
 			want:    isolator.Isolated,
 		},
+		"four, two of them alone, together with other workers": {
+			crashes: []isolator.Crash{together(shared(1)), together(shared(2)), together(alone(3)), together(alone(4))},
+			want:    isolator.Normal,
+		},
+		"two of three alone, just after their starts, together with other workers": {
+			crashes: []isolator.Crash{together(prompt(1)), together(shared(2)), together(prompt(3)), shared(4)},
+			want:    isolator.GivenUp,
+		},
+		"four alone, some time after their starts": {
+			crashes: []isolator.Crash{after(time.Second, alone(1)), after(time.Second, alone(2)), after(time.Second, alone(3)), after(time.Second, alone(4))},
+			want:    isolator.Isolated,
+		},
+		"five, one of them alone, some time after their starts": {
+			crashes: []isolator.Crash{after(time.Second, shared(1)), after(time.Second, shared(2)), after(time.Second, shared(3)), after(time.Second, shared(4)), after(time.Second, alone(5))},
+			want:    isolator.GivenUp,
+		},
+		"two alone, long after their starts": {
+			crashes: []isolator.Crash{after(8*time.Second, alone(1)), after(time.Minute, alone(2))},
+			want:    isolator.Normal,
+		},
 		"late news of an earlier crash": {
 			crashes: []isolator.Crash{prompt(7), prompt(9), shared(5)},
 			want:    isolator.GivenUp,
--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -213,6 +213,8 @@
 			Bystander: a.Bystander,
 			Suspects:  a.Suspects,
 			Begun:     a.Begun,
+			Others:    a.Others,
+			LivedMs:   a.Lived.Milliseconds(),
 		})
 	}
 	cmd := &jobwire.Command{
--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -119,6 +119,8 @@
 	GetBystander() bool
 	GetSuspects() int32
 	GetBegun() bool
+	GetOthers() int32
+	GetLivedMs() int64
 }
 
 // CircumstancesOf returns the circumstances that a message tells.
@@ -129,6 +131,8 @@
 		Bystander: m.GetBystander(),
 		Suspects:  m.GetSuspects(),
 		Begun:     m.GetBegun(),
+		Others:    m.GetOthers(),
+		Lived:     time.Duration(m.GetLivedMs()) * time.Millisecond,
 	}
 }
 
@@ -151,6 +155,8 @@
 			Bystander: c.Bystander,
 			Suspects:  c.Suspects,
 			Begun:     c.Begun,
+			Others:    c.Others,
+			LivedMs:   c.Lived.Milliseconds(),
 		})
 	}
 	if p := r.Placement(); p.Run > 0 {
@@ -163,6 +169,8 @@
 			Bystander: p.Bystander,
 			Suspects:  p.Suspects,
 			Begun:     p.Begun,
+			Others:    p.Others,
+			LivedMs:   p.Lived.Milliseconds(),
 		}
 	}
 }
--- a/internal/jobkeeper/crash_test.go
+++ b/internal/jobkeeper/crash_test.go
@@ -199,3 +199,46 @@
 		})
 	}
 }
+
+// What a crash says about its task is needed after a restart from a snapshot: a replica that
+// had lost it would decide differently from the others.
+func TestEvidenceOutlivesSnapshot(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	m := jobkeeper.New(timer.System())
+	apply(t, m, now, configure(1, 3))
+	apply(t, m, now, submit("slow", 0, 1))
+	for run := range uint64(4) {
+		late := crash("slow", run+1)
+		late.GetCrashes().GetCrashes()[0].Prompt = false
+		late.GetCrashes().GetCrashes()[0].LivedMs = 2000
+		apply(t, m, now, late)
+	}
+	apply(t, m, now, &jobwire.Command{
+		Change: &jobwire.Command_Placements{
+			Placements: &jobwire.Placements{
+				Placements: []*jobwire.Placement{
+					{
+						Task: &jobwire.Task{
+							Job: "slow",
+						},
+						Run:    5,
+						Others: 3,
+					},
+				},
+			},
+		},
+	})
+	data, err := m.Encode()
+	is.NoErr(err)
+	restored := jobkeeper.New(timer.System())
+	is.NoErr(restored.Restore(data))
+	for _, replica := range []*jobkeeper.StateMachine{m, restored} {
+		replica.View(func(s *jobkeeper.State) {
+			record := s.Jobs["slow"].Task(&jobwire.Task{Job: "slow"}).Crashes
+			is.Equal(record.Treatment(), isolator.Isolated)
+			is.Equal(record.Crashes()[0].Lived, 2*time.Second)
+			is.Equal(record.Placement().Others, int32(3))
+		})
+	}
+}
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -136,7 +136,7 @@
 		return
 	}
 	suspects := markSuspects(runs)
-	if w.disconnected() && s.crashedWithOthers(w) {
+	if w.endedWithAnother() {
 		withoutCertainty(runs)
 	}
 	names := make([]string, 0, len(runs))
@@ -145,7 +145,7 @@
 	}
 	s.logger.Info("scheduler: incarnation of a worker has ended", "worker", w.info.GetId(), "born", w.info.GetBorn(),
 		"evidence", w.endEvidence, "planned", planned, "silent", s.now.Sub(w.heardAt), "runs", len(runs),
-		"suspects", suspects, "tasks", names)
+		"suspects", suspects, "others", len(w.endedWith), "tasks", names)
 	if planned != "" {
 		return
 	}
@@ -172,6 +172,8 @@
 			Bystander: r.circumstances.Bystander,
 			Suspects:  r.circumstances.Suspects,
 			Begun:     r.circumstances.Begun,
+			Others:    r.circumstances.Others,
+			LivedMs:   r.circumstances.Lived.Milliseconds(),
 		})
 		s.logCrash(st, r)
 	}
@@ -266,12 +268,15 @@
 		}
 	}
 	markSuspects(runs)
+	if w.endedWithAnother() {
+		withoutCertainty(runs)
+	}
 	for _, lapsed := range runs {
 		r := w.runs[lapsed.key]
-		if r.placementRecorded {
+		if r.placementRecorded && !r.recorded.weakenedBy(lapsed.circumstances) {
 			continue
 		}
-		r.placementRecorded = true
+		r.placementRecorded, r.recorded = true, recordedEvidence(lapsed.circumstances)
 		s.emit(RecordPlacement{
 			Target:        w.target(),
 			Task:          lapsed.key.task(),
--- a/internal/jobscheduler/crashevidence.go
+++ b/internal/jobscheduler/crashevidence.go
@@ -21,13 +21,36 @@
 	// If it crashes, the tasks that it started last, within that time, are more likely
 	// the cause than earlier ones.
 	suspectStartInterval = 50 * time.Millisecond
-	// crashTogetherTime is how close to each other two workers break their connections if
-	// the same event has ended both, and disconnectionMemory how long that is remembered:
-	// until a crash is settled, with the lease and the time to come back.
-	crashTogetherTime   = 30 * time.Millisecond
-	disconnectionMemory = 10 * time.Second
+	// crashTogetherTime is how close to each other two workers are seen to break their
+	// connections if the same event has ended both. Between two polls of a worker lies
+	// the log write of the ends that it has reported.
+	crashTogetherTime = 100 * time.Millisecond
+	// certainApartTime is how far from each other two workers break their connections if a
+	// crash just after a start is certainly the task's. Tasks that crash their workers often
+	// start one soon after another.
+	certainApartTime = 30 * time.Millisecond
+	// maxEndedWith bounds the other workers that are noted for each worker that has ended.
+	maxEndedWith = 8
 )
 
+// jobSet holds jobs, by id.
+type jobSet map[string]bool
+
+// endedWorker is another worker that has ended at the same time.
+type endedWorker struct {
+	jobs  jobSet
+	apart time.Duration
+}
+
+// recordedEvidence is what the log says of a run whose worker has broken the connection.
+type recordedEvidence isolator.Circumstances
+
+// weakenedBy reports whether the circumstances, by the ends of other workers that were seen
+// since, say less against the task.
+func (e recordedEvidence) weakenedBy(c isolator.Circumstances) bool {
+	return e.Others == 0 && c.Others > 0 || e.Suspects > 0 && c.Suspects == 0
+}
+
 // lapsedRun is a run that was given up when the lease of its worker ended. Whether the
 // worker has crashed is not known.
 type lapsedRun struct {
@@ -50,11 +73,15 @@
 		key:       r.key,
 		brokenOff: r.brokenOff,
 		circumstances: isolator.Circumstances{
-			Alone: alone,
-			Begun: r.begun,
+			Alone:  alone,
+			Begun:  r.begun,
+			Others: w.othersEndedWith(r.key.Job),
 		},
 		countsUntil: s.now.Add(crashNewsTime),
 	}
+	if r.state != stopping && !r.confirmedAt.IsZero() {
+		lapsed.circumstances.Lived = max(0, w.answeredPollSentAt.Sub(r.confirmedAt))
+	}
 	if w.disconnected() && r.step != nil {
 		started := r.confirmedAt
 		lapsed.startedAt = r.confirmedAt
@@ -115,37 +142,88 @@
 
 // workerDisconnected notes that the worker has broken or refused the connection.
 func (s *Scheduler) workerDisconnected(w *worker) {
-	if !w.disconnected() {
+	first := !w.disconnected()
+	if first {
 		w.disconnectedAt = s.now
-		s.noteDisconnection(w)
 	}
-	if s.plannedEnd(w) == "" {
-		s.recordPlacements(w)
+	if s.plannedEnd(w) != "" {
+		return
 	}
+	if first {
+		for _, other := range s.noteDisconnection(w) {
+			if s.plannedEnd(other) == "" {
+				s.recordPlacements(other)
+			}
+		}
+	}
+	s.recordPlacements(w)
 }
 
 // disconnection is a worker breaking or refusing its connection.
 type disconnection struct {
-	worker incarnation
+	worker *worker
+	jobs   jobSet
 	at     time.Time
 }
 
-func (s *Scheduler) noteDisconnection(w *worker) {
+// noteDisconnection notes for a worker and those that were disconnected at the same time
+// that they were together, and returns the others for which that is news. What has ended
+// several workers at once has hardly to do with a task that only one of them had.
+func (s *Scheduler) noteDisconnection(w *worker) []*worker {
 	s.disconnections = slices.DeleteFunc(s.disconnections, func(d disconnection) bool {
-		return s.now.Sub(d.at) > disconnectionMemory
+		return d.worker == w || !d.worker.disconnected() || s.now.Sub(d.at) > crashTogetherTime
 	})
+	w.endedWith = nil
+	jobs := w.jobs()
+	var others []*worker
+	for _, d := range slices.Backward(s.disconnections) {
+		if len(w.endedWith) < maxEndedWith {
+			w.endedWith = append(w.endedWith, endedWorker{
+				jobs:  d.jobs,
+				apart: s.now.Sub(d.at),
+			})
+		}
+		if len(d.worker.endedWith) < maxEndedWith {
+			d.worker.endedWith = append(d.worker.endedWith, endedWorker{
+				jobs:  jobs,
+				apart: s.now.Sub(d.at),
+			})
+			others = append(others, d.worker)
+		}
+	}
 	s.disconnections = append(s.disconnections, disconnection{
-		worker: w.incarnation(),
+		worker: w,
+		jobs:   jobs,
 		at:     s.now,
 	})
+	return others
 }
 
-// crashedWithOthers reports whether other workers broke their connections at the same
-// time, so that one event outside may have ended them all.
-func (s *Scheduler) crashedWithOthers(w *worker) bool {
-	return slices.ContainsFunc(s.disconnections, func(d disconnection) bool {
-		return d.worker != w.incarnation() && d.at.Sub(w.disconnectedAt).Abs() <= crashTogetherTime
-	})
+// jobs returns the jobs that have runs on the worker.
+func (w *worker) jobs() jobSet {
+	jobs := make(jobSet)
+	for key := range w.runs {
+		jobs[key.Job] = true
+	}
+	return jobs
+}
+
+// othersEndedWith returns how many other workers without a run of the job ended at the
+// same time.
+func (w *worker) othersEndedWith(job string) int32 {
+	n := int32(0)
+	for _, ended := range w.endedWith {
+		if w.disconnected() && !ended.jobs[job] {
+			n++
+		}
+	}
+	return n
+}
+
+// endedWithAnother reports whether another worker ended so close that no crash of the two is
+// certainly a task's.
+func (w *worker) endedWithAnother() bool {
+	return w.disconnected() && slices.ContainsFunc(w.endedWith, func(ended endedWorker) bool { return ended.apart <= certainApartTime })
 }
 
 // runsAlone reports whether the worker has the run of one task, or the runs of one
--- a/internal/jobscheduler/crashevidence_test.go
+++ b/internal/jobscheduler/crashevidence_test.go
@@ -1,6 +1,7 @@
 package jobscheduler_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -242,3 +243,108 @@
 		})
 	}
 }
+
+// breakPoll fails the pending polls of a worker as a crash does.
+func (h *harness) breakPoll(id string) {
+	for _, poll := range takeAll[jobscheduler.Poll](h) {
+		if poll.Target.ID != id {
+			h.actions = append(h.actions, poll)
+			continue
+		}
+		h.withScheduler(func() {
+			h.sched.PollAnswered(poll, jobscheduler.PollAnswer{
+				Failed:       true,
+				Disconnected: true,
+			})
+		})
+	}
+}
+
+// Where one event ends several workers, their tasks have nothing to do with it. The first
+// one is noticed before the others, and a leader may be lost before the crashes are counted;
+// if its successor didn't know that they came together, harmless tasks would be given up.
+func TestCrashTogetherWithOtherJobs(t *testing.T) {
+	for name, test := range map[string]struct {
+		sameJob   bool
+		apart     time.Duration
+		newLeader bool
+		others    int32
+	}{
+		"at the same time": {
+			apart:  60 * time.Millisecond,
+			others: 1,
+		},
+		"at the same time, with a task of the same job": {
+			sameJob: true,
+			apart:   60 * time.Millisecond,
+		},
+		"later": {
+			apart: 300 * time.Millisecond,
+		},
+		"at the same time, before a change of leader": {
+			apart:     60 * time.Millisecond,
+			newLeader: true,
+			others:    1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.addWorker("b")
+			if test.sameJob {
+				h.submit("job", tasks(2, 8000))
+			} else {
+				h.submit("job", tasks(1, 8000))
+				h.submit("other", tasks(1, 8000))
+			}
+			h.startTerm()
+			h.reconcileWorkers()
+			starts := h.acceptStarts()
+			h.is.Equal(len(starts), 2)
+			if starts[0].Task.GetJob() == "other" {
+				slices.Reverse(starts)
+			}
+			h.advance(time.Second)
+			h.breakPoll(starts[0].Target.ID)
+			h.advance(test.apart)
+			h.recordPlacements()
+			h.breakPoll(starts[1].Target.ID)
+			h.advance(time.Millisecond)
+			h.recordPlacements()
+			if test.newLeader {
+				h.startTerm()
+				h.advance(time.Millisecond)
+			}
+			h.replaceWorker(starts[0].Target.ID, "c")
+			h.breakPoll(starts[0].Target.ID)
+			h.advance(time.Millisecond)
+			records := takeAll[jobscheduler.RecordCrashes](h)
+			h.is.Equal(len(records), 1)
+			h.is.Equal(records[0].Crashes[0].GetOthers(), test.others)
+		})
+	}
+}
+
+// A long-running task that has worked for some time when its worker ends is hardly the
+// cause. How long it has is known from polls that the worker has answered since its start.
+func TestCrashTellsHowLongRunHasLasted(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := h.acceptStarts()[0]
+	h.advance(time.Second)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(start.Task, start.Run)},
+		},
+	})
+	h.advance(500 * time.Millisecond)
+	h.breakPoll("a")
+	h.replaceWorker("a", "b")
+	h.advance(time.Millisecond)
+	records := takeAll[jobscheduler.RecordCrashes](h)
+	h.is.Equal(len(records), 1)
+	h.is.Equal(records[0].Crashes[0].GetLivedMs(), int64(1000))
+}
--- a/internal/jobscheduler/crashmodel_test.go
+++ b/internal/jobscheduler/crashmodel_test.go
@@ -129,6 +129,8 @@
 							Bystander: a.Bystander,
 							Suspects:  a.Suspects,
 							Begun:     a.Begun,
+							Others:    a.Others,
+							LivedMs:   a.Lived.Milliseconds(),
 						},
 					},
 				},
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -283,6 +283,8 @@
 							Bystander: a.Bystander,
 							Suspects:  a.Suspects,
 							Begun:     a.Begun,
+							Others:    a.Others,
+							LivedMs:   a.Lived.Milliseconds(),
 						},
 					},
 				},
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -66,6 +66,8 @@
 	// placementRecorded is true once a log write that names the worker of the run was
 	// requested.
 	placementRecorded bool
+	// recorded holds the circumstances that it has recorded.
+	recorded recordedEvidence
 	// survivalSentAt is when a log write that clears the crashes of the task was last
 	// requested.
 	survivalSentAt time.Time
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -86,6 +86,9 @@
 	// disconnectedAt is when the worker broke or refused the connection; zero since the
 	// last answer.
 	disconnectedAt time.Time
+	// endedWith holds the other workers that broke or refused their connections at the same
+	// time, up to maxEndedWith of them.
+	endedWith []endedWorker
 	// loggedPollFailure is the cause of failed polls that was logged last; empty
 	// since the last answer.
 	loggedPollFailure string
