internal/jobscheduler: a new leader knows the queues of tasks given up

What callers saw: nothing traced; found by reading, named in the postmortem of the crashing tasks. After a change of leader the tasks of a queue that crashes workers started many together on a worker again until the next certain crash, which then took all of them along.

Cause: that a queue crashes workers was taken over from the records of open jobs. A job with a task that was given up is over, and its records are gone.

Change: the log's state keeps that a job was given up (JobRecord.given_up, appended), as long as ended jobs are kept. A new leader counts its queue as crashing for the rest of the 15 s.

Test: TestNewLeaderKnowsQueueOfTaskGivenUp, which failed before (4 started together instead of 2).

--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -27,7 +27,7 @@
 			Circumstances: CircumstancesOf(c),
 		})
 		if p.Crashes.Treatment() == isolator.GivenUp {
-			j.EndState = jobwire.JobState_JOB_STATE_FAILED
+			j.EndState, j.GivenUp = jobwire.JobState_JOB_STATE_FAILED, true
 			m.endJob(now, j)
 		}
 	}
--- a/internal/jobkeeper/crash_test.go
+++ b/internal/jobkeeper/crash_test.go
@@ -200,19 +200,21 @@
 	}
 }
 
-// What a crash says about its task is needed after a restart from a snapshot: a replica that
-// had lost it would decide differently from the others.
+// What a crash says about its task, and that a task was given up, are needed after a restart
+// from a snapshot: a replica that had lost them would decide differently from the others.
 func TestEvidenceOutlivesSnapshot(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	m := jobkeeper.New(timer.System())
 	apply(t, m, now, configure(1, 3))
 	apply(t, m, now, submit("slow", 0, 1))
+	apply(t, m, now, submit("deadly", 0, 1))
 	for run := range uint64(4) {
 		late := crash("slow", run+1)
 		late.GetCrashes().GetCrashes()[0].Prompt = false
 		late.GetCrashes().GetCrashes()[0].LivedMs = 2000
 		apply(t, m, now, late)
+		apply(t, m, now, crash("deadly", run+1))
 	}
 	apply(t, m, now, &jobwire.Command{
 		Change: &jobwire.Command_Placements{
@@ -239,6 +241,7 @@
 			is.Equal(record.Treatment(), isolator.Isolated)
 			is.Equal(record.Crashes()[0].Lived, 2*time.Second)
 			is.Equal(record.Placement().Others, int32(3))
+			is.True(s.Jobs["deadly"].GivenUp)
 		})
 	}
 }
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -17,6 +17,9 @@
 	EndState jobwire.JobState
 	// EndedAt is when the job ended, by the clock of the leader at that time.
 	EndedAt time.Time
+	// GivenUp is true when the job has failed because workers crash when they run one of
+	// its tasks.
+	GivenUp bool
 
 	// occurrences holds the progress of started occurrences by number. Invariant:
 	// contains every open occurrence with a recorded run end.
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -86,6 +86,7 @@
 		Ended:            j.EndState,
 		EndedAtUnixNanos: j.EndedAt.UnixNano(),
 		FirstOpen:        j.firstOpen,
+		GivenUp:          j.GivenUp,
 		Occurrences:      nil,
 	}
 	for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
@@ -128,7 +129,7 @@
 
 func decodeJob(r *jobwire.JobRecord) (*Job, error) {
 	j := newJob(r.GetJob())
-	j.EndState, j.firstOpen = r.GetEnded(), r.GetFirstOpen()
+	j.EndState, j.firstOpen, j.GivenUp = r.GetEnded(), r.GetFirstOpen(), r.GetGivenUp()
 	if !j.Open() {
 		j.EndedAt = time.Unix(0, r.GetEndedAtUnixNanos())
 		j.occurrences, j.done = nil, nil
--- a/internal/jobscheduler/crashingqueue.go
+++ b/internal/jobscheduler/crashingqueue.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/isolator"
+	"github.com/heathermux/heathermux/internal/jobkeeper"
 )
 
 // Tasks of one queue do the same kind of work. Where one of them crashes its workers,
@@ -34,6 +35,15 @@
 	}
 }
 
+// restoreQueueOfEndedJob notes the queue of a job with a task that was given up a short
+// while ago, under this leader or a former one.
+func (s *Scheduler) restoreQueueOfEndedJob(j *jobkeeper.Job) {
+	queue, until := j.Spec.GetQueue(), s.now.Add(crashingQueueTime-s.wall.Sub(j.EndedAt))
+	if j.GivenUp && until.After(s.now) && until.After(s.crashingUntil[queue]) {
+		s.crashingUntil[queue] = until
+	}
+}
+
 // mayStartBesideSuspects reports whether a task of the step may start on the worker now:
 // if the worker crashed just after, few enough tasks could have caused it for each to run
 // alone next.
--- a/internal/jobscheduler/isolate_test.go
+++ b/internal/jobscheduler/isolate_test.go
@@ -148,6 +148,42 @@
 	}
 }
 
+// A job with a task that was given up is over, so that its crashes are gone. If a new leader
+// didn't know that its queue crashes workers, it would start many tasks of it together.
+func TestNewLeaderKnowsQueueOfTaskGivenUp(t *testing.T) {
+	for name, test := range map[string]struct {
+		since  time.Duration
+		atOnce int
+	}{
+		"given up just now": {
+			since:  time.Second,
+			atOnce: isolator.FewSuspects,
+		},
+		"given up long ago": {
+			since:  16 * time.Second,
+			atOnce: 4,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.submit("deadly", tasks(1, 1000))
+			h.apply(&jobwire.Command{
+				Change: &jobwire.Command_Crashes{
+					Crashes: &jobwire.TaskCrashes{
+						Crashes: []*jobwire.TaskCrash{crashAlone(1), crashAlone(2)},
+					},
+				},
+			})
+			h.now = h.now.Add(test.since)
+			h.submit("job", tasks(4, 1000))
+			h.startTerm()
+			h.reconcileWorkers()
+			h.is.Equal(len(h.acceptStarts()), test.atOnce)
+		})
+	}
+}
+
 // crashBeside returns a crash of a worker under the task of a job, beside others.
 func crashBeside(run uint64) *jobwire.TaskCrash {
 	return &jobwire.TaskCrash{
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -205,6 +205,7 @@
 			s.restorePlacements(added)
 		} else if wall.Sub(j.EndedAt) < stoppedJobSettleTime {
 			s.noteStoppedJob(j)
+			s.restoreQueueOfEndedJob(j)
 		}
 	}
 	s.restoreDemand()
