--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -28,7 +28,7 @@
 			Circumstances: CircumstancesOf(c),
 		})
 		if p.Crashes.Treatment() == isolator.GivenUp && !j.servesOn() {
-			j.EndState = jobwire.JobState_JOB_STATE_FAILED
+			j.EndState, j.GivenUp = jobwire.JobState_JOB_STATE_FAILED, true
 			m.endJob(now, j)
 		}
 	}
@@ -151,6 +151,8 @@
 	GetBystander() bool
 	GetSuspects() int32
 	GetBegun() bool
+	GetOthers() int32
+	GetLivedMs() int64
 }
 
 // CircumstancesOf returns the circumstances that a message tells.
@@ -161,6 +163,8 @@
 		Bystander: m.GetBystander(),
 		Suspects:  m.GetSuspects(),
 		Begun:     m.GetBegun(),
+		Others:    m.GetOthers(),
+		Lived:     time.Duration(m.GetLivedMs()) * time.Millisecond,
 	}
 }
 
@@ -183,6 +187,8 @@
 			Bystander: c.Bystander,
 			Suspects:  c.Suspects,
 			Begun:     c.Begun,
+			Others:    c.Others,
+			LivedMs:   c.Lived.Milliseconds(),
 		})
 	}
 	if p := r.Placement(); p.Run > 0 {
@@ -195,6 +201,8 @@
 			Bystander: p.Bystander,
 			Suspects:  p.Suspects,
 			Begun:     p.Begun,
+			Others:    p.Others,
+			LivedMs:   p.Lived.Milliseconds(),
 		}
 	}
 }
