internal/messenger: each chunk of a batch has a write deadline of its own

One deadline of 1 s held for a whole batch, to which callers may add while it is written.

Writes go out in chunks of at most 64 KiB; each has the deadline. A peer that reads nothing for 1 s still loses its connection.

TestSlowReaderGetsWholeBatch failed before: the connection was closed after 20.8 of 40 MiB. It passes with the change, with -race.

--- a/internal/messenger/writer.go
+++ b/internal/messenger/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -10,9 +11,14 @@
 // maxQueuedFrames bounds the frames that are queued for one connection.
 const maxQueuedFrames = 1024
 
-// writeTimeout bounds the writing of one batch of frames. The connection is
-// closed when it passes, as it does if the peer has stopped reading.
-const writeTimeout = time.Second
+const (
+	// writeTimeout bounds the writing of one chunk. The connection is closed when it
+	// passes, as it does if the peer has stopped reading.
+	writeTimeout = time.Second
+	// maxChunkBytes is small enough that a peer which reads slowly, and still reads,
+	// takes a chunk well within writeTimeout.
+	maxChunkBytes = 64 << 10
+)
 
 // ErrBusy is returned when the maximum number of calls to the peer is in flight
 // or the write queue of its connection is full. The call was not sent.
@@ -55,7 +61,9 @@
 }
 
 func (w *frameWriter) run() {
-	buf := bufio.NewWriterSize(w.conn, connBufferBytes)
+	buf := bufio.NewWriterSize(chunkWriter{
+		conn: w.conn,
+	}, connBufferBytes)
 	for {
 		select {
 		case <-w.done:
@@ -71,9 +79,6 @@
 
 // writeBatch writes the frame and all further queued ones.
 func (w *frameWriter) writeBatch(buf *bufio.Writer, frame []byte) error {
-	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	for {
 		if _, err := buf.Write(frame); err != nil {
 			return err
@@ -92,3 +97,25 @@
 		_ = w.conn.Close()
 	})
 }
+
+// chunkWriter writes to a connection in chunks, each with a deadline of its own. One
+// deadline for a whole batch would close the connection of a peer that reads all the
+// while, when the batch is large or callers add to it faster than it is written.
+type chunkWriter struct {
+	conn net.Conn
+}
+
+func (w chunkWriter) Write(p []byte) (int, error) {
+	written := 0
+	for chunk := range slices.Chunk(p, maxChunkBytes) {
+		if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := w.conn.Write(chunk)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
