internal/messenger: a call that waits for a connection ends with its own context

One attempt at a time runs by itself, bounded by dialTimeout and by the end of the peer; each call waits for it no longer than its own context. A call that gives up meanwhile is reported as not sent, as before.

--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -44,19 +44,37 @@
 	// of the connection if there was none.
 	lastResponseAt atomic.Int64
 
+	// ctx ends when the peer is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+
 	mu     sync.Mutex
 	client *rpc.Client
 	codec  *clientCodec
+	// dialing is the attempt to connect that is in progress; nil if there is none.
+	dialing *dialing
 	// Invariant: not zero if and only if the last attempt to connect failed.
 	dialFailedAt time.Time
 	closed       bool
 }
 
+// dialing is one attempt to connect. All calls that need a connection meanwhile wait
+// for it, each no longer than its own context.
+type dialing struct {
+	// done is closed at the end, after client or err has been set.
+	done   chan struct{}
+	client *rpc.Client
+	err    error
+}
+
 func newPeer(address string, tlsConfig func() *tls.Config) *peer {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &peer{
 		address: address,
 		tls:     tlsConfig,
 		slots:   make(chan struct{}, maxCallsInFlight),
+		ctx:     ctx,
+		cancel:  cancel,
 	}
 }
 
@@ -132,33 +150,69 @@
 	}
 }
 
-// connect returns the client of the current connection, or makes a new one.
+// connect returns the client of the current connection, or waits for a new one. The
+// attempt to connect does not end with ctx: other calls may need the connection.
 func (p *peer) connect(ctx context.Context) (*rpc.Client, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.closed {
-		return nil, ErrUnreachable
-	}
-	if p.client != nil {
-		return p.client, nil
+	client, attempt, err := p.current()
+	if client != nil || err != nil {
+		return client, err
 	}
-	if time.Since(p.dialFailedAt) < dialRetryInterval {
-		return nil, ErrUnreachable
+	select {
+	case <-attempt.done:
+		return attempt.client, attempt.err
+	case <-ctx.Done():
+		return nil, errors.Wrap(ErrUnreachable, ctx.Err().Error())
 	}
-	conn, err := p.dial(ctx)
-	if err != nil {
+}
+
+// current returns the client of the current connection, or an attempt to connect, which
+// it starts if there is none.
+func (p *peer) current() (*rpc.Client, *dialing, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return nil, nil, ErrUnreachable
+	case p.client != nil:
+		return p.client, nil, nil
+	case p.dialing != nil:
+		return nil, p.dialing, nil
+	case time.Since(p.dialFailedAt) < dialRetryInterval:
+		return nil, nil, ErrUnreachable
+	}
+	p.dialing = &dialing{
+		done: make(chan struct{}),
+	}
+	go p.finishDialing(p.dialing)
+	return nil, p.dialing, nil
+}
+
+// finishDialing makes a connection and reports it to the calls that wait for it.
+func (p *peer) finishDialing(attempt *dialing) {
+	conn, err := p.dial()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(attempt.done)
+	p.dialing = nil
+	switch {
+	case err != nil:
 		p.dialFailedAt = time.Now()
-		return nil, errors.Wrap(ErrUnreachable, err.Error())
+		attempt.err = errors.Wrap(ErrUnreachable, err.Error())
+		return
+	case p.closed:
+		_ = conn.Close()
+		attempt.err = ErrUnreachable
+		return
 	}
 	p.dialFailedAt = time.Time{}
 	p.lastResponseAt.Store(time.Now().UnixNano())
 	p.codec = newClientCodec(conn, func() { p.lastResponseAt.Store(time.Now().UnixNano()) })
 	p.client = rpc.NewClientWithCodec(p.codec)
-	return p.client, nil
+	attempt.client = p.client
 }
 
-func (p *peer) dial(ctx context.Context) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (p *peer) dial() (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
 	defer cancel()
 	if p.tls == nil {
 		var d net.Dialer
@@ -182,6 +236,7 @@
 }
 
 func (p *peer) close() {
+	p.cancel()
 	p.mu.Lock()
 	p.closed = true
 	client := p.client
