internal/voter: an entry whose caller has given up is not appended

Submit and Propose share one type: an entry is either appended, and its outcome unknown after the caller's end, or it never will be and the caller gets its own error.

TestProposeCancelled now cancels a submission that waits behind a blocked sync; without the change it got ErrOutcomeUnknown. The test also releases the sync when it fails: before, a failure hung it until the time limit of go test.

--- a/internal/voter/machine.go
+++ b/internal/voter/machine.go
@@ -28,32 +28,9 @@
 func (v *Voter) Authority() Authority { return v.published.Load().authority }
 
 // Submit runs an entry for the StateMachine through the log and returns its
-// result. Its errors are those of Propose, with one difference: once the entry is
-// queued, it returns ErrOutcomeUnknown if ctx ends or the voter is closed, even if
-// the entry was not appended yet.
+// result. Its errors are those of Propose.
 func (v *Voter) Submit(ctx context.Context, data []byte) (any, error) {
-	type answer struct {
-		result any
-		err    error
-	}
-	answered := make(chan answer, 1)
-	err := v.enqueue(ctx, func() {
-		v.replica.Submit(v.opts.Clock.Now(), data, func(result any, err error) {
-			answered <- answer{
-				result: result,
-				err:    err,
-			}
-		})
+	return await(ctx, v, func(done func(any, error)) bool {
+		return v.replica.Submit(v.opts.Clock.Now(), data, done)
 	})
-	if err != nil {
-		return nil, err
-	}
-	select {
-	case a := <-answered:
-		return a.result, a.err
-	case <-ctx.Done():
-		return nil, ErrOutcomeUnknown
-	case <-v.done:
-		return nil, ErrOutcomeUnknown
-	}
 }
--- a/internal/voter/voter.go
+++ b/internal/voter/voter.go
@@ -77,19 +77,10 @@
 // the command is appended to the log, and ErrOutcomeUnknown if ctx ends or the
 // voter loses its leadership after that. See AwaitInForce.
 func (v *Voter) Propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
-	p := newProposal()
 	awaitInForce, _ := ctx.Value(awaitInForceKey{}).(bool)
-	if err := v.enqueue(ctx, func() { p.submit(v.opts.Clock.Now(), v.replica, cmd, awaitInForce) }); err != nil {
-		return nil, err
-	}
-	select {
-	case a := <-p.answer:
-		return a.result, a.err
-	case <-ctx.Done():
-		return p.abandon(ctx.Err())
-	case <-v.done:
-		return p.abandon(ErrClosed)
-	}
+	return await(ctx, v, func(done func(*wire.Result, error)) bool {
+		return v.replica.Propose(v.opts.Clock.Now(), cmd, awaitInForce, done)
+	})
 }
 
 // Follow answers the request of an entry host without waiting for changes; if this
--- a/internal/voter/voter_test.go
+++ b/internal/voter/voter_test.go
@@ -201,17 +201,20 @@
 	leader, v := g.leader("")
 	g.paused.Store(true)
 	g.isolated.Store(leader)
-	propose := func(op string, beforeCancel func()) error {
+	cancelled := func(call func(ctx context.Context) error, beforeCancel func()) error {
 		ctx, cancel := context.WithCancel(context.Background())
 		failed := make(chan error, 1)
-		go func() {
-			_, err := v.Propose(ctx, change(op))
-			failed <- err
-		}()
+		go func() { failed <- call(ctx) }()
 		beforeCancel()
 		cancel()
 		return <-failed
 	}
+	propose := func(op string, beforeCancel func()) error {
+		return cancelled(func(ctx context.Context) error {
+			_, err := v.Propose(ctx, change(op))
+			return err
+		}, beforeCancel)
+	}
 	// With the clock stopped there are no heartbeats, so the next message
 	// carries the command.
 	time.Sleep(10 * time.Millisecond)
@@ -223,18 +226,25 @@
 	})
 	is.True(errors.Is(err, voter.ErrOutcomeUnknown))
 	// While a sync is blocked, the next command is queued and not appended.
-	syncBlocked, release := make(chan struct{}), make(chan struct{})
+	syncBlocked, released := make(chan struct{}), make(chan struct{})
+	release := sync.OnceFunc(func() { close(released) })
+	defer release()
 	var once sync.Once
 	g.files[leader].SetHook(func(op faultfs.Op, _ string) error {
 		if op == faultfs.Sync {
-			once.Do(func() { close(syncBlocked); <-release })
+			once.Do(func() { close(syncBlocked); <-released })
 		}
 		return nil
 	})
 	go func() { _, _ = v.Propose(context.Background(), change("hangs")) }()
 	<-syncBlocked
 	is.True(errors.Is(propose("waits", func() {}), context.Canceled))
-	close(release)
+	err = cancelled(func(ctx context.Context) error {
+		_, err := v.Submit(ctx, []byte("waits"))
+		return err
+	}, func() { time.Sleep(10 * time.Millisecond) })
+	is.True(errors.Is(err, context.Canceled))
+	release()
 	g.isolated.Store("")
 	g.paused.Store(false)
 	_, v = g.leader("")
