--- a/internal/certifier/certifier.go
+++ b/internal/certifier/certifier.go
@@ -3,6 +3,7 @@
 package certifier
 
 import (
+	"bytes"
 	"crypto/tls"
 	"crypto/x509"
 	"log/slog"
@@ -37,8 +38,8 @@
 type identity struct {
 	certificate *tls.Certificate
 	caPool      *x509.CertPool
-	// modTime is the latest modification time of the files.
-	modTime time.Time
+	// content is the content of the three files.
+	content []byte
 }
 
 // Certifier provides TLS configurations with the latest valid certificates. It is
@@ -65,27 +66,30 @@
 }
 
 func load(opts Options) (*identity, error) {
-	certificate, err := tls.LoadX509KeyPair(opts.Certificate, opts.Key)
+	var content [][]byte
+	for _, path := range []string{opts.Certificate, opts.Key, opts.CA} {
+		var data []byte
+		if path != "" {
+			var err error
+			if data, err = os.ReadFile(path); err != nil {
+				return nil, errors.Wrap(err, "certifier: read file")
+			}
+		}
+		content = append(content, data)
+	}
+	certificate, err := tls.X509KeyPair(content[0], content[1])
 	if err != nil {
-		return nil, errors.Wrap(err, "certifier: load certificate and key")
+		return nil, errors.Wrapf(err, "certifier: certificate %s and key %s", opts.Certificate, opts.Key)
 	}
 	id := &identity{
 		certificate: &certificate,
-	}
-	for _, path := range []string{opts.Certificate, opts.Key, opts.CA} {
-		if info, err := os.Stat(path); err == nil && info.ModTime().After(id.modTime) {
-			id.modTime = info.ModTime()
-		}
+		content:     bytes.Join(content, nil),
 	}
 	if opts.CA == "" {
 		return id, nil
 	}
-	data, err := os.ReadFile(opts.CA)
-	if err != nil {
-		return nil, errors.Wrap(err, "certifier: read CA file")
-	}
 	id.caPool = x509.NewCertPool()
-	if !id.caPool.AppendCertsFromPEM(data) {
+	if !id.caPool.AppendCertsFromPEM(content[2]) {
 		return nil, errors.Errorf("certifier: CA file %s contains no PEM certificate", opts.CA)
 	}
 	return id, nil
@@ -107,7 +111,7 @@
 		c.opts.Logger.Warn("certifier: reload failed, the previous certificate stays in use", "error", err)
 		return c.identity
 	}
-	if !id.modTime.Equal(c.identity.modTime) {
+	if !bytes.Equal(id.content, c.identity.content) {
 		c.opts.Logger.Info("certifier: certificate reloaded", "certificate", c.opts.Certificate)
 		c.identity = id
 	}
--- a/internal/certifier/certifier_test.go
+++ b/internal/certifier/certifier_test.go
@@ -236,6 +236,32 @@
 	is.Equal(serial, int64(2))
 }
 
+// A certificate that is replaced by a file with an older time, for example from a
+// backup or with "cp -p", must be used: the times used to be compared, not the content.
+func TestReloadOfOlderFile(t *testing.T) {
+	is := is.New(t)
+	a := newAuthority(t)
+	f := newFiles(t)
+	f.write(t, a, 1, time.Hour)
+	now := time.Now()
+	is.NoErr(os.Chtimes(f.ca, now, now))
+	clock := timer.NewFake(now)
+	server := f.open(t, clock)
+	client := f.open(t, timer.System())
+	f.write(t, a, 2, time.Hour)
+	for path, age := range map[string]time.Duration{
+		f.ca:          0,
+		f.key:         time.Hour,
+		f.certificate: time.Hour,
+	} {
+		is.NoErr(os.Chtimes(path, now.Add(-age), now.Add(-age)))
+	}
+	clock.Advance(time.Minute)
+	serial, err := handshake(t, server, client)
+	is.NoErr(err)
+	is.Equal(serial, int64(2))
+}
+
 // New must return an error if a file is not usable.
 func TestUnusableFiles(t *testing.T) {
 	is := is.New(t)
