internal/ordersender: a full buffer keeps the answers that it has

Only the answer that doesn't fit is dropped; its order counts as unanswered.

TestFullBufferKeepsAnswers failed before: 0 answers, not 8,192.

--- a/internal/ordersender/relay.go
+++ b/internal/ordersender/relay.go
@@ -21,8 +21,8 @@
 	// a relay discards the session's answers: its leader is assumed to be
 	// gone.
 	sessionIdleTimeout = 3 * time.Second
-	// maxBufferedAnswers bounds the answers buffered for one leader.
-	maxBufferedAnswers = 8192
+	// MaxBufferedAnswers bounds the answers buffered for one leader.
+	MaxBufferedAnswers = 8192
 )
 
 // ErrFenced is returned for calls from a leader that a later leader has
@@ -124,12 +124,15 @@
 func (r *Relay) addAnswer(session *relaySession, answer *jobwire.OrderAnswer) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.session != session || len(session.answers) >= maxBufferedAnswers ||
-		r.opts.Clock.Now().Sub(session.usedAt) > sessionIdleTimeout {
-		// No leader collects these answers any more. One that still does counts
-		// them as lost.
+	switch {
+	case r.session != session || r.opts.Clock.Now().Sub(session.usedAt) > sessionIdleTimeout:
+		// No leader collects these answers any more.
 		session.answers = nil
 		return
+	case len(session.answers) >= MaxBufferedAnswers:
+		// The order counts as unanswered. The answers that are buffered stay: they say
+		// which tasks have started and ended.
+		return
 	}
 	session.answers = append(session.answers, answer)
 	session.signal()
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -618,3 +618,39 @@
 	s.Send([]jobscheduler.Action{relayed}, 10)
 	g.is.True(got.awaitAnswer(t, relayed).Poll.Failed)
 }
+
+// A leader that is slow to collect must get the answers that fit: they used to be
+// dropped all together when one more came, and starts that had been accepted counted as
+// unanswered.
+func TestFullBufferKeepsAnswers(t *testing.T) {
+	const orders = ordersender.MaxBufferedAnswers + 1
+	is := is.New(t)
+	g := newCluster(t, map[string]string{
+		"relay": "a",
+	})
+	carried := &jobwire.CarryRequest{
+		Session: "leader/1",
+		Fence:   1,
+	}
+	for n := range uint64(orders) {
+		carried.Orders = append(carried.Orders, &jobwire.Order{
+			Number: n + 1,
+			Target: &jobwire.Target{
+				Id: fmt.Sprint("w-", n),
+			},
+			Order: &jobwire.Order_Stop{
+				Stop: &jobwire.StopOrder{
+					Task: task,
+				},
+			},
+		})
+	}
+	is.NoErr(g.relays["relay"].Carry(carried))
+	g.locals["relay"].Close() // waits for the orders
+	resp, err := g.relays["relay"].Collect(t.Context(), &jobwire.CollectRequest{
+		Session: carried.GetSession(),
+		Fence:   carried.GetFence(),
+	})
+	is.NoErr(err)
+	is.Equal(len(resp.GetAnswers()), ordersender.MaxBufferedAnswers)
+}
