internal/ingress: a host without a lease refuses a job before it reads the body

The lease was compared only after the body had been read and parsed, so such a host held memory for up to 2 s, and answered an unreadable body with 400 where another host should be asked.

TestJobIsRefusedWithoutLeaseBeforeBody failed before: 400, not 503.

--- a/internal/ingress/jobs.go
+++ b/internal/ingress/jobs.go
@@ -108,6 +108,9 @@
 	if refusal != nil {
 		return 0, nil, refusal
 	}
+	if view := g.cfg.View(); !view.Live(g.cfg.Clock.Now()) {
+		return 0, nil, noLeaseProblem()
+	}
 	size := g.maxBodySize(r)
 	if !g.bodyMemory.reserve(size) {
 		return 0, nil, bodyMemoryFullProblem().withRetryAfter(time.Second)
--- a/internal/ingress/jobs_test.go
+++ b/internal/ingress/jobs_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// A host without a lease must refuse a job before it reads the body: reading took up to
+// 2 s and the memory for bodies, and a body that can't be read was answered as the
+// caller's fault.
+func TestJobIsRefusedWithoutLeaseBeforeBody(t *testing.T) {
+	is := is.New(t)
+	s := newTestHost(t)
+	expireLease(s)
+	got := s.send(http.MethodPost, "/v1/jobs", []byte("{"), "Authorization", bearer("feeds"))
+	is.Equal(got.status, http.StatusServiceUnavailable)
+	is.Equal(got.problemName(), "no-lease")
+	is.True(got.header.Get("Retry-After") != "")
+}
+
 // All fields of a job must reach the leader as they were sent.
 func TestJobFields(t *testing.T) {
 	is := is.New(t)
