--- a/internal/commander/call.go
+++ b/internal/commander/call.go
@@ -100,7 +100,10 @@
 	decided := f.code == ExitConflict || f.code == ExitRejected
 	if outcomeUnknown && !decided {
 		f.code = ExitUnknown
-		f.text += "; the change may have been made, repeat the command with " + repeatOption + " " + operation
+		f.text += "; the change may have been made, repeat the command"
+		if repeatOption != "" {
+			f.text += " with " + repeatOption + " " + operation
+		}
 	}
 	return f
 }
--- a/internal/commander/client.go
+++ b/internal/commander/client.go
@@ -38,7 +38,7 @@
 	// preferred is the index of the server that answered last.
 	preferred int
 	// repeatOption is the command-line option that identifies the operation when
-	// the user repeats a command.
+	// the user repeats a command; empty when the command itself does so.
 	repeatOption string
 }
 
--- a/internal/commander/jobs.go
+++ b/internal/commander/jobs.go
@@ -178,8 +178,10 @@
 	if err != nil {
 		return err
 	}
+	// A repetition of the same command cancels the same job.
+	api.repeatOption = ""
 	var cancelled job
-	if err := api.call(http.MethodDelete, jobsPath+"/"+url.PathEscape(c.Args.ID), nil, &cancelled, ""); err != nil {
+	if err := api.call(http.MethodDelete, jobsPath+"/"+url.PathEscape(c.Args.ID), nil, &cancelled, c.Args.ID); err != nil {
 		return err
 	}
 	return c.session.show(cancelled, func() { c.session.print("job %s is %s\n", cancelled.ID, cancelled.State) })
