--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -11,13 +11,11 @@
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
-// Paths of the HTTP endpoints of a job worker. PollPath is the long poll and
-// SetSpeedPath sets the speed of a run.
+// Paths of the HTTP endpoints of a job worker. PollPath is the long poll.
 const (
-	StartPath    = "/v1/runs/start"
-	StopPath     = "/v1/runs/stop"
-	PollPath     = "/v1/runs/look"
-	SetSpeedPath = "/v1/runs/pace"
+	StartPath = "/v1/runs/start"
+	StopPath  = "/v1/runs/stop"
+	PollPath  = "/v1/runs/look"
 )
 
 // WorkerHeader is the header with the id of the worker that an order is for. A
@@ -51,8 +49,6 @@
 	// WaitMillis is how long the worker may hold the poll open until a run ends;
 	// polls only.
 	WaitMillis int64 `json:"wait-millis,omitempty"`
-	// Percent is the speed at which the task has to run; PacePath only.
-	Percent int `json:"percent,omitempty"`
 }
 
 // RunningTask is a run that is in progress.
@@ -194,20 +190,6 @@
 	return err == nil && status == http.StatusOK, answer.ClockMillis
 }
 
-// Pace implements ordersender.Workers by setting the speed of a run.
-func (i *Invoker) Pace(ctx context.Context, fence uint64, a jobscheduler.Pace) error {
-	status, _, err := i.invoke(ctx, a.Target, SetSpeedPath, Order{
-		Fence:   fence,
-		Task:    taskOf(a.Task),
-		Run:     a.Run,
-		Percent: a.Percent,
-	})
-	if err == nil && status != http.StatusOK {
-		err = errOrderRefused
-	}
-	return err
-}
-
 // Poll implements ordersender.Workers by polling the worker.
 func (i *Invoker) Poll(ctx context.Context, fence uint64, a jobscheduler.Poll) jobscheduler.PollAnswer {
 	status, reply, err := i.invoke(ctx, a.Target, PollPath, Order{
@@ -223,7 +205,6 @@
 		Gone:      errors.Is(err, errOtherWorker),
 		Restarted: errors.Is(err, errRestarted),
 		Refused:   Refused(err),
-		Fenced:    reply.Reason == "fenced",
 		Clock:     reply.ClockMillis,
 	}
 	if err == nil {
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -173,7 +173,7 @@
 	cases := map[string]struct {
 		status                int
 		body                  string
-		failed, gone, fenced  bool
+		failed, gone          bool
 		restarted             bool
 		running, ended, clock int
 	}{
@@ -198,7 +198,6 @@
 			status: http.StatusConflict,
 			body:   `{"clock-millis": 9, "born": 5, "reason": "fenced"}`,
 			failed: true,
-			fenced: true,
 			clock:  9,
 		},
 		"another worker": {
@@ -227,7 +226,6 @@
 			is.Equal(got.Failed, c.failed)
 			is.Equal(got.Gone, c.gone)
 			is.Equal(got.Restarted, c.restarted)
-			is.Equal(got.Fenced, c.fenced)
 			is.Equal(int(got.Clock), c.clock)
 			is.Equal(len(got.Running), c.running)
 			is.Equal(len(got.Ended), c.ended)
--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -170,8 +170,6 @@
 	return answer
 }
 
-func (c *fakeWorkers) Pace(context.Context, uint64, jobscheduler.Pace) error { return nil }
-
 // emptyProvider is a provider without hosts.
 type emptyProvider struct{}
 
--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -54,15 +54,6 @@
 	Wait time.Duration
 }
 
-// Pace sets the speed of a task in percent. The scheduler does not emit it at
-// present.
-type Pace struct {
-	Target  Target
-	Task    *jobwire.Task
-	Run     uint64
-	Percent int
-}
-
 // RecordEnds requests a log write of ends; the outcome goes to EndsRecorded.
 type RecordEnds struct {
 	Target Target
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -308,7 +308,7 @@
 // minHealthyTime on a worker that answers and is not about to leave or to go into
 // maintenance.
 func (s *Scheduler) isHealthy(r *run) bool {
-	if r.state != running || r.speedPercent < 100 || r.progressPercent < 100 || r.worker.unresponsive || r.worker.info.GetDraining() ||
+	if r.state != running || r.progressPercent < 100 || r.worker.unresponsive || r.worker.info.GetDraining() ||
 		s.now.Sub(r.confirmedAt) < minHealthyTime {
 		return false
 	}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -40,9 +40,6 @@
 	// Restarted is true when a later incarnation of the worker answered, under the
 	// same id. It may have executed orders that were meant for the target.
 	Restarted bool
-	// Fenced is true when a later leader sends orders to the worker. The scheduler
-	// does not read it; such an answer also sets Failed.
-	Fenced bool
 	// Clock is the worker's clock in milliseconds.
 	Clock int64
 	// SentAt is when the poll was sent.
@@ -264,7 +261,7 @@
 		r.checkpoint = t.Checkpoint
 	}
 	r.begun = true
-	r.reportedFigure, r.progressPercent = t.Figure, t.Percent
+	r.progressPercent = t.Percent
 	if r.state == starting {
 		r.state, r.confirmedAt = running, s.now
 	}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -57,12 +57,6 @@
 	stopSent    time.Time
 
 	checkpoint string
-	// reportedFigure is RunningTask.Figure of the last poll, measured over the
-	// last half second. It is not read at present.
-	reportedFigure int64
-	// speedPercent is the speed at which the task was told to run; always 100 at
-	// present, because no Pace is emitted.
-	speedPercent int
 	// placementRecorded is true once a log write that names the worker of the run was
 	// requested.
 	placementRecorded bool
@@ -76,13 +70,12 @@
 // addRun adds a run and reserves its resources on the worker and for the account.
 func (s *Scheduler) addRun(w *worker, st *step, key runKey, state runState) *run {
 	r := &run{
-		key:          key,
-		worker:       w,
-		step:         st,
-		state:        state,
-		orderedAt:    s.now,
-		sentAt:       s.now,
-		speedPercent: 100,
+		key:       key,
+		worker:    w,
+		step:      st,
+		state:     state,
+		orderedAt: s.now,
+		sentAt:    s.now,
 	}
 	if st != nil {
 		r.account = st.occurrence.job.saved.Spec.GetAccount()
--- a/internal/ordersender/local.go
+++ b/internal/ordersender/local.go
@@ -33,12 +33,11 @@
 	Start(ctx context.Context, fence uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64)
 	Stop(ctx context.Context, fence uint64, a jobscheduler.Stop) (confirmed bool, clock int64)
 	Poll(ctx context.Context, fence uint64, a jobscheduler.Poll) jobscheduler.PollAnswer
-	Pace(ctx context.Context, fence uint64, a jobscheduler.Pace) error
 }
 
 // Answer is the outcome of an order.
 type Answer struct {
-	// Order is a jobscheduler.Start, Stop, Poll or Pace.
+	// Order is a jobscheduler.Start, Stop or Poll.
 	Order jobscheduler.Action
 	// Start is the outcome of a Start.
 	Start jobscheduler.StartAnswer
@@ -60,8 +59,6 @@
 		return o.Target, true
 	case jobscheduler.Poll:
 		return o.Target, true
-	case jobscheduler.Pace:
-		return o.Target, true
 	}
 	return jobscheduler.Target{}, false
 }
@@ -149,10 +146,6 @@
 		sentAt := l.clock.Now()
 		answer.Poll = l.workers.Poll(ctx, fence, o)
 		answer.Poll.SentAt = sentAt
-	case jobscheduler.Pace:
-		if err := l.workers.Pace(ctx, fence, o); err != nil {
-			l.logger.Info("courier: setting the pace of a task failed", "worker", o.Target.ID, "error", err)
-		}
 	}
 	return answer
 }
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -105,11 +105,6 @@
 	}
 }
 
-func (m workersFrom) Pace(_ context.Context, fence uint64, a jobscheduler.Pace) error {
-	m.record(m.host, fmt.Sprint("pace ", fence, " ", a.Target.ID, " ", a.Run, " ", a.Percent))
-	return nil
-}
-
 var task = &jobwire.Task{
 	Job:   "job",
 	Index: 2,
@@ -387,24 +382,12 @@
 				is.Equal(a.Poll.Ended[0].End.GetEnding(), jobwire.Ending_ENDING_FAILED)
 			},
 		},
-		"pace": {
-			order: jobscheduler.Pace{
-				Target:  target("w", "b"),
-				Task:    task,
-				Run:     4,
-				Percent: 30,
-			},
-			call:  "pace 1 w 4 30",
-			check: func(*is.I, ordersender.Answer) {},
-		},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s.Send([]jobscheduler.Action{test.order}, 10)
-			if _, ok := test.order.(jobscheduler.Pace); !ok {
-				test.check(is, got.awaitAnswer(t, test.order))
-			}
+			test.check(is, got.awaitAnswer(t, test.order))
 			is.Equal(g.awaitCall(test.call), []string{"near"})
 		})
 	}
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -48,14 +48,6 @@
 				WaitNanos:      int64(o.Wait),
 			},
 		}
-	case jobscheduler.Pace:
-		message.Order = &jobwire.Order_Pace{
-			Pace: &jobwire.PaceOrder{
-				Task:    o.Task,
-				Run:     o.Run,
-				Percent: int32(o.Percent),
-			},
-		}
 	}
 	return message
 }
@@ -91,13 +83,6 @@
 			LastRecordedEnd: o.Look.GetSeen(),
 			Wait:            time.Duration(o.Look.GetWaitNanos()),
 		}
-	case *jobwire.Order_Pace:
-		return jobscheduler.Pace{
-			Target:  target,
-			Task:    o.Pace.GetTask(),
-			Run:     o.Pace.GetRun(),
-			Percent: int(o.Pace.GetPercent()),
-		}
 	}
 	return nil
 }
@@ -117,7 +102,6 @@
 		Failed:    a.Poll.Failed,
 		Refused:   a.Poll.Refused,
 		Gone:      a.Poll.Gone,
-		Fenced:    a.Poll.Fenced,
 		Restarted: a.Poll.Restarted,
 		Cause:     a.Poll.Cause,
 
@@ -161,7 +145,6 @@
 		Cause:     look.GetCause(),
 
 		Disconnected: look.GetDisconnected(),
-		Fenced:       look.GetFenced(),
 		Clock:        message.GetClockMillis(),
 		SentAt:       sentAt,
 	}
