internal/jobgateway: a configuration read that a lost leader held is not answered late

A read that a front had sent to a frozen leader was answered after 0.7 s by the next leader; one that was sent 0.3 s after it had been answered at once by an older version. Both answers were right when they were given, but in the order in which they were sent the configuration seems to have been taken back.

Changes, heartbeats and job calls are resent for 1.3 s as before.

TestHeldConfigurationReadIsNotAnswered failed before (OK, not UNAVAILABLE).

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -27,6 +27,11 @@
 	// unknownOutcomeTimeout is how long a call that may have been executed is
 	// retried; then its caller is told that its outcome is unknown.
 	unknownOutcomeTimeout = 1300 * time.Millisecond
+	// heldReadTimeout limits a read of the configuration that a former leader may have
+	// held back. Its caller may meanwhile have read again and got an older version;
+	// a later answer of the next leader would look to it like a configuration that was
+	// taken back.
+	heldReadTimeout = 250 * time.Millisecond
 	// probeTimeout limits one probe, which asks a host whether it leads.
 	probeTimeout = 300 * time.Millisecond
 	// probeInterval is the time between two rounds of probes.
@@ -151,17 +156,23 @@
 	for {
 		remaining := noLeaderTimeout
 		if sent {
-			remaining = unknownOutcomeTimeout
+			remaining = retryTimeout(req)
 		}
 		remaining -= g.opts.Clock.Now().Sub(start)
 		host := g.awaitLeader(ctx, remaining)
 		if host == "" || ctx.Err() != nil {
 			return nil, sent
 		}
+		if sent && isConfigurationRead(req) {
+			// Its end says nothing about the leader, as that of the caller's context.
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, remaining)
+			defer cancel()
+		}
 		resp, err := attempt[R, PR](ctx, g, host, method, req)
 		switch {
 		case err != nil && ctx.Err() != nil:
-			// The caller's context has ended, which says nothing about the leader.
+			// The call's context has ended, which says nothing about the leader.
 			g.verifyLeader(host)
 			return nil, true
 		case err != nil:
@@ -189,6 +200,20 @@
 	}
 }
 
+// retryTimeout returns how long a call that may have reached a leader is retried.
+func retryTimeout(req proto.Message) time.Duration {
+	if isConfigurationRead(req) {
+		return heldReadTimeout
+	}
+	return unknownOutcomeTimeout
+}
+
+// isConfigurationRead reports whether a call reads the configuration in force.
+func isConfigurationRead(req proto.Message) bool {
+	call, ok := req.(*jobwire.ControlRequest)
+	return ok && call.GetRead() != nil
+}
+
 // isSubmission reports whether a call submits a job.
 func isSubmission(req proto.Message) bool {
 	call, ok := req.(*jobwire.JobRequest)
--- a/internal/jobgateway/gateway_test.go
+++ b/internal/jobgateway/gateway_test.go
@@ -205,6 +205,58 @@
 	}
 }
 
+// A read of the configuration that a frozen leader held back must end without an answer,
+// not with the configuration of the next leader: reads that were sent after it had been
+// answered by an older one meanwhile. Other calls, and reads of a leader that was only
+// lost, are answered by the next leader.
+func TestHeldConfigurationReadIsNotAnswered(t *testing.T) {
+	read := &jobwire.ControlRequest{
+		Call: &jobwire.ControlRequest_Read{
+			Read: &jobwire.ReadConfiguration{},
+		},
+	}
+	cases := map[string]struct {
+		request *jobwire.ControlRequest
+		former  behaviour
+		outcome jobwire.Outcome
+	}{
+		"read held by a frozen leader": {
+			request: read,
+			former:  frozen,
+			outcome: jobwire.Outcome_OUTCOME_UNAVAILABLE,
+		},
+		"read of a leader that has lost its lead": {
+			request: read,
+			former:  losesLeadership,
+			outcome: jobwire.Outcome_OUTCOME_OK,
+		},
+		"read that could not be sent": {
+			request: read,
+			former:  down,
+			outcome: jobwire.Outcome_OUTCOME_OK,
+		},
+		"change held by a frozen leader": {
+			request: &jobwire.ControlRequest{
+				Call: &jobwire.ControlRequest_Configure{
+					Configure: &jobwire.Configuration{},
+				},
+			},
+			former:  frozen,
+			outcome: jobwire.Outcome_OUTCOME_OK,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g, h := newGateway(map[string]behaviour{"a": leads, "b": follows})
+			is.Equal(g.Control(context.Background(), read).GetOutcome(), jobwire.Outcome_OUTCOME_OK)
+			h.set("a", c.former)
+			h.set("b", leads)
+			is.Equal(g.Control(context.Background(), c.request).GetOutcome(), c.outcome)
+		})
+	}
+}
+
 // Once a leader is known to be frozen, further calls must be told at once to retry
 // later instead of waiting for it as the first ones did.
 func TestCallsAreNotHeldForFrozenLeader(t *testing.T) {
