internal/demonstrator: the voters of a demo don't wait for the disk

A voter syncs on the goroutine that also answers followers, and the three voters of a demo share one disk. On a deployment a stalled disk stops one voter, and another leads.

Change. persister.Unsynced, and a file system in daemon.Options: the demo's files are not synced. It loses no power, and checks nothing that a sync is needed for.

TestUnsyncedStoreDoesNotSync guards the file system.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,6 +156,7 @@
 		Name:         s.Name,
 		Peers:        s.Voters,
 		Dir:          s.DataFolder,
+		FS:           d.opts.FS,
 		Clock:        d.clock,
 		Transport:    d.transport,
 		Logger:       d.opts.Logger,
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -9,6 +9,7 @@
 
 	"github.com/heathermux/heathermux/internal/loader"
 	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/persister"
 	"github.com/heathermux/heathermux/pkg/timer"
 )
 
@@ -25,6 +26,9 @@
 	// Bootstrap is the initial control state to use instead of the deployment
 	// file in the settings.
 	Bootstrap *wire.Snapshot
+	// FS is the file system of the data folder; nil means that of the operating
+	// system.
+	FS persister.FS
 	// Traces receives the spans of the trace exporter "stdout"; nil means
 	// os.Stdout.
 	Traces io.Writer
--- a/internal/demonstrator/fleet.go
+++ b/internal/demonstrator/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/heathermux/heathermux/internal/daemon"
 	"github.com/heathermux/heathermux/internal/loader"
 	"github.com/heathermux/heathermux/internal/wire"
+	"github.com/heathermux/heathermux/pkg/persister"
 )
 
 const (
@@ -133,6 +134,9 @@
 		HTTPListener: p.http,
 		PeerListener: p.peers,
 		Bootstrap:    snap,
+		// The voters share one disk here: when it stalls, all of them stop together,
+		// which no failure of one host does, and all leases end.
+		FS: persister.Unsynced(persister.OSFS()),
 	})
 	if err != nil {
 		return err
--- a/pkg/persister/store_test.go
+++ b/pkg/persister/store_test.go
@@ -232,6 +232,28 @@
 // field header of the entry, its term and index, and its data.
 const frameSize = 16 + 2 + 4 + 8
 
+// A deployment whose replicas share one disk must not stop when the disk stalls: all of
+// its leases ended, and the demo failed beside other work.
+func TestUnsyncedStoreDoesNotSync(t *testing.T) {
+	is := is.New(t)
+	disk := faultfs.New()
+	disk.SetHook(func(op faultfs.Op, name string) error {
+		if op == faultfs.Sync || op == faultfs.SyncDir {
+			t.Errorf("%s is synced", name)
+		}
+		return nil
+	})
+	fs := persister.Unsynced(disk)
+	s, _, err := persister.Open(fs, "data", persister.Options{})
+	is.NoErr(err)
+	is.NoErr(s.Append(vote(1, "a"), entries(1, 1, 3)))
+	is.NoErr(s.SaveSnapshot(snapshot(2, 1)))
+	is.NoErr(s.Close())
+	_, recovered, err := persister.Open(fs, "data", persister.Options{})
+	is.NoErr(err)
+	is.Equal(len(recovered.Entries), 3)
+}
+
 func size(t *testing.T, fs *faultfs.FS, name string) int {
 	t.Helper()
 	data, err := fs.ReadFile(name)
