internal/router: a success after an ejection resets its time

Any success outside of an ejection resets it; one of a request from before the ejection, which ends during it, does not.

--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -72,7 +72,7 @@
 	u := c.upstream
 	c.Release()
 	if success {
-		if u.failures.Load() != 0 {
+		if u.failures.Load() != 0 || u.ejections.Load() != 0 {
 			c.queue.resetFailures(u)
 		}
 		return
@@ -89,12 +89,15 @@
 	c.queue.outstanding.Add(-1)
 }
 
-// resetFailures clears the failure history of an upstream after a success.
+// resetFailures clears the failure history of an upstream after a success. A request
+// from before an ejection, which ends well during it, says nothing about its return.
 func (s *queueState) resetFailures(u *upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u.failures.Store(0)
-	u.ejections = 0
+	if s.clock.Now().UnixNano() >= u.ejectedUntil.Load() {
+		u.ejections.Store(0)
+	}
 }
 
 // eject takes an upstream out of selection for a time, followed by a slow start,
@@ -106,8 +109,8 @@
 	if u.removed.Load() || now < u.ejectedUntil.Load() || !s.mayEject(now) {
 		return
 	}
-	duration := min(baseEjectionTime<<min(u.ejections, 10), maxEjectionTime)
-	u.ejections++
+	duration := min(baseEjectionTime<<min(u.ejections.Load(), 10), maxEjectionTime)
+	u.ejections.Add(1)
 	u.failures.Store(0)
 	u.slowStartAt.Store(now + int64(duration))
 	u.ejectedUntil.Store(now + int64(duration))
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -146,6 +146,42 @@
 	is.Equal(r.Capacity("q"), int64(32))
 }
 
+// Each ejection in a row doubles its time. An upstream that has served well since must
+// be ejected for the first time's duration again, also days later.
+func TestEjectionTimeIsResetBySuccess(t *testing.T) {
+	is := is.New(t)
+	clock := timer.NewFake(time.Unix(100, 0))
+	r := newRouter(clock, newSource(6, 0))
+	all := r.Capacity("q")
+	serve := func(works bool) {
+		for range 10 {
+			_, choices := pickN(r, 6*8) // all slots, also those of a slow start
+			for _, c := range choices {
+				c.Done(works || c.Upstream().GetId() != "u-0")
+			}
+		}
+	}
+	ejectedFor := func() time.Duration {
+		serve(false)
+		for d := time.Duration(0); ; d += 100 * time.Millisecond {
+			count, choices := pickN(r, 6*8)
+			for _, c := range choices {
+				c.Release()
+			}
+			if count["u-0"] > 0 {
+				return d
+			}
+			clock.Advance(100 * time.Millisecond)
+		}
+	}
+	first := ejectedFor()
+	is.Equal(ejectedFor(), 2*first)
+	clock.Advance(time.Minute)
+	is.Equal(r.Capacity("q"), all)
+	serve(true)
+	is.Equal(ejectedFor(), first)
+}
+
 // A retry on the same upstream or rack is likely to fail for the same reason.
 func TestPickOther(t *testing.T) {
 	is := is.New(t)
--- a/internal/router/upstream.go
+++ b/internal/router/upstream.go
@@ -26,9 +26,9 @@
 	failures atomic.Int64
 	// removed is true once the source no longer lists the upstream.
 	removed atomic.Bool
-	// ejections counts the ejections since failures were last reset by a success;
-	// guarded by queueState.mu.
-	ejections int
+	// ejections counts the ejections since the last success outside of one; it is
+	// changed under queueState.mu.
+	ejections atomic.Int64
 }
 
 // rack returns the name of the rack, made unique by the data centre.
