--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -170,8 +170,9 @@
 func (d *Daemon) openComponents(context.Context) error {
 	s := d.opts.Settings
 	d.directory = registrar.New(registrar.Options{
-		Self:  d.self,
-		Clock: d.clock,
+		Self:   d.self,
+		Clock:  d.clock,
+		Logger: d.opts.Logger,
 	})
 	d.recorder = recorder.New(recorder.Options{
 		Self:       d.self,
--- a/internal/registrar/puller.go
+++ b/internal/registrar/puller.go
@@ -14,8 +14,13 @@
 
 // Run pulls changes from one member every PullInterval until ctx ends.
 func (r *Registrar) Run(ctx context.Context, source Source, member *wire.Member) {
+	failing := false
 	for {
-		r.pullOnce(ctx, source, member)
+		err := r.pullOnce(ctx, source, member)
+		if (err != nil) != failing && ctx.Err() == nil {
+			failing = !failing
+			r.logPulls(member, err)
+		}
 		t := r.clock.NewTimer(PullInterval)
 		select {
 		case <-ctx.Done():
@@ -26,14 +31,25 @@
 	}
 }
 
-// pullOnce pulls once. A failed pull is not reported: the next one asks again from
-// the same sequence, and the origin's records are no longer used after OriginTimeout.
-func (r *Registrar) pullOnce(ctx context.Context, source Source, member *wire.Member) {
+// logPulls logs that pulls from a member have begun to fail, or succeed again.
+func (r *Registrar) logPulls(member *wire.Member, err error) {
+	if err == nil {
+		r.logger.Info("registrar: pulls from an entry host succeed again", "from", member.GetName())
+		return
+	}
+	r.logger.Warn("registrar: pulls from an entry host fail; its upstreams get no new work until they succeed", "from", member.GetName(), "usable-for", OriginTimeout, "error", err)
+}
+
+// pullOnce pulls once. After a failed pull the next one asks again from the same
+// sequence, and the origin's records are no longer used after OriginTimeout.
+func (r *Registrar) pullOnce(ctx context.Context, source Source, member *wire.Member) error {
 	ctx, cancel := context.WithTimeout(ctx, OriginTimeout/2)
 	defer cancel()
 	sent := r.clock.Now()
 	response, err := source.Pull(ctx, member, r.PullRequest(member.GetName()))
-	if err == nil {
-		r.ApplyPullResponse(sent, response)
+	if err != nil {
+		return err
 	}
+	r.ApplyPullResponse(sent, response)
+	return nil
 }
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -11,6 +11,7 @@
 package registrar
 
 import (
+	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,13 +55,17 @@
 	Self *wire.Member
 	// Clock is the time source for expiry.
 	Clock timer.Clock
+	// Logger receives when pulls begin to fail and when they succeed again; nil
+	// discards both.
+	Logger *slog.Logger
 }
 
 // Registrar is the directory of one entry host. It is safe for concurrent use.
 // Create one with New.
 type Registrar struct {
-	self  *wire.Member
-	clock timer.Clock
+	self   *wire.Member
+	clock  timer.Clock
+	logger *slog.Logger
 
 	mu sync.Mutex
 	// Invariant: holds the records of this origin by upstream ID.
@@ -86,9 +91,13 @@
 
 // New returns an empty directory.
 func New(opts Options) *Registrar {
+	if opts.Logger == nil {
+		opts.Logger = slog.New(slog.DiscardHandler)
+	}
 	r := &Registrar{
 		self:       opts.Self,
 		clock:      opts.Clock,
+		logger:     opts.Logger,
 		own:        make(map[string]*ownRecord),
 		origins:    make(map[string]*origin),
 		departures: make(map[string]time.Time),
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -43,7 +44,7 @@
 	Poll(ctx context.Context, poll *wire.WorkerPoll) (*wire.WorkerOrders, error)
 }
 
-// Options configures a Runner; all fields are required.
+// Options configures a Runner; all fields but Logger are required.
 type Options struct {
 	Worker     string
 	DataCentre string
@@ -54,6 +55,9 @@
 	Clock       timer.Clock
 	Executor    Executor
 	Poller      Poller
+	// Logger receives when polls begin to fail and when they succeed again; nil
+	// discards both.
+	Logger *slog.Logger
 }
 
 // PollTimeout limits the duration of a poll. Orders that arrive later are
@@ -111,6 +115,9 @@
 
 // New returns a runner without a lease or tasks.
 func New(opts Options) *Runner {
+	if opts.Logger == nil {
+		opts.Logger = slog.New(slog.DiscardHandler)
+	}
 	return &Runner{
 		opts:    opts,
 		running: make(map[string]*activeTask),
@@ -145,7 +152,14 @@
 func (r *Runner) Run(ctx context.Context) {
 	var loops sync.WaitGroup
 	loops.Go(func() {
-		r.repeat(ctx, scheduler.PollInterval, func() { _ = r.Poll(ctx) })
+		failing := false
+		r.repeat(ctx, scheduler.PollInterval, func() {
+			err := r.Poll(ctx)
+			if (err != nil) != failing && ctx.Err() == nil {
+				failing = !failing
+				r.logPolls(err)
+			}
+		})
 	})
 	loops.Go(func() {
 		r.repeat(ctx, tickInterval, func() { r.Tick(r.opts.Clock.Now()) })
@@ -156,6 +170,15 @@
 	r.stopAll("its worker left")
 }
 
+// logPolls logs that polls have begun to fail, or succeed again.
+func (r *Runner) logPolls(err error) {
+	if err == nil {
+		r.opts.Logger.Info("runner: polls succeed again", "worker", r.opts.Worker)
+		return
+	}
+	r.opts.Logger.Warn("runner: polls fail; all tasks are stopped when the lease ends", "worker", r.opts.Worker, "error", err)
+}
+
 // tickInterval is the time between two checks of the lease and of ended tasks.
 const tickInterval = 100 * time.Millisecond
 
--- a/internal/runner/runner_test.go
+++ b/internal/runner/runner_test.go
@@ -1,8 +1,11 @@
 package runner_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -277,3 +280,36 @@
 	is.NoErr(h.r.Poll(context.Background()))
 	is.True(described())
 }
+
+// A worker whose polls fail must say so, with the cause and once, before its tasks are
+// stopped at the end of the lease.
+func TestFailingPollsAreLogged(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	h := newHarness()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	polls := 0
+	r := runner.New(runner.Options{
+		Worker:      "w",
+		Incarnation: "1",
+		Clock:       timer.System(),
+		Executor:    h,
+		Poller: pollFunc(func() (*wire.WorkerOrders, error) {
+			polls++
+			if polls == 3 {
+				cancel()
+			}
+			return nil, errors.New("not reachable")
+		}),
+		Logger: slog.New(slog.NewTextHandler(&log, nil)),
+	})
+	r.Run(ctx)
+	is.Equal(polls, 3)
+	is.Equal(strings.Count(log.String(), "not reachable"), 1)
+}
+
+// pollFunc is a Poller that ignores what is reported.
+type pollFunc func() (*wire.WorkerOrders, error)
+
+func (f pollFunc) Poll(context.Context, *wire.WorkerPoll) (*wire.WorkerOrders, error) { return f() }
