internal/announcer: a rejected announcement is not tried at every entry host

Such an answer is final. Others, also a 404 of another program at the address, are tried at the next host as before.

--- a/internal/announcer/client.go
+++ b/internal/announcer/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -66,8 +68,12 @@
 	return orders.Wire(), nil
 }
 
+// rejections are the statuses with which an entry host answers a request that is wrong
+// in itself, and that no other one would accept.
+var rejections = []int{http.StatusBadRequest, http.StatusConflict, http.StatusUnprocessableEntity}
+
 // post tries each entry host once, beginning with the preferred one, and returns
-// the first successful response or the last error.
+// the first successful response, the first rejection or the last error.
 func (c *Client) post(ctx context.Context, path string, body, answer any) (*resty.Response, error) {
 	var lastErr error
 	for range c.urls {
@@ -83,7 +89,7 @@
 		if err == nil {
 			err = errors.Errorf("announcer: %s answered %s: %s", url, response.Status(), response.String())
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || response != nil && slices.Contains(rejections, response.StatusCode()) {
 			return nil, err
 		}
 		lastErr = err
