--- a/internal/rebalancer/demand.go
+++ b/internal/rebalancer/demand.go
@@ -46,9 +46,8 @@
 	highestRate float64
 	peakCount   int
 	inPeak      bool
-	// onset and end are the times of the latest peak; previousOnset is the onset of
-	// the peak before.
-	onset, end, previousOnset time.Time
+	// onset is that of the latest peak; previousOnset is the onset of the peak before.
+	onset, previousOnset time.Time
 }
 
 // Add records work that arrived at the given time.
@@ -105,7 +104,6 @@
 		d.highestRate = max(rate, peakRateDecay*d.highestRate)
 	case d.inPeak && rate < peakEndRatio*d.highestRate:
 		d.inPeak = false
-		d.end = at
 	case d.inPeak:
 		d.highestRate = max(d.highestRate, rate)
 	}
