internal/jobgateway: a leader lost as the search for it ends is searched for again

Cause, by reading. The search saw a leader and marked its end in two steps. If the leader was lost between them, a call took the search for running and waited in vain for its 120 ms; the next call started one.

Both in one step under the lock. No test: the window is a few instructions; the package's tests passed with -race.

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -273,10 +273,11 @@
 // searchLeader probes all known hosts concurrently, round after round, until one
 // leads.
 func (g *Gateway) searchLeader() {
-	for g.Leader() == "" {
-		g.mu.Lock()
-		hosts := slices.Clone(g.hosts)
-		g.mu.Unlock()
+	for {
+		hosts, found := g.searchedHosts()
+		if found {
+			return
+		}
 		var probes sync.WaitGroup
 		for _, host := range hosts {
 			probes.Go(func() { g.probe(host) })
@@ -285,9 +286,15 @@
 		wait := g.opts.Clock.NewTimer(probeInterval)
 		<-wait.C()
 	}
+}
+
+// searchedHosts returns the hosts to probe, or ends the search if a leader is known. A
+// leader that is lost right after that starts the next search.
+func (g *Gateway) searchedHosts() (hosts []string, found bool) {
 	g.mu.Lock()
-	g.searching = false
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	g.searching = g.leader == ""
+	return slices.Clone(g.hosts), !g.searching
 }
 
 // verifyLeader starts a probe of the given host, the presumed leader, unless a
