--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -156,6 +156,7 @@
 		Name:         s.Name,
 		Peers:        s.Voters,
 		Dir:          s.DataFolder,
+		FS:           d.opts.FS,
 		Clock:        d.clock,
 		Transport:    d.transport,
 		Logger:       d.opts.Logger,
@@ -169,8 +170,9 @@
 func (d *Daemon) openComponents(context.Context) error {
 	s := d.opts.Settings
 	d.directory = registrar.New(registrar.Options{
-		Self:  d.self,
-		Clock: d.clock,
+		Self:   d.self,
+		Clock:  d.clock,
+		Logger: d.opts.Logger,
 	})
 	d.recorder = recorder.New(recorder.Options{
 		Self:       d.self,
--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -27,6 +27,11 @@
 	// unknownOutcomeTimeout is how long a call that may have been executed is
 	// retried; then its caller is told that its outcome is unknown.
 	unknownOutcomeTimeout = 1300 * time.Millisecond
+	// heldReadTimeout limits a read of the configuration that a former leader may have
+	// held back. Its caller may meanwhile have read again and got an older version;
+	// a later answer of the next leader would look to it like a configuration that was
+	// taken back.
+	heldReadTimeout = 250 * time.Millisecond
 	// probeTimeout limits one probe, which asks a host whether it leads.
 	probeTimeout = 300 * time.Millisecond
 	// probeInterval is the time between two rounds of probes.
@@ -151,17 +156,23 @@
 	for {
 		remaining := noLeaderTimeout
 		if sent {
-			remaining = unknownOutcomeTimeout
+			remaining = retryTimeout(req)
 		}
 		remaining -= g.opts.Clock.Now().Sub(start)
 		host := g.awaitLeader(ctx, remaining)
 		if host == "" || ctx.Err() != nil {
 			return nil, sent
 		}
+		if sent && isConfigurationRead(req) {
+			// Its end says nothing about the leader, as that of the caller's context.
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, remaining)
+			defer cancel()
+		}
 		resp, err := attempt[R, PR](ctx, g, host, method, req)
 		switch {
 		case err != nil && ctx.Err() != nil:
-			// The caller's context has ended, which says nothing about the leader.
+			// The call's context has ended, which says nothing about the leader.
 			g.verifyLeader(host)
 			return nil, true
 		case err != nil:
@@ -189,6 +200,20 @@
 	}
 }
 
+// retryTimeout returns how long a call that may have reached a leader is retried.
+func retryTimeout(req proto.Message) time.Duration {
+	if isConfigurationRead(req) {
+		return heldReadTimeout
+	}
+	return unknownOutcomeTimeout
+}
+
+// isConfigurationRead reports whether a call reads the configuration in force.
+func isConfigurationRead(req proto.Message) bool {
+	call, ok := req.(*jobwire.ControlRequest)
+	return ok && call.GetRead() != nil
+}
+
 // isSubmission reports whether a call submits a job.
 func isSubmission(req proto.Message) bool {
 	call, ok := req.(*jobwire.JobRequest)
@@ -248,10 +273,11 @@
 // searchLeader probes all known hosts concurrently, round after round, until one
 // leads.
 func (g *Gateway) searchLeader() {
-	for g.Leader() == "" {
-		g.mu.Lock()
-		hosts := slices.Clone(g.hosts)
-		g.mu.Unlock()
+	for {
+		hosts, found := g.searchedHosts()
+		if found {
+			return
+		}
 		var probes sync.WaitGroup
 		for _, host := range hosts {
 			probes.Go(func() { g.probe(host) })
@@ -260,9 +286,15 @@
 		wait := g.opts.Clock.NewTimer(probeInterval)
 		<-wait.C()
 	}
+}
+
+// searchedHosts returns the hosts to probe, or ends the search if a leader is known. A
+// leader that is lost right after that starts the next search.
+func (g *Gateway) searchedHosts() (hosts []string, found bool) {
 	g.mu.Lock()
-	g.searching = false
-	g.mu.Unlock()
+	defer g.mu.Unlock()
+	g.searching = g.leader == ""
+	return slices.Clone(g.hosts), !g.searching
 }
 
 // verifyLeader starts a probe of the given host, the presumed leader, unless a
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -105,11 +105,6 @@
 	}
 }
 
-func (m workersFrom) Pace(_ context.Context, fence uint64, a jobscheduler.Pace) error {
-	m.record(m.host, fmt.Sprint("pace ", fence, " ", a.Target.ID, " ", a.Run, " ", a.Percent))
-	return nil
-}
-
 var task = &jobwire.Task{
 	Job:   "job",
 	Index: 2,
@@ -387,24 +382,12 @@
 				is.Equal(a.Poll.Ended[0].End.GetEnding(), jobwire.Ending_ENDING_FAILED)
 			},
 		},
-		"pace": {
-			order: jobscheduler.Pace{
-				Target:  target("w", "b"),
-				Task:    task,
-				Run:     4,
-				Percent: 30,
-			},
-			call:  "pace 1 w 4 30",
-			check: func(*is.I, ordersender.Answer) {},
-		},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s.Send([]jobscheduler.Action{test.order}, 10)
-			if _, ok := test.order.(jobscheduler.Pace); !ok {
-				test.check(is, got.awaitAnswer(t, test.order))
-			}
+			test.check(is, got.awaitAnswer(t, test.order))
 			is.Equal(g.awaitCall(test.call), []string{"near"})
 		})
 	}
@@ -618,3 +601,39 @@
 	s.Send([]jobscheduler.Action{relayed}, 10)
 	g.is.True(got.awaitAnswer(t, relayed).Poll.Failed)
 }
+
+// A leader that is slow to collect must get the answers that fit: they used to be
+// dropped all together when one more came, and starts that had been accepted counted as
+// unanswered.
+func TestFullBufferKeepsAnswers(t *testing.T) {
+	const orders = ordersender.MaxBufferedAnswers + 1
+	is := is.New(t)
+	g := newCluster(t, map[string]string{
+		"relay": "a",
+	})
+	carried := &jobwire.CarryRequest{
+		Session: "leader/1",
+		Fence:   1,
+	}
+	for n := range uint64(orders) {
+		carried.Orders = append(carried.Orders, &jobwire.Order{
+			Number: n + 1,
+			Target: &jobwire.Target{
+				Id: fmt.Sprint("w-", n),
+			},
+			Order: &jobwire.Order_Stop{
+				Stop: &jobwire.StopOrder{
+					Task: task,
+				},
+			},
+		})
+	}
+	is.NoErr(g.relays["relay"].Carry(carried))
+	g.locals["relay"].Close() // waits for the orders
+	resp, err := g.relays["relay"].Collect(t.Context(), &jobwire.CollectRequest{
+		Session: carried.GetSession(),
+		Fence:   carried.GetFence(),
+	})
+	is.NoErr(err)
+	is.Equal(len(resp.GetAnswers()), ordersender.MaxBufferedAnswers)
+}
