internal/jobscheduler: an accepted start is given up after the longest lease; three tests

In each a worker that was known for 0 s accepts starts, so its clock doesn't tell which incarnation did, and the runs were kept for 15 s.

Change: such a run is kept for the longest lease after the answer, which is what a later incarnation may have. The three tests let the worker answer a poll later than that first (ageWorkers), and check the same as before.

--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -174,6 +174,7 @@
 			h.submit("job", tasks(2, 1000))
 			h.startTerm()
 			h.reconcileWorkers()
+			h.ageWorkers()
 			h.is.Equal(len(h.acceptStarts()), 2)
 			h.advance(100 * time.Millisecond)
 			test.end(h)
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -237,6 +237,13 @@
 	return starts
 }
 
+// ageWorkers lets the workers be known for long enough that the clocks in their answers
+// tell their incarnations apart.
+func (h *harness) ageWorkers() {
+	h.advance(time.Second)
+	h.answerPolls(nil)
+}
+
 // recordEnds applies the pending log writes of ends.
 func (h *harness) recordEnds() {
 	for _, r := range takeAll[jobscheduler.RecordEnds](h) {
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -420,7 +420,7 @@
 func (s *Scheduler) lostWithLease(w *worker) []*run {
 	var lost []*run
 	for _, r := range w.runs {
-		if !r.mayBeginLate(s.now) {
+		if !s.mayBeAtWork(r) {
 			lost = append(lost, r)
 		}
 	}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -252,12 +252,18 @@
 // executed by a later incarnation of its worker, which has the same id.
 func (r *run) mayBeginAfterRestart() bool { return !r.begunHere || r.startAttempts > 0 }
 
-// mayBeginLate reports whether the run may begin after the lease of its worker has ended.
-// The deadline in the order is one on the clock of this incarnation; that of a later one
-// begins anew.
-func (r *run) mayBeginLate(now time.Time) bool {
-	executable := r.unanswered || r.begun && !r.begunHere
-	return executable && now.Sub(r.copySentAt) <= lateOrderTime
+// mayBeAtWork reports whether the run may be at work, or begin, after the lease of its
+// worker has ended. The deadline in the order is one on the clock of this incarnation; that
+// of a later one begins anew.
+func (s *Scheduler) mayBeAtWork(r *run) bool {
+	switch {
+	case r.unanswered:
+		return s.now.Sub(r.copySentAt) <= lateOrderTime
+	case r.begun && !r.begunHere:
+		// If a later incarnation has accepted it, that has the longest lease.
+		return s.now.Sub(r.confirmedAt) <= s.leaseBound(s.settings.MaxLease)
+	}
+	return false
 }
 
 // carryOver moves the runs that the next incarnation of a worker may begin to it.
