--- a/internal/demonstrator/demonstrator.go
+++ b/internal/demonstrator/demonstrator.go
@@ -26,6 +26,9 @@
 	jobTaskTime = 150 * time.Millisecond
 )
 
+// changesTimeout bounds the operators' changes, in addition to the time of the load.
+const changesTimeout = 15 * time.Second
+
 // Options configures a run. All fields are required.
 type Options struct {
 	// Seconds is how long load is generated.
@@ -177,8 +180,12 @@
 		newJobSubmitters(s.deployment, s.keys, s.fleet, r.jobs).run(load)
 		ended <- struct{}{}
 	}()
-	r.zone, r.zoneErr = s.changeZone(load, length)
-	r.key, r.keyErr = s.withdrawKey(load)
+	// The changes are not bounded by the load: each takes two seconds to be in force,
+	// and on a busy machine a run of a few seconds would end before them.
+	changes, cancelChanges := context.WithTimeout(ctx, length+changesTimeout)
+	defer cancelChanges()
+	r.zone, r.zoneErr = s.changeZone(changes, length)
+	r.key, r.keyErr = s.withdrawKey(changes)
 	<-ended
 	<-ended
 	<-ended
