internal/jobscheduler: a start carried over to the next incarnation may also reach the one after it

Cause: a run whose start was not answered is carried over to the next incarnation of its worker as a new one, which forgot that a copy may still be on its way. Once that incarnation had stopped the run, a third one under the same id was not told to reject it and got a lease.

Change: the carried run keeps the mark and the time of the last copy.

Evidence: TestThirdIncarnationRejectsStartForFirst failed before (no order to stop).

--- a/internal/jobscheduler/lateorder_test.go
+++ b/internal/jobscheduler/lateorder_test.go
@@ -323,3 +323,32 @@
 		})
 	}
 }
+
+// A copy of a start that the first incarnation has not answered may also reach the third
+// one, which doesn't know that the second has stopped the run.
+func TestThirdIncarnationRejectsStartForFirst(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartUnknown, 0) })
+	h.restartWorker("a")
+	h.advance(time.Millisecond)
+	h.answerPolls(nil)
+	h.advance(time.Millisecond)
+	for _, stop := range takeAll[jobscheduler.Stop](h) {
+		h.withScheduler(func() { h.sched.StopAnswered(stop, true, h.clock()) })
+	}
+	h.advance(time.Second)
+	h.answerPolls(nil)
+	h.restartWorker("a")
+	h.advance(time.Millisecond)
+	h.answerPolls(nil)
+	h.advance(time.Millisecond)
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Run, start.Run)
+	h.is.Equal(stops[0].Target.Born, h.bornOf("a"))
+}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -288,7 +288,9 @@
 			s.unknownFates[key.taskKey] = s.now.Add(lastPollTime)
 		}
 		s.dropRun(r)
-		s.addRun(to, r.step, key, stopping)
+		carried := s.addRun(to, r.step, key, stopping)
+		// A copy that this incarnation does not execute may reach the next one.
+		carried.unanswered, carried.copySentAt = r.unanswered, r.copySentAt
 	}
 }
 
