internal/jobscheduler: a worker that has left and is back under its id rejects late starts

Late starts were kept with the worker; one that had announced its end was removed with them, and its next incarnation was not told to reject copies that were still on their way.

Change: the late starts of a removed worker are kept by its id for as long as a copy may be executed. A restart takes the same way.

Evidence: TestWorkerThatHasLeftRejectsCopyOfStoppedRun failed before.

--- a/internal/jobscheduler/lateorder_test.go
+++ b/internal/jobscheduler/lateorder_test.go
@@ -268,6 +268,38 @@
 	h.is.True(len(takeAll[jobscheduler.Start](h)) > 0)
 }
 
+// A worker that has left and is back under its id may execute an order to its former
+// incarnation as well, though the leader had removed that one.
+func TestWorkerThatHasLeftRejectsCopyOfStoppedRun(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartUnknown, 0) })
+	h.advance(100 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Ended: []jobscheduler.EndedTask{endedTask(1, start.Task, start.Run, jobwire.Ending_ENDING_STOPPED)},
+		},
+	})
+	takeAll[jobscheduler.Start](h)
+	born := h.bornOf("a")
+	h.withScheduler(func() { h.sched.WorkerShuttingDown("a", born) })
+	h.forget("a")
+	h.advance(time.Second)
+	h.restartWorker("a")
+	h.submit("more", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	h.answerPolls(nil)
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Run, start.Run)
+}
+
 // A worker that never comes back does not keep a task waiting for ever.
 func TestUnansweredStartIsGivenUpWhenItCanNoLongerBeExecuted(t *testing.T) {
 	h := newHarness(t)
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -65,9 +65,11 @@
 	// removedWhilePolled holds incarnations of workers that have ended while a
 	// poll of them was in flight.
 	removedWhilePolled map[incarnation]*worker
-	pools              map[string]*pool
-	queues             map[string]*jobwire.Queue
-	usedByAccount      map[string]controller.Amount
+	// removedStarts holds the lateStarts of workers that were removed, by id.
+	removedStarts map[string]map[runKey]time.Time
+	pools         map[string]*pool
+	queues        map[string]*jobwire.Queue
+	usedByAccount map[string]controller.Amount
 	// Invariant: counts the runs of each task that are not known to have ended.
 	liveRuns map[taskKey]int
 	// Invariant: counts the ends of each task that are being written to the log.
@@ -183,6 +185,7 @@
 		pendingPlacements:  make(map[taskKey]*pendingPlacement),
 		crashingUntil:      make(map[string]time.Time),
 		removedWhilePolled: make(map[incarnation]*worker),
+		removedStarts:      make(map[string]map[runKey]time.Time),
 		hosts: hosts{
 			maintenances: make(map[string]*hostMaintenance),
 			moves:        make(map[string]*move),
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -244,10 +244,34 @@
 			s.unreconciled[info.GetId()] = w
 		}
 	}
+	s.rejectLateStarts(w, s.removedStarts[info.GetId()])
+	delete(s.removedStarts, info.GetId())
 	s.workers[info.GetId()] = w
 	s.markPoolDirty(info.GetPool())
 }
 
+// keepLateStarts keeps the late starts of a worker that is removed, and forgets those that
+// can no longer be executed.
+func (s *Scheduler) keepLateStarts(w *worker) {
+	maps.DeleteFunc(s.removedStarts, func(_ string, starts map[runKey]time.Time) bool {
+		maps.DeleteFunc(starts, func(_ runKey, sentAt time.Time) bool { return s.now.Sub(sentAt) > lateOrderTime })
+		return len(starts) == 0
+	})
+	if len(w.lateStarts) > 0 {
+		s.removedStarts[w.info.GetId()] = w.lateStarts
+	}
+}
+
+// rejectLateStarts has a worker reject those of the given starts that it may still
+// execute, before it gets a lease.
+func (s *Scheduler) rejectLateStarts(w *worker, starts map[runKey]time.Time) {
+	for key, sentAt := range starts {
+		if s.now.Sub(sentAt) <= lateOrderTime {
+			w.abandonedStarts[key] = time.Time{}
+		}
+	}
+}
+
 // mayBeginAfterRestart reports whether an order to start the run may still be
 // executed by a later incarnation of its worker, which has the same id.
 func (r *run) mayBeginAfterRestart() bool { return !r.begunHere || r.startAttempts > 0 }
@@ -273,11 +297,6 @@
 		"worker", to.info.GetId(), "born", to.info.GetBorn(), "former-born", from.info.GetBorn(),
 		"runs", len(from.runs), "abandoned-starts", len(from.abandonedStarts), "late-starts", len(from.lateStarts))
 	to.abandonedStarts = from.abandonedStarts
-	for key, sentAt := range from.lateStarts {
-		if s.now.Sub(sentAt) <= lateOrderTime {
-			to.abandonedStarts[key] = time.Time{}
-		}
-	}
 	for key, r := range from.runs {
 		if !r.mayBeginAfterRestart() {
 			continue
@@ -332,6 +351,7 @@
 func (s *Scheduler) removeWorker(w *worker, cause string) {
 	delete(s.workers, w.info.GetId())
 	delete(s.unreconciled, w.info.GetId())
+	s.keepLateStarts(w)
 	s.markPoolDirty(w.info.GetPool())
 	w.unresponsive = true
 	if w.pollInFlight {
