--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -358,8 +358,8 @@
 func (s *Scheduler) formerLeaseBound() time.Duration { return s.leaseBound(s.settings.Lease) }
 
 // restartedWorkerTime is how long after the start of a worker that has restarted under
-// its id it may execute orders to its former incarnation, however late they arrive and
-// however the clocks of hosts differ.
+// its id it may execute orders to its former incarnation. It is lateOrderTime, and the
+// difference between the clocks of hosts.
 const restartedWorkerTime = 20 * time.Second
 
 // leaseBoundOf returns formerLeaseBound for one worker. An order to its former
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -55,8 +55,8 @@
 	orderedAt    time.Time
 	// copySentAt is when the last copy of the order to start the run was sent.
 	copySentAt time.Time
-	// sentAt is when the last copy of the order to start the run was sent; zero when
-	// another leader has ordered it.
+	// sentAt is when the last copy was sent before the worker broke or refused the
+	// connection; zero when another leader has ordered the run.
 	sentAt time.Time
 	// brokenOff is true when the worker broke the connection soon after the order had
 	// been sent on it. Unless something else has crashed it, it has begun the run.
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -62,7 +62,8 @@
 	// none before it has confirmed that it rejects each of these runs.
 	abandonedStarts map[runKey]time.Time
 	// lateStarts holds the starts with an unanswered copy whose runs have ended here or are
-	// rejected, with the time of the last copy. A later incarnation doesn't know that.
+	// rejected, with the time of the last copy. A later incarnation doesn't know that; they
+	// become its abandonedStarts.
 	lateStarts map[runKey]time.Time
 	// lapsedRuns holds the runs that were given up with the lease since the worker last
 	// answered.
