--- a/internal/soaker/junk.go
+++ b/internal/soaker/junk.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"time"
+
+	"github.com/heathermux/heathermux/platform/standin"
 )
 
 const (
@@ -59,8 +61,8 @@
 		default:
 			address = s.machines[s.random.IntN(cores)].control()
 			body := junkHeartbeats[s.random.IntN(len(junkHeartbeats))]
-			message = fmt.Appendf(nil, "POST /-/Instances.Heartbeat/worker-%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s",
-				s.random.IntN(2*workers), len(body), body)
+			message = fmt.Appendf(nil, "POST %sworker-%d HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s",
+				standin.HeartbeatPath, s.random.IntN(2*workers), len(body), body)
 		}
 		sendBytes(address, message)
 	}
