--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -19,8 +19,10 @@
 	routeHost   = "host-1.example"
 	routePrefix = "/route1/"
 	tenantKey   = "0123456789abcdefghij"
-	// taskCPU is what each task asks for.
-	taskCPU = 1000
+	// taskCPU is what a task asks for if its spec says nothing else, taskMemMB what each
+	// asks for.
+	taskCPU   = 1000
+	taskMemMB = 100
 )
 
 const (
@@ -188,8 +190,8 @@
 		"steps": []map[string]any{
 			{
 				"count":           tasks,
-				"cpu":             taskCPU,
-				"mem_mb":          256,
+				"cpu":             plan.cpu,
+				"mem_mb":          taskMemMB,
 				"est_duration_ms": plan.duration.Milliseconds(),
 			},
 		},
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -78,21 +78,20 @@
 )
 
 // staleEvacuation has a core machine that doesn't lead stand still while the operator
-// takes an evacuation back and starts it anew. The withdrawal was sent to that machine
-// first, and to another after a second without an answer. When the machine wakes, the new
-// evacuation has to stay in force.
+// takes the evacuations of two zones back and starts them anew. The withdrawals were sent to
+// that machine first, and to another after a second without an answer. When the machine
+// wakes, the new evacuations have to stay in force.
 func staleEvacuation(ctx context.Context, d *deployment, trouble bool) (bool, error) {
 	if err := d.ready(ctx, configuration(1, newRoute("r-1", routePrefix))); err != nil {
 		return false, err
 	}
-	zone := zones[1]
 	frozen, err := d.follower(ctx)
 	if err != nil {
 		return false, err
 	}
 	sound := d.othersThan(frozen)
-	if status, _ := d.order(ctx, sound, http.MethodPost, "/-/Evacuate.Start/"+zone, nil); status != http.StatusOK {
-		return false, fmt.Errorf("the evacuation was answered %d", status)
+	if _, err := d.evacuate(ctx, sound, "Start"); err != nil {
+		return false, err
 	}
 	sleep(ctx, 6*time.Second)
 	woken := time.Now()
@@ -101,30 +100,49 @@
 		time.AfterFunc(freezeTime, func() { d.signal(frozen, syscall.SIGCONT) })
 		woken = woken.Add(freezeTime)
 	}
-	addresses := append([]string{frozen.control()}, sound...)
-	if status, _ := d.order(ctx, addresses, http.MethodPost, "/-/Evacuate.Finish/"+zone, nil); status != http.StatusOK {
-		return false, fmt.Errorf("the withdrawal was answered %d", status)
+	if _, err := d.evacuate(ctx, append([]string{frozen.control()}, sound...), "Finish"); err != nil {
+		return false, err
 	}
 	sleep(ctx, 500*time.Millisecond)
-	status, acknowledged := d.order(ctx, sound, http.MethodPost, "/-/Evacuate.Start/"+zone, nil)
-	if status != http.StatusOK {
-		return false, fmt.Errorf("the second evacuation was answered %d", status)
+	acknowledged, err := d.evacuate(ctx, sound, "Start")
+	if err != nil {
+		return false, err
 	}
 	bound := acknowledged.Add(evacuateBound)
 	if calm := woken.Add(contactBound); calm.After(bound) {
 		bound = calm
 	}
 	for time.Now().Before(bound.Add(6*time.Second)) && ctx.Err() == nil {
-		if _, err := d.submit(ctx, "ms=400", 8); err != nil {
+		if _, err := d.submit(ctx, "ms=400 cpu=8000", 8); err != nil {
 			return false, err
 		}
 		sleep(ctx, 200*time.Millisecond)
 	}
-	n := d.rec.startsIn(zone, bound)
-	d.rec.note("%d starts in %s later than %v after the acknowledged evacuation, with all machines in touch", n, zone, evacuateBound)
+	n := 0
+	for _, zone := range evacuatedZones() {
+		n += d.rec.startsIn(zone, bound)
+	}
+	d.rec.note("%d starts in %v later than %v after the acknowledged evacuations, with all machines in touch", n, evacuatedZones(), evacuateBound)
 	return n > 0, ctx.Err()
 }
 
+// evacuatedZones returns the zones that the operator evacuates: two of the three.
+func evacuatedZones() []string { return zones[1:] }
+
+// evacuate sends the start or the finish of the evacuation of each zone to the given nodes
+// in turn, and returns the time of the last acknowledgement.
+func (d *deployment) evacuate(ctx context.Context, addresses []string, call string) (time.Time, error) {
+	last := time.Now()
+	for _, zone := range evacuatedZones() {
+		status, at := d.order(ctx, addresses, http.MethodPost, "/-/Evacuate."+call+"/"+zone, nil)
+		if status != http.StatusOK {
+			return last, fmt.Errorf("Evacuate.%s of %s was answered %d", call, zone, status)
+		}
+		last = at
+	}
+	return last, nil
+}
+
 // unreadableConfig sends a configuration that can't be read in full: its text has one
 // closing brace too many. It has to be refused, and the last valid one to be read back.
 func unreadableConfig(ctx context.Context, d *deployment, trouble bool) (bool, error) {
@@ -195,3 +213,45 @@
 	}
 	return false, errors.New("the job has not ended")
 }
+
+const (
+	// manyTasks is more than twice what one answer of a minion lists of ends.
+	manyTasks = 1200
+	// manyTasksSpec gives each a small part of a minion and 2.5 s.
+	manyTasksSpec = "ms=2500 cpu=50"
+)
+
+// manyEnds has the leader killed while a job of many small tasks is at work, so that more
+// of them end before the next leader than a minion lists at once. None may run again.
+func manyEnds(ctx context.Context, d *deployment, trouble bool) (bool, error) {
+	if err := d.ready(ctx, configuration(1, newRoute("r-1", routePrefix))); err != nil {
+		return false, err
+	}
+	leader, err := d.leader(ctx)
+	if err != nil {
+		return false, err
+	}
+	id, err := d.submit(ctx, manyTasksSpec, manyTasks)
+	if err != nil {
+		return false, err
+	}
+	for len(d.rec.atWork()) < manyTasks*3/4 && ctx.Err() == nil {
+		sleep(ctx, 20*time.Millisecond)
+	}
+	if first := d.rec.atWork(); len(first) > 0 {
+		sleep(ctx, time.Until(first[0].began.Add(parsePlan(manyTasksSpec).duration-100*time.Millisecond)))
+	}
+	if trouble {
+		d.signal(leader, syscall.SIGKILL)
+	}
+	watch, cancel := context.WithTimeout(ctx, 40*time.Second)
+	defer cancel()
+	state := d.awaitState(watch, id, "completed", "failed")
+	if n := d.rec.startsAfterDone() + d.rec.overlapCount(); n > 0 {
+		return true, nil
+	}
+	if state != "completed" {
+		return false, fmt.Errorf("the job is %s", state)
+	}
+	return false, nil
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -34,6 +34,7 @@
 	"stale-evacuation":  staleEvacuation,
 	"unreadable-config": unreadableConfig,
 	"removed-route":     removedRoute,
+	"many-ends":         manyEnds,
 }
 
 func main() {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -19,11 +19,14 @@
 	maxHold = 10 * time.Second
 	// stopTime is how long a stop takes; the setting bounds.stop_ms allows more.
 	stopTime = 100 * time.Millisecond
+	// maxListedEnds is how many ends one answer to a hold lists; the others are listed
+	// after these have been taken note of.
+	maxListedEnds = 500
 	// minionTick is how often a minion looks for runs that are over.
 	minionTick = 5 * time.Millisecond
-	// minionCPU and minionMemMB are the capacity of a minion.
-	minionCPU   = 8000
-	minionMemMB = 16000
+	// minionCPU and minionMemMB are the capacity of a minion, as on the users' sites.
+	minionCPU   = 64000
+	minionMemMB = 131072
 )
 
 // minion plays one minion. It keeps a lease, rejects what the pages say that it rejects,
@@ -43,7 +46,7 @@
 	running  map[string]*activeTask
 	// barred holds the highest run that ended or was stopped, by task.
 	barred   map[string]uint64
-	finished [][]any
+	finished []*finishedTask
 	ends     int
 	seq      int
 	// heartbeatAddress is the address that the last acknowledgement named, or came from if
@@ -61,16 +64,28 @@
 	stopped bool
 }
 
+// finishedTask is the end of a run that no hold has taken note of.
+type finishedTask struct {
+	number int
+	task   string
+	noted  *taskRun
+	// lapsed is true once the lease has lapsed since.
+	lapsed bool
+}
+
 // taskPlan is what the spec of a job says of its tasks: "ms=2000 fail=1" means that each
-// takes 2 s and that its first run fails by its own fault.
+// takes 2 s and that its first run fails by its own fault, and "cpu=500" that each takes 500
+// thousandths of a core.
 type taskPlan struct {
 	duration time.Duration
 	failures int
+	cpu      int64
 }
 
 func parsePlan(spec string) taskPlan {
 	plan := taskPlan{
 		duration: time.Second,
+		cpu:      taskCPU,
 	}
 	for _, field := range strings.Fields(spec) {
 		key, value, _ := strings.Cut(field, "=")
@@ -81,6 +96,8 @@
 			plan.duration = time.Duration(n) * time.Millisecond
 		case key == "fail":
 			plan.failures = n
+		case key == "cpu":
+			plan.cpu = int64(n)
 		}
 	}
 	return plan
@@ -171,6 +188,7 @@
 	if !m.accept(o) {
 		return refusal("fence")
 	}
+	plan := parsePlan(o.Spec)
 	active, ok := m.running[o.Task]
 	used := int64(0)
 	for _, a := range m.running {
@@ -183,13 +201,12 @@
 		return refusal("late")
 	case ok || o.Run <= m.barred[o.Task]:
 		return refusal("old")
-	case used+taskCPU > minionCPU:
+	case used+plan.cpu > minionCPU:
 		return refusal("room")
 	}
-	plan := parsePlan(o.Spec)
 	started := &activeTask{
 		run:    o.Run,
-		cpu:    taskCPU,
+		cpu:    plan.cpu,
 		endsAt: time.Now().Add(plan.duration),
 		how:    "done",
 		noted: &taskRun{
@@ -226,7 +243,10 @@
 	if !m.accept(o) {
 		return refusal("fence")
 	}
-	for len(m.finished) > 0 && m.finished[0][0].(int) <= o.LastSeen {
+	for len(m.finished) > 0 && m.finished[0].number <= o.LastSeen {
+		if !m.finished[0].lapsed {
+			m.rec.tookNote(m.finished[0].noted)
+		}
 		m.finished = m.finished[1:]
 	}
 	until := time.Now().Add(time.Duration(o.WaitMS) * time.Millisecond)
@@ -239,10 +259,14 @@
 	for task, a := range m.running {
 		running = append(running, []any{task, a.run, "", 50, a.cpu})
 	}
+	finished := [][]any{}
+	for _, f := range m.finished[:min(len(m.finished), maxListedEnds)] {
+		finished = append(finished, []any{f.number, f.task, f.noted.run, f.noted.how, ""})
+	}
 	return http.StatusOK, map[string]any{
 		"born":     m.born.UnixMilli(),
 		"running":  running,
-		"finished": append([][]any{}, m.finished...),
+		"finished": finished,
 	}
 }
 
@@ -251,6 +275,11 @@
 	for ctx.Err() == nil {
 		time.Sleep(minionTick)
 		m.mu.Lock()
+		if m.deadline <= m.clock() {
+			for _, f := range m.finished {
+				f.lapsed = true
+			}
+		}
 		for task, a := range m.running {
 			switch {
 			case m.deadline <= m.clock():
@@ -268,8 +297,12 @@
 	delete(m.running, task)
 	m.barred[task] = max(m.barred[task], a.run)
 	m.ends++
-	m.finished = append(m.finished, []any{m.ends, task, a.run, how, ""})
 	m.rec.ended(a.noted, how)
+	m.finished = append(m.finished, &finishedTask{
+		number: m.ends,
+		task:   task,
+		noted:  a.noted,
+	})
 }
 
 // heartbeat returns the body of the next heartbeat.
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -30,6 +30,9 @@
 	// ended is zero while the run is at work.
 	ended time.Time
 	how   string
+	// tookNote is true once the end has been taken note of, with no lapse of the lease
+	// between the two.
+	tookNote bool
 }
 
 func newRecord(out io.Writer) *record {
@@ -75,6 +78,35 @@
 	r.write("run ends %s: task %s run %d on %s", how, run.task, run.run, run.minion)
 }
 
+// tookNote notes that the end of a run was taken note of.
+func (r *record) tookNote(run *taskRun) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.tookNote = true
+}
+
+// startsAfterDone returns how many runs have begun after another run of their task had
+// ended `done`, where that end was taken note of.
+func (r *record) startsAfterDone() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	done := make(map[string]*taskRun)
+	n := 0
+	for _, run := range r.runs {
+		if run.how == "done" && run.tookNote && done[run.task] == nil {
+			done[run.task] = run
+		}
+	}
+	for _, run := range r.runs {
+		if first := done[run.task]; first != nil && first != run && run.began.After(first.ended) {
+			n++
+			r.write("START AFTER DONE: task %s run %d on %s begins %v after run %d has ended done on %s", run.task, run.run, run.minion,
+				run.began.Sub(first.ended), first.run, first.minion)
+		}
+	}
+	return n
+}
+
 // startsOf returns how many runs of a task have begun.
 func (r *record) startsOf(task string) int {
 	r.mu.Lock()
