review/standin: minions behind a proxy, restarts under an id, killed processes come back

Change: a proxy in front of each minion, restarts of minions and of killed processes, and two scripts more.

--- a/review/standin/callers.go
+++ b/review/standin/callers.go
@@ -183,18 +183,27 @@
 
 // submit hands in a job of one step and returns its id once it is accepted.
 func (d *deployment) submit(ctx context.Context, spec string, tasks int) (string, error) {
+	return d.submitStep(ctx, spec, map[string]any{
+		"count": tasks,
+	})
+}
+
+// submitOn hands in a job of one task for the minions of a rack.
+func (d *deployment) submitOn(ctx context.Context, rack, spec string) (string, error) {
+	return d.submitStep(ctx, spec, map[string]any{
+		"count":          1,
+		"required_label": rack,
+	})
+}
+
+// submitStep hands in a job of one step, to which it adds what the spec says.
+func (d *deployment) submitStep(ctx context.Context, spec string, step map[string]any) (string, error) {
 	id := fmt.Sprintf("%016x", rand.Uint64())
 	plan := parsePlan(spec)
+	step["cpu"], step["mem_mb"], step["est_duration_ms"] = plan.cpu, taskMemMB, plan.duration.Milliseconds()
 	body, err := json.Marshal(map[string]any{
-		"spec": spec,
-		"steps": []map[string]any{
-			{
-				"count":           tasks,
-				"cpu":             plan.cpu,
-				"mem_mb":          taskMemMB,
-				"est_duration_ms": plan.duration.Milliseconds(),
-			},
-		},
+		"spec":  spec,
+		"steps": []map[string]any{step},
 	})
 	if err != nil {
 		return "", err
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -242,7 +242,7 @@
 		sleep(ctx, time.Until(first[0].began.Add(parsePlan(manyTasksSpec).duration-100*time.Millisecond)))
 	}
 	if trouble {
-		d.signal(leader, syscall.SIGKILL)
+		d.kill(leader)
 	}
 	watch, cancel := context.WithTimeout(ctx, 40*time.Second)
 	defer cancel()
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -30,6 +31,8 @@
 	program = "target/heathermux-platform"
 	// graceTime is the setting bounds.grace_s.
 	graceTime = 6 * time.Second
+	// downTime is how long a process that was killed is down.
+	downTime = 3 * time.Second
 	// readyTimeout bounds the wait for the first leader.
 	readyTimeout = 20 * time.Second
 	coreCount    = 3
@@ -49,14 +52,19 @@
 	front   *node
 	minions []*minion
 	cloud   *http.Server
+	// closing is closed when the case is over; restarts are the restarts under way.
+	closing  chan struct{}
+	restarts sync.WaitGroup
 }
 
 // node is one process of the system under test.
 type node struct {
 	name, role, ip, zone string
 
-	cmd    *exec.Cmd
-	exited chan struct{}
+	// started is true once the process has been started for the first time.
+	started bool
+	cmd     *exec.Cmd
+	exited  chan struct{}
 }
 
 func (n *node) control() string { return fmt.Sprintf("%s:%d", n.ip, controlPort) }
@@ -68,8 +76,9 @@
 		return nil, err
 	}
 	d := &deployment{
-		rec: rec,
-		dir: dir,
+		rec:     rec,
+		dir:     dir,
+		closing: make(chan struct{}),
 	}
 	if err := d.start(); err != nil {
 		d.close()
@@ -101,8 +110,8 @@
 		ip:   d.prefix + ".11",
 		zone: zones[0],
 	}
-	for _, n := range append(d.cores[:len(d.cores):len(d.cores)], d.front) {
-		if err := d.startNode(n, controls); err != nil {
+	for _, n := range d.nodes() {
+		if err := d.startNode(n); err != nil {
 			return err
 		}
 	}
@@ -116,9 +125,11 @@
 			controls: controls,
 			rec:      d.rec,
 		}
-		if err := startMinion(m); err != nil {
+		var err error
+		if m.link, err = newLink(m.address); err != nil {
 			return err
 		}
+		startMinion(m)
 		d.minions = append(d.minions, m)
 	}
 	return nil
@@ -148,11 +159,11 @@
 
 // startNode writes the settings of a process and starts it with the command of the deploy
 // file.
-func (d *deployment) startNode(n *node, seeds []string) error {
+func (d *deployment) startNode(n *node) error {
 	lines := []string{
 		"node=" + n.name, "role=" + n.role, "machine_class=" + n.role, "ip=" + n.ip, "zone=" + n.zone, "region=region-1",
 		fmt.Sprintf("internal_ports=%d,%d", internalPort, internalPort+15),
-		"seeds=" + strings.Join(seeds, ","), "bootstrap=true",
+		"seeds=" + strings.Join(d.controls(), ","), fmt.Sprintf("bootstrap=%v", !n.started),
 		"limits.cpu_share=0.56", "limits.cores=1", "limits.memory_mb=280", "limits.max_fds=4096",
 		"discovery=registry", "entry=vip", fmt.Sprintf("heartbeat_ms=%d", heartbeatInterval.Milliseconds()),
 		"fault_tolerance.machines=1", "fault_tolerance.zones=1", "fault_tolerance.regions=0",
@@ -175,7 +186,8 @@
 	if err := os.WriteFile(settings, []byte(strings.Join(lines, "\n")+"\n"), 0o600); err != nil {
 		return err
 	}
-	logFile, err := os.Create(filepath.Join(d.dir, n.name+".log"))
+	n.started = true
+	logFile, err := os.OpenFile(filepath.Join(d.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -186,11 +198,12 @@
 	if err := n.cmd.Start(); err != nil {
 		return err
 	}
-	n.exited = make(chan struct{})
-	go func() {
-		_ = n.cmd.Wait()
-		close(n.exited)
-	}()
+	exited := make(chan struct{})
+	n.exited = exited
+	go func(cmd *exec.Cmd) {
+		_ = cmd.Wait()
+		close(exited)
+	}(n.cmd)
 	d.rec.note("process started: %s as %s in %s", n.name, n.role, n.zone)
 	return nil
 }
@@ -201,6 +214,25 @@
 	_ = n.cmd.Process.Signal(s)
 }
 
+// kill kills a process and starts it again after downTime.
+func (d *deployment) kill(n *node) {
+	d.signal(n, syscall.SIGKILL)
+	d.restarts.Go(func() {
+		<-n.exited
+		select {
+		case <-d.closing:
+			return
+		case <-time.After(downTime):
+		}
+		if err := d.startNode(n); err != nil {
+			d.rec.note("%s couldn't be started again: %v", n.name, err)
+		}
+	})
+}
+
+// nodes returns all processes of the system under test.
+func (d *deployment) nodes() []*node { return append(d.cores[:len(d.cores):len(d.cores)], d.front) }
+
 // startCloud serves the platform's list of machines. All are up and in the only pool, so
 // nothing is to be ordered of it.
 func (d *deployment) startCloud() error {
@@ -247,14 +279,16 @@
 
 // close ends everything that this program has started, and removes its folder.
 func (d *deployment) close() {
-	for _, n := range append(d.cores[:len(d.cores):len(d.cores)], d.front) {
+	close(d.closing)
+	d.restarts.Wait()
+	for _, n := range d.nodes() {
 		if n == nil || n.cmd == nil || n.exited == nil {
 			continue
 		}
 		_ = n.cmd.Process.Signal(syscall.SIGCONT)
 		_ = n.cmd.Process.Signal(syscall.SIGTERM)
 	}
-	for _, n := range append(d.cores[:len(d.cores):len(d.cores)], d.front) {
+	for _, n := range d.nodes() {
 		if n == nil || n.exited == nil {
 			continue
 		}
@@ -266,7 +300,8 @@
 		}
 	}
 	for _, m := range d.minions {
-		m.close()
+		m.cancel()
+		_ = m.link.server.Close()
 	}
 	if d.cloud != nil {
 		_ = d.cloud.Close()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,8 @@
 	"unreadable-config": unreadableConfig,
 	"removed-route":     removedRoute,
 	"many-ends":         manyEnds,
+	"late-start":        lateStart,
+	"late-poll":         latePoll,
 }
 
 func main() {
--- a/review/standin/minion.go
+++ b/review/standin/minion.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,8 +36,12 @@
 	born     time.Time
 	controls []string
 	rec      *record
-	server   *http.Server
-	cancel   context.CancelFunc
+	// link is the way to the minion's address; it outlives the minion.
+	link   *link
+	mux    *http.ServeMux
+	cancel context.CancelFunc
+	// silentFor is how long after its start the minion sends its first heartbeat.
+	silentFor time.Duration
 
 	mu       sync.Mutex
 	fence    uint64
@@ -103,33 +106,52 @@
 	return plan
 }
 
-func startMinion(m *minion) error {
-	listener, err := net.Listen("tcp", m.address)
-	if err != nil {
-		return err
-	}
+// startMinion starts a minion behind its link.
+func startMinion(m *minion) {
 	m.born = time.Now()
 	m.running, m.barred = make(map[string]*activeTask), make(map[string]uint64)
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /-/run-start", m.order(m.start))
-	mux.HandleFunc("POST /-/run-stop", m.order(m.stop))
-	mux.HandleFunc("POST /-/hold", m.order(m.hold))
-	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	m.server = &http.Server{
-		Handler:           mux,
-		ReadHeaderTimeout: time.Second,
-	}
+	m.mux = http.NewServeMux()
+	m.mux.HandleFunc("POST /-/run-start", m.order(m.start))
+	m.mux.HandleFunc("POST /-/run-stop", m.order(m.stop))
+	m.mux.HandleFunc("POST /-/hold", m.order(m.hold))
+	m.mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
-	go func() { _ = m.server.Serve(listener) }()
 	go m.tick(ctx)
-	go m.sendHeartbeats(ctx)
-	return nil
+	go func() {
+		sleep(ctx, m.silentFor)
+		m.sendHeartbeats(ctx)
+	}()
+	m.link.connect(m)
 }
 
-func (m *minion) close() {
+// crash ends the minion without a word: what runs on it ends, and its address is silent.
+func (m *minion) crash() {
+	m.link.connect(nil)
 	m.cancel()
-	_ = m.server.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for task, a := range m.running {
+		delete(m.running, task)
+		m.rec.ended(a.noted, "crashed")
+	}
+}
+
+// next starts the next incarnation of a crashed minion, under its id and at its address.
+func (m *minion) next(silentFor time.Duration) *minion {
+	later := &minion{
+		id:        m.id,
+		service:   m.service,
+		zone:      m.zone,
+		rack:      m.rack,
+		address:   m.address,
+		controls:  m.controls,
+		rec:       m.rec,
+		link:      m.link,
+		silentFor: silentFor,
+	}
+	startMinion(later)
+	return later
 }
 
 // clock returns the minion's clock in milliseconds.
@@ -367,7 +389,7 @@
 // postHeartbeat reports whether a heartbeat was acknowledged within a second.
 func (m *minion) postHeartbeat(ctx context.Context, address string, body map[string]any) bool {
 	data, err := json.Marshal(body)
-	if err != nil {
+	if err != nil || m.link.isCut() {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
