--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,4 +9,4 @@
     exit 2
   fi
 done
-exec target/review-standin foreign-heartbeat review/3/record.txt
+exec target/review-standin stale-evacuation review/3/record.txt
