--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -224,13 +224,40 @@
 // manyEnds has the leader killed while a job of many small tasks is at work, so that more
 // of them end before the next leader than a minion lists at once. None may run again.
 func manyEnds(ctx context.Context, d *deployment, trouble bool) (bool, error) {
+	return d.playManyEnds(ctx, func() error {
+		leader, err := d.leader(ctx)
+		if err == nil && trouble {
+			d.kill(leader)
+		}
+		return err
+	})
+}
+
+// minionCutTime is how long a minion is cut off while its tasks end, less than its lease.
+const minionCutTime = 1500 * time.Millisecond
+
+// manyEndsCut is manyEnds with the minion cut off in place of the loss of the leader.
+func manyEndsCut(ctx context.Context, d *deployment, trouble bool) (bool, error) {
+	return d.playManyEnds(ctx, func() error {
+		m := d.minionAtWork()
+		if !trouble {
+			return nil
+		}
+		d.rec.note("minion %s is cut off", m.id)
+		m.link.setCut(true)
+		time.AfterFunc(minionCutTime, func() {
+			m.link.setCut(false)
+			d.rec.note("minion %s is reached again", m.id)
+		})
+		return nil
+	})
+}
+
+// playManyEnds runs a job of many small tasks and calls disturb shortly before they end.
+func (d *deployment) playManyEnds(ctx context.Context, disturb func() error) (bool, error) {
 	if err := d.ready(ctx, configuration(1, newRoute("r-1", routePrefix))); err != nil {
 		return false, err
 	}
-	leader, err := d.leader(ctx)
-	if err != nil {
-		return false, err
-	}
 	id, err := d.submit(ctx, manyTasksSpec, manyTasks)
 	if err != nil {
 		return false, err
@@ -241,8 +268,8 @@
 	if first := d.rec.atWork(); len(first) > 0 {
 		sleep(ctx, time.Until(first[0].began.Add(parsePlan(manyTasksSpec).duration-100*time.Millisecond)))
 	}
-	if trouble {
-		d.kill(leader)
+	if err := disturb(); err != nil {
+		return false, err
 	}
 	watch, cancel := context.WithTimeout(ctx, 40*time.Second)
 	defer cancel()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,7 @@
 	"unreadable-config": unreadableConfig,
 	"removed-route":     removedRoute,
 	"many-ends":         manyEnds,
+	"many-ends-cut":     manyEndsCut,
 	"late-start":        lateStart,
 	"late-poll":         latePoll,
 }
