jobscheduler: take over runs of a leader whose clock was ahead

Cause: a job without times was due at its time of acceptance by the clock of the leader that accepted it. To a next leader with its clock behind, the job was not open, so its runs were stopped and its tasks queued anew, without a look at live runs or at ends that were being written to the log. Scheduled occurrences shared the fault.

Change: such a job is due once it is accepted. A new leader opens what a clock 5 s ahead may have begun, or what a worker reports, and holds it until it is due here. A task with a live run or an end in writing is not queued.

--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -83,9 +83,15 @@
 // FirstOpen returns the number of the first occurrence that is not completed.
 func (j *Job) FirstOpen() int32 { return j.firstOpen }
 
-// Due returns the earliest start time of an occurrence.
+// Scheduled reports whether the job's occurrences have start times. A job without them may
+// start as soon as it is accepted.
+func (j *Job) Scheduled() bool { return j.Spec.GetRepeatCount() > 0 }
+
+// Due returns the earliest start time of an occurrence. For a job that is not scheduled it is
+// the time of acceptance by the clock of the leader that accepted it; the clock of a later
+// leader may be behind it.
 func (j *Job) Due(occurrence int32) time.Time {
-	if j.Spec.GetRepeatCount() == 0 {
+	if !j.Scheduled() {
 		return time.Unix(0, j.Spec.GetAcceptedAtUnixNanos())
 	}
 	return time.Unix(0, j.Spec.GetStartAtUnixNanos()+int64(occurrence)*j.Spec.GetIntervalNanos())
--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -78,7 +78,9 @@
 			continue
 		}
 		p := s.pool(q.GetPool())
-		p.demand.Add(s.now.Add(a.At.Sub(s.wall)), dominantShare(a.Work, s.hostCapacity(p.name)))
+		// The clock of the leader that accepted the job may have been ahead.
+		age := max(0, s.wall.Sub(a.At))
+		p.demand.Add(s.now.Add(-age), dominantShare(a.Work, s.hostCapacity(p.name)))
 	}
 }
 
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -30,7 +30,9 @@
 	machine *jobkeeper.StateMachine
 	sched   *jobscheduler.Scheduler
 	now     time.Time
-	term    uint64
+	// clockAhead is by how much the time of day of the leader is ahead of now.
+	clockAhead time.Duration
+	term       uint64
 	// orderSenders is the number of hosts that send orders to workers; 0 means
 	// one.
 	orderSenders int
@@ -100,7 +102,7 @@
 // be.
 func (h *harness) apply(cmd *jobwire.Command) {
 	h.t.Helper()
-	cmd.ProposedAtUnixNanos = h.now.UnixNano()
+	cmd.ProposedAtUnixNanos = h.wall().UnixNano()
 	data, err := proto.Marshal(cmd)
 	h.is.NoErr(err)
 	if err, failed := h.machine.Apply(data).(error); failed {
@@ -113,7 +115,7 @@
 	h.term++
 	h.actions = nil
 	h.machine.Observe(nil, func(s *jobkeeper.State) {
-		h.sched = jobscheduler.New(h.now, h.now, h.term, s, jobscheduler.Settings{
+		h.sched = jobscheduler.New(h.now, h.wall(), h.term, s, jobscheduler.Settings{
 			Lease:    lease,
 			MaxLease: maxLease,
 
@@ -172,7 +174,7 @@
 				Queue:               "q",
 				Account:             "big",
 				Steps:               steps,
-				AcceptedAtUnixNanos: h.now.UnixNano(),
+				AcceptedAtUnixNanos: h.wall().UnixNano(),
 			},
 		},
 	})
@@ -208,7 +210,7 @@
 func (h *harness) advance(d time.Duration) {
 	h.now = h.now.Add(d)
 	h.machine.View(func(*jobkeeper.State) {
-		h.sched.SetTime(h.now, h.now)
+		h.sched.SetTime(h.now, h.wall())
 		h.actions = append(h.actions, h.sched.Pass(h.now, max(h.orderSenders, 1))...)
 	})
 }
@@ -228,6 +230,9 @@
 	return taken
 }
 
+// wall returns the time of day of the leader.
+func (h *harness) wall() time.Time { return h.now.Add(h.clockAhead) }
+
 // clock returns the clock of all workers in milliseconds.
 func (h *harness) clock() int64 { return h.now.UnixMilli() }
 
@@ -246,7 +251,7 @@
 // time set, as jobcontroller does.
 func (h *harness) withScheduler(f func()) {
 	h.machine.View(func(*jobkeeper.State) {
-		h.sched.SetTime(h.now, h.now)
+		h.sched.SetTime(h.now, h.wall())
 		f()
 	})
 }
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -18,6 +18,9 @@
 // maxOpenOccurrences bounds the occurrences of one job that are open at once.
 const maxOpenOccurrences = 64
 
+// maxClockDifference bounds the difference between the times of day of two hosts.
+const maxClockDifference = 5 * time.Second
+
 // job is the scheduling state of an open job.
 type job struct {
 	id string
@@ -38,6 +41,8 @@
 	// nextOccurrence is the number of the first occurrence that has not been
 	// opened.
 	nextOccurrence int32
+	// Invariant: counts the occurrences that are held.
+	heldOccurrences int
 	// criticalPathFrom[i] is the estimated time from the start of step i to the
 	// end of the job; criticalPath is that of the whole job.
 	criticalPathFrom []time.Duration
@@ -53,6 +58,10 @@
 	// targetEnd is the time until which the end of the occurrence earns full
 	// credit.
 	targetEnd time.Time
+	// held is true while the occurrence is open although it is not due by the clock of this
+	// leader. By that of a former leader it may have been due, so that tasks may run.
+	// Invariant: no step of a held occurrence is ready.
+	held bool
 	// started is true once a task has been ordered to start.
 	started bool
 	steps   []*step
@@ -70,7 +79,8 @@
 	// waitsNearSince is when a task first had to wait for a place near its data, or the step
 	// for one near its group; zero if none had to.
 	waitsNearSince time.Time
-	// ready is true once all steps that this one depends on are done.
+	// ready is true once the occurrence is due and all steps that this one depends on are
+	// done.
 	ready bool
 	// Invariant: sorted indexes of the tasks that are not done and have no run.
 	pending []int32
@@ -131,25 +141,87 @@
 
 // openDueOccurrences opens the occurrences of a job that have become due.
 func (s *Scheduler) openDueOccurrences(j *job) {
-	for j.nextOccurrence < j.saved.Occurrences() && len(j.occurrences) < maxOpenOccurrences {
-		dueAt := j.saved.Due(j.nextOccurrence)
-		if dueAt.After(s.wall) {
-			return
+	s.releaseHeldOccurrences(j)
+	for s.canOpenNext(j) && s.isDue(j, j.nextOccurrence) {
+		s.openNextOccurrence(j)
+	}
+}
+
+// openBegunOccurrences opens the occurrences of a job that a former leader may have begun,
+// because its clock may have been ahead of the one here.
+func (s *Scheduler) openBegunOccurrences(j *job) {
+	for s.canOpenNext(j) && !j.saved.Due(j.nextOccurrence).After(s.wall.Add(maxClockDifference)) {
+		s.openNextOccurrence(j)
+	}
+}
+
+// openOccurrence opens the occurrence of a run that a worker reports, however far ahead the
+// clock was of the leader that has started it. Earlier ones were due before it.
+func (s *Scheduler) openOccurrence(k StepKey) {
+	j, ok := s.jobs[k.Job]
+	if !ok {
+		return
+	}
+	for s.canOpenNext(j) && j.nextOccurrence <= k.Occurrence {
+		s.openNextOccurrence(j)
+	}
+}
+
+// isDue reports whether the tasks of an occurrence may start now. A job that is not scheduled
+// is due once it is accepted, whatever the clock of the leader showed that accepted it.
+func (s *Scheduler) isDue(j *job, occurrence int32) bool {
+	return !j.saved.Scheduled() || !j.saved.Due(occurrence).After(s.wall)
+}
+
+func (s *Scheduler) canOpenNext(j *job) bool {
+	return j.nextOccurrence < j.saved.Occurrences() && len(j.occurrences) < maxOpenOccurrences
+}
+
+// openNextOccurrence opens the next occurrence of a job unless it is done. It is held if it
+// is not due.
+func (s *Scheduler) openNextOccurrence(j *job) {
+	if !j.saved.OccurrenceDone(j.nextOccurrence) {
+		o := s.newOccurrence(j, j.nextOccurrence)
+		j.occurrences = append(j.occurrences, o)
+		j.pool.dirty = true
+		if o.held {
+			j.heldOccurrences++
 		}
-		if !j.saved.OccurrenceDone(j.nextOccurrence) {
-			j.occurrences = append(j.occurrences, s.newOccurrence(j, j.nextOccurrence, dueAt))
-			j.pool.dirty = true
+	}
+	j.nextOccurrence++
+}
+
+// releaseHeldOccurrences lets the tasks of held occurrences start that have become due.
+func (s *Scheduler) releaseHeldOccurrences(j *job) {
+	if j.heldOccurrences == 0 {
+		return
+	}
+	j.heldOccurrences = 0
+	for _, o := range j.occurrences {
+		if !o.held {
+			continue
 		}
-		j.nextOccurrence++
+		if !s.isDue(j, o.number) {
+			j.heldOccurrences++
+			continue
+		}
+		o.held = false
+		o.markReadySteps()
+		j.pool.dirty = true
 	}
 }
 
-func (s *Scheduler) newOccurrence(j *job, number int32, dueAt time.Time) *occurrence {
+func (s *Scheduler) newOccurrence(j *job, number int32) *occurrence {
 	q := s.queues[j.saved.Spec.GetQueue()]
+	dueAt := j.saved.Due(number)
+	if !j.saved.Scheduled() && dueAt.After(s.wall) {
+		dueAt = s.wall
+	}
 	o := &occurrence{
 		job:    j,
 		number: number,
 		dueAt:  dueAt,
+		held:   !s.isDue(j, number),
 	}
 	o.targetEnd = dueAt.Add(time.Duration(q.GetStretch()*float64(j.criticalPath)) + time.Duration(q.GetTargetNanos()))
 	for i, spec := range j.saved.Spec.GetSteps() {
@@ -173,15 +245,26 @@
 		runsPerWorker: make(map[string]int),
 	}
 	for i := range spec.GetTasks() {
-		if !o.job.saved.Task(st.key(i).task()).Done {
+		// A former leader may have started the task before the occurrence was opened here.
+		if !o.job.saved.Task(st.key(i).task()).Done && !s.mayHaveRun(st.key(i)) {
 			st.pending = append(st.pending, i)
 		}
 	}
 	return st
 }
 
-// markReadySteps marks the steps whose dependencies are all done.
+// mayHaveRun reports whether a task has a live run, or an end that is being written to the
+// log and may say that it is done.
+func (s *Scheduler) mayHaveRun(key taskKey) bool {
+	return s.liveRuns[key] > 0 || s.unrecordedEnds[key] > 0
+}
+
+// markReadySteps marks the steps whose dependencies are all done, unless the occurrence is
+// held.
 func (o *occurrence) markReadySteps() {
+	if o.held {
+		return
+	}
 	for _, st := range o.steps {
 		if st.ready {
 			continue
@@ -331,7 +414,7 @@
 // requeueIfNotRunning requeues a task once it has no live run and none of its
 // ends is being written to the log.
 func (s *Scheduler) requeueIfNotRunning(key taskKey) {
-	if s.liveRuns[key] > 0 || s.unrecordedEnds[key] > 0 {
+	if s.mayHaveRun(key) {
 		return
 	}
 	if st := s.findTaskStep(key); st != nil {
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -278,6 +278,7 @@
 // adoptRun takes over a run that a former leader or a delayed order has started,
 // or stops it when its task needs no run.
 func (s *Scheduler) adoptRun(w *worker, key runKey) *run {
+	s.openOccurrence(key.StepKey)
 	st := s.findTaskStep(key.taskKey)
 	wanted := st != nil && s.liveRuns[key.taskKey] == 0 && s.unreconciled[w.info.GetId()] == w &&
 		!st.occurrence.job.saved.Task(key.task()).Done
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -235,6 +235,7 @@
 		if j.Open() {
 			added := s.addJob(j)
 			added.acceptedBeforeTerm = true
+			s.openBegunOccurrences(added)
 			s.restorePlacements(added)
 		} else if wall.Sub(j.EndedAt) < stoppedJobSettleTime {
 			s.noteStoppedJob(j)
@@ -298,12 +299,12 @@
 }
 
 // unplacedRequest returns the sum of the requests of all tasks that may have begun
-// and have no known run.
+// and have no known run. Any task of a held occurrence may have begun under a former leader.
 func (j *job) unplacedRequest() controller.Amount {
 	var sum controller.Amount
 	for _, o := range j.occurrences {
 		for _, st := range o.steps {
-			if !st.ready {
+			if !st.ready && !o.held {
 				continue
 			}
 			for range st.pending {
