jobscheduler: a full list of ends may be incomplete

Cause: a worker lists at most 500 ends at once, and the leader took the first list for complete. Change: an answer says whether ends may be missing; until they have followed, the worker stays unreconciled, none of its runs counts as lost, and its host is not idle.

--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -291,7 +291,7 @@
 			continue
 		case known && s.schedulable(w):
 			view.Hosts++
-			if len(w.runs) == 0 && !w.recordInFlight && w.reservation == nil && s.mayOrder(name) {
+			if len(w.runs) == 0 && !w.recordInFlight && !w.moreEnds && w.reservation == nil && s.mayOrder(name) {
 				idle = append(idle, h)
 			}
 		case !known:
--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -22,6 +23,9 @@
 	modelOrderTimeout = 500 * time.Millisecond
 	// modelStopTime is how long a worker takes to end a run.
 	modelStopTime = 200 * time.Millisecond
+	// modelMaxEnds is how many ends a modelWorker lists at once. It is small, so that lists
+	// often leave ends out.
+	modelMaxEnds = 1
 )
 
 // modelRun is a run in progress on a modelWorker.
@@ -32,6 +36,18 @@
 	ending jobwire.Ending
 }
 
+// modelDoneEnd is the end of a task as done, by which it must not start again once the end has
+// been acknowledged within the lease of its worker.
+type modelDoneEnd struct {
+	worker *modelWorker
+	born   time.Time
+	number uint64
+	// acknowledged is true once a poll has acknowledged the end.
+	acknowledged bool
+	// startedAgain describes the first later start; empty while there was none.
+	startedAgain string
+}
+
 // modelWorker executes orders as a worker does: it obeys the highest fence, runs
 // tasks until its longest lease has ended, and rejects runs that it has ended or
 // stopped.
@@ -111,6 +127,9 @@
 	crashed string
 	// twice describes the first double run; empty while there was none.
 	twice string
+	// doneEnds holds the ends as done that a worker has reached within its lease, by task; nil
+	// when a start after such an end is not looked for.
+	doneEnds map[string]*modelDoneEnd
 	// history holds what happened, for the message of a failure: the order in which
 	// the scheduler walks its maps differs between runs of one seed.
 	history []string
@@ -192,6 +211,40 @@
 		w.closed[name] = max(w.closed[name], r.number)
 		w.lastEnd++
 		w.ended = append(w.ended, endedTask(w.lastEnd, r.task, r.number, r.ending))
+		if r.ending == jobwire.Ending_ENDING_DONE && m.doneEnds != nil {
+			m.doneEnds[name] = &modelDoneEnd{
+				worker: w,
+				born:   w.born,
+				number: w.lastEnd,
+			}
+		}
+	}
+	if m.clockOf(w) > w.deadline {
+		maps.DeleteFunc(m.doneEnds, func(_ string, d *modelDoneEnd) bool { return d.worker == w && !d.acknowledged })
+	}
+}
+
+// noteStartAfterEnd notes the start of a task that may have ended as done.
+func (m *model) noteStartAfterEnd(name string, run uint64, on *modelWorker) {
+	if d, ok := m.doneEnds[name]; ok && d.startedAgain == "" {
+		d.startedAgain = fmt.Sprintf("after %v: run %d starts on %s", m.now.Sub(m.start), run, on.id)
+		m.checkDoneEnd(name, d)
+	}
+}
+
+// noteAcknowledged notes that the ends of a worker up to a number have been acknowledged.
+func (m *model) noteAcknowledged(w *modelWorker, upTo uint64) {
+	for name, d := range m.doneEnds {
+		if d.worker == w && d.born == w.born && d.number <= upTo {
+			d.acknowledged = true
+			m.checkDoneEnd(name, d)
+		}
+	}
+}
+
+func (m *model) checkDoneEnd(name string, d *modelDoneEnd) {
+	if d.acknowledged && d.startedAgain != "" && m.twice == "" {
+		m.twice = fmt.Sprintf("%s is done, and that was acknowledged: %s\n%s", name, d.startedAgain, m.historyOf(name+" ", "leader"))
 	}
 }
 
@@ -225,7 +278,7 @@
 	born := w.born
 	fate := m.fate(w)
 	delay := m.between(time.Millisecond, 20*time.Millisecond)
-	if m.down(w) {
+	if m.down(w) || m.doneEnds != nil && target.Born != born.UnixMilli() {
 		// A process that has ended refuses connections at once, whatever the network loses.
 		m.after(delay, func() { report(undelivered) })
 		return
@@ -316,6 +369,7 @@
 		ending = jobwire.Ending_ENDING_FAILED
 	}
 	m.note("%s run %d begins on %s", name, a.Run, w.id)
+	m.noteStartAfterEnd(name, a.Run, w)
 	r := &modelRun{
 		task:   a.Task,
 		number: a.Run,
@@ -360,11 +414,13 @@
 	}
 	w.fence = term
 	m.extend(w, a.Deadline)
+	m.noteAcknowledged(w, a.LastRecordedEnd)
 	w.ended = slices.DeleteFunc(w.ended, func(e jobscheduler.EndedTask) bool { return e.Number <= a.LastRecordedEnd })
 	answer := jobscheduler.PollAnswer{
 		Clock: m.clockOf(w),
-		Ended: slices.Clone(w.ended),
+		Ended: slices.Clone(w.ended[:min(len(w.ended), modelMaxEnds)]),
 	}
+	answer.MoreEnds = len(answer.Ended) == modelMaxEnds
 	for _, r := range w.runs {
 		answer.Running = append(answer.Running, runningTask(r.task, r.number))
 	}
@@ -523,6 +579,7 @@
 
 // changeLeader begins new terms at random times.
 func (m *model) changeLeader() {
+	m.clockAhead = m.between(-2*time.Second, 2*time.Second)
 	m.startTerm()
 	m.leaderSince = m.now
 	m.note("a leader begins term %d", m.term)
@@ -651,3 +708,20 @@
 		})
 	}
 }
+
+// A task that is done may not start again once its end has been acknowledged, although workers
+// list their ends in parts and each leader has another time of day. Orders to a former
+// incarnation of a worker don't reach the next one here: they can prolong its lease unknown to
+// the leader, which TestLatePollToFormerIncarnationProlongsLease shows.
+func TestDoneTaskIsNotStartedAgain(t *testing.T) {
+	for seed := range uint64(60) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			m := newModel(t, seed)
+			m.doneEnds = make(map[string]*modelDoneEnd)
+			if twice := m.play(60 * time.Second); twice != "" {
+				t.Error(twice)
+			}
+		})
+	}
+}
--- a/internal/jobscheduler/maintenance.go
+++ b/internal/jobscheduler/maintenance.go
@@ -266,7 +266,7 @@
 		return blocker == ""
 	case MoveHost:
 		m, ok := s.hosts.moves[a.Host]
-		return ok && m.orderInFlight && s.sameWorker(a.Host, m.worker, m.worker == nil) && (m.worker == nil || len(m.worker.runs) == 0)
+		return ok && m.orderInFlight && s.sameWorker(a.Host, m.worker, m.worker == nil) && (m.worker == nil || len(m.worker.runs) == 0 && !m.worker.moreEnds)
 	}
 	return false
 }
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -46,6 +46,9 @@
 	SentAt  time.Time
 	Running []RunningTask
 	Ended   []EndedTask
+	// MoreEnds is true when Ended is as long as such a list can be, so that ends may be
+	// missing in it. They follow once these have been acknowledged.
+	MoreEnds bool
 }
 
 // RunningTask is a run that is in progress on a worker.
@@ -109,6 +112,18 @@
 	s.lapsedRunsSettled(w)
 	s.handleEnds(w, answer.Ended)
 	s.reconcile(w, answer)
+	s.reconciledBy(w, answer)
+	if w.info.GetLapsed() {
+		s.markLapsed(w, false)
+	}
+	s.schedulePoll(w)
+}
+
+// reconciledBy notes that the worker has reported its runs to this leader. It stays among
+// the unreconciled ones while its list of ends may be incomplete: a task that seems never to
+// have run may be done.
+func (s *Scheduler) reconciledBy(w *worker, answer PollAnswer) {
+	w.moreEnds = answer.MoreEnds
 	if !w.reconciled {
 		w.reconciled = true
 		// The runs that it reports may be under a lease of the former leader.
@@ -117,13 +132,17 @@
 				w.leaseEnd = end
 			}
 		}
-		delete(s.unreconciled, w.info.GetId())
 		s.markPoolDirty(w.info.GetPool())
 	}
-	if w.info.GetLapsed() {
-		s.markLapsed(w, false)
+	if w.moreEnds {
+		s.logger.Info("scheduler: worker has listed as many ends as a list can hold; its runs are not known until it has listed the rest",
+			"worker", w.info.GetId(), "ends", len(answer.Ended), "runs", len(w.runs))
+		return
+	}
+	if s.unreconciled[w.info.GetId()] == w {
+		delete(s.unreconciled, w.info.GetId())
+		s.markPoolDirty(w.info.GetPool())
 	}
-	s.schedulePoll(w)
 }
 
 func (s *Scheduler) pollFailed(w *worker, answer PollAnswer) {
@@ -147,7 +166,7 @@
 // schedulePoll sets the time of the next poll. Ends are recorded before it,
 // because the worker lists them until a poll acknowledges them.
 func (s *Scheduler) schedulePoll(w *worker) {
-	if len(w.runs) > 0 {
+	if len(w.runs) > 0 || w.moreEnds {
 		w.nextPollAt = s.now.Add(s.minPollInterval())
 		return
 	}
@@ -254,6 +273,10 @@
 		}
 		s.updateRun(r, t)
 	}
+	if answer.MoreEnds {
+		// A run in neither list may be among the ends that are missing.
+		return
+	}
 	for key, r := range w.runs {
 		if !listed[key] && !r.confirmedAt.IsZero() && r.confirmedAt.Before(answer.SentAt) {
 			s.markRunLost(r, "the worker does not report it")
@@ -344,9 +367,14 @@
 		s.sendPoll(w, contact)
 	}
 	for id, w := range s.unreconciled {
-		if s.now.After(w.reconcileBy) {
+		switch {
+		case !s.now.After(w.reconcileBy):
+		case !w.reconciled:
 			s.markLapsed(w, true)
 			delete(s.unreconciled, id)
+		case w.unresponsive && s.now.After(w.leaseEnd):
+			// It has listed a part of its ends and went silent.
+			delete(s.unreconciled, id)
 		}
 	}
 	if len(s.unreconciled) == 0 && !s.allReconciled {
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -46,7 +46,7 @@
 	state     *jobkeeper.State
 	term      uint64
 	termStart time.Time
-	// unreconciled holds the workers whose runs this leader does not know yet,
+	// unreconciled holds the workers whose runs or ends this leader does not all know yet,
 	// without those that are lapsed (see recordLapsed). Jobs of their pools that
 	// were accepted before this term wait until each of these workers has answered
 	// a poll or has ended, or until the leases of the former leader have ended.
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -111,6 +111,8 @@
 	// acknowledgedEnd is the number of the last end that an answered poll has acknowledged.
 	acknowledgedEnd uint64
 	recordInFlight  bool
+	// moreEnds is PollAnswer.MoreEnds of the last answer.
+	moreEnds bool
 	pollInFlight    bool
 	nextPollAt      time.Time
 	pollSentAt      time.Time
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -102,6 +102,7 @@
 				},
 			},
 		},
+		MoreEnds: true,
 	}
 }
 
@@ -380,6 +381,7 @@
 				is.Equal(a.Poll.Running[0].Figure, int64(300))
 				is.Equal(a.Poll.Ended[0].Number, uint64(3))
 				is.Equal(a.Poll.Ended[0].End.GetEnding(), jobwire.Ending_ENDING_FAILED)
+				is.True(a.Poll.MoreEnds)
 			},
 		},
 	}
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -106,6 +106,7 @@
 		Cause:     a.Poll.Cause,
 
 		Disconnected: a.Poll.Disconnected,
+		MoreEnds:     a.Poll.MoreEnds,
 	}
 	for _, t := range a.Poll.Running {
 		message.Look.Running = append(message.Look.Running, &jobwire.RunningTask{
@@ -145,6 +146,7 @@
 		Cause:     look.GetCause(),
 
 		Disconnected: look.GetDisconnected(),
+		MoreEnds:     look.GetMoreEnds(),
 		Clock:        message.GetClockMillis(),
 		SentAt:       sentAt,
 	}
