jobgateway: bind evacuation orders to the revision that they were read at

Cause: evacuation orders have no version, so the last one to be applied wins. Change: each data centre has a revision in the replicated state. The gateway reads it while the caller still waits and binds the order to it; an outdated entry has no effect.

--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -25,11 +25,9 @@
 	case *jobwire.ControlRequest_Read:
 		return c.readConfiguration()
 	case *jobwire.ControlRequest_Evacuate:
-		return c.submitChange(ctx, &jobwire.Command{
-			Change: &jobwire.Command_Evacuate{
-				Evacuate: call.Evacuate,
-			},
-		})
+		return c.evacuate(ctx, call.Evacuate)
+	case *jobwire.ControlRequest_ReadEvacuation:
+		return c.readEvacuation(call.ReadEvacuation.GetDataCentre())
 	case *jobwire.ControlRequest_Wave:
 		return c.submitChange(ctx, &jobwire.Command{
 			Change: &jobwire.Command_Wave{
@@ -108,6 +106,36 @@
 	return resp
 }
 
+// evacuate starts or finishes the evacuation of a data centre. An order that another one has
+// overtaken is not carried out; whoever still wants it sends it again.
+func (c *Controller) evacuate(ctx context.Context, order *jobwire.Evacuation) *jobwire.ControlResponse {
+	result, err := c.submit(ctx, &jobwire.Command{
+		Change: &jobwire.Command_Evacuate{
+			Evacuate: order,
+		},
+	})
+	if err != nil {
+		return controlError(err)
+	}
+	r, ok := result.(jobkeeper.EvacuateResult)
+	superseded := ok && r.Superseded
+	c.opts.Logger.Info("conductor: evacuation order applied", "data-centre", order.GetDataCentre(), "finish", order.GetFinish(),
+		"expected-revision", order.GetExpectedRevision(), "superseded", superseded)
+	if superseded {
+		return &jobwire.ControlResponse{
+			Outcome: jobwire.Outcome_OUTCOME_UNAVAILABLE,
+			Reason:  "another evacuation order for the data centre has taken effect since this one arrived",
+		}
+	}
+	return okResponse()
+}
+
+func (c *Controller) readEvacuation(dataCentre string) *jobwire.ControlResponse {
+	resp := okResponse()
+	c.opts.StateMachine.View(func(s *jobkeeper.State) { resp.EvacuationRevision = s.EvacuationRevisions[dataCentre] })
+	return resp
+}
+
 func (c *Controller) readWave(id string) *jobwire.ControlResponse {
 	resp := okResponse()
 	c.opts.StateMachine.View(func(s *jobkeeper.State) {
--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -535,6 +535,34 @@
 	s.is.Equal(string(resp.GetDocument()), "5")
 }
 
+// An evacuation order that another one has overtaken must not be acknowledged: its caller may
+// still want it, and then has to send it again.
+func TestSupersededEvacuationOrderIsNotAcknowledged(t *testing.T) {
+	s := newHarness(t)
+	evacuate := func(finish bool, revision uint64) jobwire.Outcome {
+		return s.controller.Control(context.Background(), &jobwire.ControlRequest{
+			Call: &jobwire.ControlRequest_Evacuate{
+				Evacuate: &jobwire.Evacuation{
+					DataCentre:       "dc",
+					Finish:           finish,
+					ExpectedRevision: proto.Uint64(revision),
+				},
+			},
+		}).GetOutcome()
+	}
+	s.is.Equal(evacuate(false, 0), jobwire.Outcome_OUTCOME_OK)
+	s.is.Equal(evacuate(true, 0), jobwire.Outcome_OUTCOME_UNAVAILABLE)
+	resp := s.controller.Control(context.Background(), &jobwire.ControlRequest{
+		Call: &jobwire.ControlRequest_ReadEvacuation{
+			ReadEvacuation: &jobwire.ReadEvacuation{
+				DataCentre: "dc",
+			},
+		},
+	})
+	s.is.Equal(resp.GetEvacuationRevision(), uint64(1))
+	s.is.Equal(evacuate(true, 1), jobwire.Outcome_OUTCOME_OK)
+}
+
 // A delayed heartbeat must not bring back a worker whose address another worker
 // has taken over.
 func TestDelayedHeartbeatIsIgnored(t *testing.T) {
--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -65,6 +65,8 @@
 	// ReadFromFollowers makes reads of a job's state go to hosts that do not lead; the leader
 	// answers what they can't.
 	ReadFromFollowers bool
+	// Pauses tells whether this process has stood still; only Evacuate needs it.
+	Pauses PauseDetector
 }
 
 // Gateway forwards calls to the leader and keeps track of which host that is. It is
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -21,6 +21,8 @@
 	snapshot := &jobwire.FleetState{
 		Configuration: s.Configuration,
 		Evacuated:     slices.Sorted(maps.Keys(s.Evacuated)),
+
+		EvacuationRevisions: s.encodeEvacuationRevisions(),
 	}
 	for _, id := range s.endedIDs {
 		snapshot.Jobs = append(snapshot.Jobs, s.Jobs[id].encode())
@@ -58,6 +60,9 @@
 	for _, dataCentre := range snapshot.GetEvacuated() {
 		s.Evacuated[dataCentre] = true
 	}
+	for _, r := range snapshot.GetEvacuationRevisions() {
+		s.EvacuationRevisions[r.GetDataCentre()] = r.GetRevision()
+	}
 	for _, r := range snapshot.GetJobs() {
 		j, err := decodeJob(r)
 		if err != nil {
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -58,6 +58,8 @@
 	Configuration *jobwire.Configuration
 	// Evacuated holds the data centres that are out of service.
 	Evacuated map[string]bool
+	// EvacuationRevisions counts the evacuation orders that took effect, by data centre.
+	EvacuationRevisions map[string]uint64
 	// Jobs holds the jobs by ID: open ones, ended ones for endedJobRetention, and
 	// placeholders for jobs that were cancelled before their submission arrived.
 	Jobs map[string]*Job
@@ -106,6 +108,9 @@
 		workerOrders:     make(map[string]workerOrder),
 		HostOrdersSince:  now,
 		Evacuated:        make(map[string]bool),
+
+		EvacuationRevisions: make(map[string]uint64),
+
 		Jobs:             make(map[string]*Job),
 		Workers:          make(map[string]*jobwire.Worker),
 		Waves:            make(map[string]*jobwire.Wave),
@@ -137,7 +142,8 @@
 }
 
 // Apply executes one log entry and returns its result, as voter.StateMachine
-// requires: nil, a CancelResult, or an error for an entry that can't be executed.
+// requires: nil, a CancelResult, an EvacuateResult, or an error for an entry that can't be
+// executed.
 func (m *StateMachine) Apply(data []byte) any {
 	cmd := &jobwire.Command{}
 	if err := proto.Unmarshal(data, cmd); err != nil {
@@ -295,16 +301,6 @@
 	return nil
 }
 
-func (m *StateMachine) evacuate(e *jobwire.Evacuation) any {
-	if e.GetFinish() {
-		delete(m.state.Evacuated, e.GetDataCentre())
-	} else {
-		m.state.Evacuated[e.GetDataCentre()] = true
-	}
-	m.notifyFleetChanged()
-	return nil
-}
-
 func (m *StateMachine) startWave(w *jobwire.Wave) any {
 	if _, ok := m.state.Waves[w.GetId()]; !ok {
 		m.state.Waves[w.GetId()] = w
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -112,10 +112,10 @@
 	acknowledgedEnd uint64
 	recordInFlight  bool
 	// moreEnds is PollAnswer.MoreEnds of the last answer.
-	moreEnds bool
-	pollInFlight    bool
-	nextPollAt      time.Time
-	pollSentAt      time.Time
+	moreEnds     bool
+	pollInFlight bool
+	nextPollAt   time.Time
+	pollSentAt   time.Time
 
 	consecutiveFailures int
 	quarantineBackoff   int
