jobcontroller: a heartbeat that claims an address ends no worker

Cause: the claim counted as proof that the worker at the address had ended, and pools that no configuration names were accepted. Change: such a pool adds no worker; a claim removes none, the first answer from the address does; a heartbeat under a known id and start with another pool, address or data centre is ignored and its sequence number not noted.

--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -156,10 +156,20 @@
 	if !c.isNewest(r) {
 		return okResponse()
 	}
-	var commands []*jobwire.Command
-	c.opts.StateMachine.View(func(s *jobkeeper.State) { commands = c.workerChanges(s, r) })
-	for _, cmd := range commands {
-		if resp := c.submitChange(ctx, cmd); resp.GetOutcome() != jobwire.Outcome_OUTCOME_OK {
+	var foreign string
+	var change *jobwire.Command
+	c.opts.StateMachine.View(func(s *jobkeeper.State) {
+		if foreign = foreignReason(s, r.GetWorker()); foreign == "" {
+			change = c.workerChange(s, r)
+		}
+	})
+	if foreign != "" {
+		c.opts.Logger.Info("conductor: heartbeat ignored", "worker", r.GetWorker().GetId(), "born", r.GetWorker().GetBorn(),
+			"pool", r.GetWorker().GetPool(), "address", r.GetWorker().GetAddress(), "reason", foreign)
+		return okResponse()
+	}
+	if change != nil {
+		if resp := c.submitChange(ctx, change); resp.GetOutcome() != jobwire.Outcome_OUTCOME_OK {
 			return resp
 		}
 	}
@@ -214,24 +224,36 @@
 // minPrunedSequences keeps a small fleet from pruning at each heartbeat.
 const minPrunedSequences = 64
 
-// workerChanges returns the changes that a heartbeat makes to the known
-// workers. A delayed heartbeat makes none: a later incarnation already has its
-// ID or address.
-func (c *Controller) workerChanges(s *jobkeeper.State, r *jobwire.WorkerReport) []*jobwire.Command {
+// foreignReason returns why a heartbeat can't come from a worker of this fleet, or an empty
+// text. What a process can't change tells a heartbeat of another writer from its own. A pool
+// may be dropped from the configuration while its workers are up.
+func foreignReason(s *jobkeeper.State, w *jobwire.Worker) string {
+	known, ok := s.Workers[w.GetId()]
+	switch {
+	case ok && known.GetBorn() == w.GetBorn():
+		if known.GetPool() != w.GetPool() || known.GetAddress() != w.GetAddress() || known.GetDataCentre() != w.GetDataCentre() {
+			return "the same process has another pool, address or data centre"
+		}
+	case s.Configuration != nil && !s.HasPool(w.GetPool()):
+		return "the configuration has no such pool"
+	}
+	return ""
+}
+
+// workerChange returns the change that a heartbeat makes to the known workers, or nil. A
+// delayed heartbeat makes none: a later incarnation already has its ID or address. A worker
+// that is known at the address stays: that another one claims the address does not prove that
+// it has ended. The polls of both tell who has it.
+func (c *Controller) workerChange(s *jobkeeper.State, r *jobwire.WorkerReport) *jobwire.Command {
 	w := r.GetWorker()
 	known, ok := s.Workers[w.GetId()]
 	if ok && known.GetBorn() > w.GetBorn() {
 		return nil
 	}
-	var commands []*jobwire.Command
 	for _, other := range s.WorkersAt(w.GetAddress()) {
-		if other.GetId() == w.GetId() {
-			continue
-		}
-		if other.GetBorn() > w.GetBorn() {
+		if other.GetId() != w.GetId() && other.GetBorn() > w.GetBorn() {
 			return nil
 		}
-		commands = append(commands, forgetCommand(other.GetId(), other.GetBorn()))
 	}
 	if ok && known.GetBorn() == w.GetBorn() {
 		w.Lapsed, w.Restarted = known.GetLapsed(), known.GetRestarted()
@@ -239,17 +261,17 @@
 		w.Draining = w.GetDraining() || known.GetDraining()
 		w.Sequence = known.GetSequence()
 		if proto.Equal(known, w) {
-			return commands
+			return nil
 		}
 	}
 	w.Sequence = r.GetSequence()
 	c.opts.Logger.Info("conductor: worker registered or changed", "worker", w.GetId(), "born", w.GetBorn(), "pool", w.GetPool(),
 		"address", w.GetAddress(), "data-centre", w.GetDataCentre(), "draining", w.GetDraining(), "known", ok)
-	return append(commands, &jobwire.Command{
+	return &jobwire.Command{
 		Change: &jobwire.Command_Worker{
 			Worker: w,
 		},
-	})
+	}
 }
 
 func forgetCommand(id string, born int64) *jobwire.Command {
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -104,10 +104,10 @@
 
 func newState(now time.Time) State {
 	return State{
-		HostOrders:       make(map[string]HostOrder),
-		workerOrders:     make(map[string]workerOrder),
-		HostOrdersSince:  now,
-		Evacuated:        make(map[string]bool),
+		HostOrders:      make(map[string]HostOrder),
+		workerOrders:    make(map[string]workerOrder),
+		HostOrdersSince: now,
+		Evacuated:       make(map[string]bool),
 
 		EvacuationRevisions: make(map[string]uint64),
 
@@ -276,6 +276,11 @@
 // nil.
 func (s *State) Queue(name string) *jobwire.Queue { return s.queues[name] }
 
+// HasPool reports whether the configuration in force has a pool with the given name.
+func (s *State) HasPool(name string) bool {
+	return slices.ContainsFunc(s.Configuration.GetPools(), func(p *jobwire.Pool) bool { return p.GetName() == name })
+}
+
 // setQueues rebuilds the index of queues by name.
 func (s *State) setQueues(c *jobwire.Configuration) {
 	s.queues = make(map[string]*jobwire.Queue, len(c.GetQueues()))
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -126,6 +126,7 @@
 	w.moreEnds = answer.MoreEnds
 	if !w.reconciled {
 		w.reconciled = true
+		s.endFormerWorkersAt(w)
 		// The runs that it reports may be under a lease of the former leader.
 		for _, end := range []time.Time{s.termStart.Add(s.formerLeaseBound()), w.reconcileBy} {
 			if end.After(w.leaseEnd) {
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -339,13 +339,27 @@
 
 func (s *Scheduler) markPoolDirty(name string) { s.pool(name).dirty = true }
 
+// endFormerWorkersAt removes the workers that had the address of a worker that has answered
+// from it. A heartbeat that claims the address of another worker is no proof that this one has
+// ended, since it may be false; the answer is.
+func (s *Scheduler) endFormerWorkersAt(w *worker) {
+	for _, info := range s.state.WorkersAt(w.info.GetAddress()) {
+		former, ok := s.workers[info.GetId()]
+		if !ok || former == w || info.GetBorn() >= w.info.GetBorn() {
+			continue
+		}
+		s.workerEnded(former, "another worker has answered at its address")
+		s.forgetWorker(former)
+	}
+}
+
 // WorkerForgotten implements jobkeeper.Observer.
 func (s *Scheduler) WorkerForgotten(info *jobwire.Worker) {
 	w, ok := s.workers[info.GetId()]
 	if !ok || w.info.GetBorn() != info.GetBorn() {
 		return
 	}
-	s.workerEnded(w, "another worker has sent a heartbeat from its address")
+	s.workerEnded(w, "the worker was removed from the replicated state")
 	s.removeWorker(w, "the worker was removed from the replicated state")
 }
 
