jobkeeper: check what a heartbeat says of a worker

Reported by operators of similar systems: one odd entry among those of the workers (deeply nested, a number too large, a port out of range) ended the processes that read it, or they stopped following the list. Here no process ends: deep nesting and numbers beyond their type were refused already. But a port of 99999, a capacity below zero or beyond a machine and a memory whose bytes overflow were taken for a worker; and a start in the far future or the highest sequence number under a worker's id made its own heartbeats count as delayed ones.

Change: a report is checked once, in jobkeeper, before it counts as the newest.

--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -153,6 +153,9 @@
 // that it reports are in the log, so that a draining worker gets no new task. Until
 // then it does not count as seen, and a repetition is handled again.
 func (c *Controller) report(ctx context.Context, r *jobwire.WorkerReport) *jobwire.ControlResponse {
+	if err := jobkeeper.CheckReport(r, time.Now()); err != nil {
+		return c.ignoreReport(r, err.Error())
+	}
 	if !c.isNewest(r) {
 		return okResponse()
 	}
@@ -164,9 +167,7 @@
 		}
 	})
 	if foreign != "" {
-		c.opts.Logger.Info("conductor: heartbeat ignored", "worker", r.GetWorker().GetId(), "born", r.GetWorker().GetBorn(),
-			"pool", r.GetWorker().GetPool(), "address", r.GetWorker().GetAddress(), "reason", foreign)
-		return okResponse()
+		return c.ignoreReport(r, foreign)
 	}
 	if change != nil {
 		if resp := c.submitChange(ctx, change); resp.GetOutcome() != jobwire.Outcome_OUTCOME_OK {
@@ -184,6 +185,15 @@
 	return okResponse()
 }
 
+// ignoreReport acknowledges a heartbeat that names no worker to use, so that its sender does
+// not try the next host. It changes nothing, not even which heartbeat counts as the newest.
+func (c *Controller) ignoreReport(r *jobwire.WorkerReport, reason string) *jobwire.ControlResponse {
+	w := r.GetWorker()
+	c.opts.Logger.Info("conductor: heartbeat ignored", "worker", w.GetId(), "born", w.GetBorn(), "pool", w.GetPool(),
+		"address", w.GetAddress(), "reason", reason)
+	return okResponse()
+}
+
 func sequenceOf(r *jobwire.WorkerReport) heartbeatSequence {
 	return heartbeatSequence{
 		born:   r.GetWorker().GetBorn(),
--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"testing"
@@ -321,25 +322,40 @@
 }
 
 func (s *harness) heartbeatOf(pool, id, address string, born int64, sequence uint64) jobwire.Outcome {
+	return s.report(newReport(pool, id, address, born, sequence))
+}
+
+// drain sends a heartbeat that says that the worker drains.
+func (s *harness) drain(id, address string, born int64, sequence uint64) jobwire.Outcome {
+	r := newReport("p", id, address, born, sequence)
+	r.Worker.Draining = true
+	return s.report(r)
+}
+
+func (s *harness) report(r *jobwire.WorkerReport) jobwire.Outcome {
 	return s.controller.Control(context.Background(), &jobwire.ControlRequest{
 		Call: &jobwire.ControlRequest_Report{
-			Report: &jobwire.WorkerReport{
-				Worker: &jobwire.Worker{
-					Id:      id,
-					Born:    born,
-					Pool:    pool,
-					Address: address,
-					Capacity: &wire.Resources{
-						MilliCores: 4000,
-					},
-				},
-				Sequence:    sequence,
-				ClockMillis: time.Now().UnixMilli(),
-			},
+			Report: r,
 		},
 	}).GetOutcome()
 }
 
+func newReport(pool, id, address string, born int64, sequence uint64) *jobwire.WorkerReport {
+	return &jobwire.WorkerReport{
+		Worker: &jobwire.Worker{
+			Id:      id,
+			Born:    born,
+			Pool:    pool,
+			Address: address,
+			Capacity: &wire.Resources{
+				MilliCores: 4000,
+			},
+		},
+		Sequence:    sequence,
+		ClockMillis: time.Now().UnixMilli(),
+	}
+}
+
 func (s *harness) call(path, key string, req *jobwire.JobRequest) *jobwire.JobResponse {
 	req.Address = &jobwire.Address{
 		Host: "h",
@@ -630,6 +646,28 @@
 	})
 }
 
+// Another writer leaves an odd heartbeat under the id of a worker. If it counted as the newest,
+// the worker's own later heartbeats, such as that it drains, would be taken for delayed ones.
+func TestOddHeartbeatOutdatesNoOther(t *testing.T) {
+	for name, odd := range map[string]func(s *harness){
+		"sequence number out of reach": func(s *harness) { s.heartbeat("w2", "10.0.0.2:1", 1, math.MaxUint64) },
+		"start in the far future":      func(s *harness) { s.heartbeat("w2", "10.0.0.2:1", math.MaxInt64, 1) },
+		"another pool":                 func(s *harness) { s.heartbeatOf("other", "w2", "10.0.0.2:1", 1, 9) },
+		"port out of range":            func(s *harness) { s.heartbeat("w2", "10.0.0.2:99999", 2, 9) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newHarness(t)
+			s.is.Equal(s.heartbeat("w2", "10.0.0.2:1", 1, 1), jobwire.Outcome_OUTCOME_OK)
+			odd(s)
+			s.is.Equal(s.drain("w2", "10.0.0.2:1", 1, 2), jobwire.Outcome_OUTCOME_OK)
+			s.log.machine.View(func(state *jobkeeper.State) {
+				s.is.True(state.Workers["w2"].GetDraining())
+				s.is.Equal(state.Workers["w2"].GetBorn(), int64(1))
+			})
+		})
+	}
+}
+
 // A heartbeat that tells of a change may fail because its log write does. The worker
 // repeats it, and a forwarding host may do so under the same sequence number: it must
 // not count as an old one, or the change is acknowledged without effect.
