messenger: a message that can't be encoded fails its call only

The client took that for a broken connection and closed it, so the calls of all others on it were lost, and the gateway forgot its leader and searched; it repeated both until the call's time was over.

Change: the error says that nothing was sent, and leaves the connection and the leader alone.

--- a/internal/jobgateway/gateway.go
+++ b/internal/jobgateway/gateway.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/heathermux/heathermux/internal/jobwire"
@@ -189,6 +190,10 @@
 			// The call's context has ended, which says nothing about the leader.
 			g.verifyLeader(host)
 			return nil, true
+		case errors.Is(err, messenger.ErrNotEncodable):
+			// That says nothing about the leader, and no other one would take the call.
+			g.opts.Logger.Warn("gateway: call not passed on, because it can't be encoded", "method", method, "error", err)
+			return nil, sent
 		case err != nil:
 			sent = sent || !messenger.NotSent(err)
 			g.clearLeader(host, err.Error())
--- a/internal/jobgateway/gateway_test.go
+++ b/internal/jobgateway/gateway_test.go
@@ -45,6 +45,8 @@
 	losesLeadership
 	// reads follows, and answers reads of job states.
 	reads
+	// cannotEncode is a leader for which calls of submitters can't be encoded.
+	cannotEncode
 	// stallsJobCalls is a leader that does not answer calls of submitters.
 	stallsJobCalls
 )
@@ -75,6 +77,10 @@
 		}
 	case down:
 		return errors.Wrap(messenger.ErrUnreachable, host)
+	case cannotEncode:
+		if _, ok := request.(*jobwire.JobRequest); ok {
+			return errors.Wrap(messenger.ErrNotEncodable, host)
+		}
 	case unconfigured:
 		outcome = jobwire.Outcome_OUTCOME_UNAVAILABLE
 	case full:
@@ -346,3 +352,19 @@
 		})
 	}
 }
+
+// A call that can't be encoded says nothing about the leader. If the gateway dropped the leader
+// for it, the calls of all others would wait for a search.
+func TestCallThatCannotBeEncodedKeepsLeader(t *testing.T) {
+	is := is.New(t)
+	g, h := newGateway(map[string]behaviour{
+		"a": cannotEncode,
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	is.Equal(g.Control(ctx, &jobwire.ControlRequest{}).GetOutcome(), jobwire.Outcome_OUTCOME_OK)
+	is.Equal(g.Leader(), "a")
+	is.Equal(g.Job(ctx, &jobwire.JobRequest{}).GetOutcome(), jobwire.Outcome_OUTCOME_UNAVAILABLE)
+	is.Equal(g.Leader(), "a")
+	is.Equal(h.calls["a"], 1)
+}
--- a/internal/messenger/clientcodec.go
+++ b/internal/messenger/clientcodec.go
@@ -65,7 +65,7 @@
 		Traceparent:  request.traceparent,
 	}, request.message)
 	if err != nil {
-		return err
+		return errors.Wrap(ErrNotEncodable, err.Error())
 	}
 	return c.writer.enqueue(frame)
 }
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -300,3 +300,36 @@
 	}
 	group.Wait()
 }
+
+// A caller's text that is not UTF-8 can't be encoded. That must fail this call only, as one that
+// was not sent: if it broke the connection, the calls of all others on it would be lost.
+func TestMessageThatCannotBeEncodedFailsItsCallOnly(t *testing.T) {
+	is := is.New(t)
+	registry := testRegistry{
+		handlerDone: make(chan struct{}),
+	}
+	address := startServer(t, registry)
+	client := messenger.NewClient(messenger.ClientOptions{})
+	defer client.Close()
+	other, cancelOther := context.WithTimeout(context.Background(), time.Second)
+	defer cancelOther()
+	otherErr := make(chan error, 1)
+	go func() {
+		otherErr <- client.Call(other, address, "Registry.Finish", &wire.FinishRequest{}, &wire.FinishResponse{})
+	}()
+	time.Sleep(100 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	err := client.Call(ctx, address, "Registry.Begin", &wire.BeginRequest{
+		Key: "\xff",
+	}, &wire.BeginResponse{})
+	is.True(errors.Is(err, messenger.ErrNotEncodable))
+	is.True(messenger.NotSent(err))
+	is.True(errors.Is(<-otherErr, context.DeadlineExceeded))
+	resp := &wire.BeginResponse{}
+	is.NoErr(client.Call(ctx, address, "Registry.Begin", &wire.BeginRequest{
+		Key: "k",
+	}, resp))
+	is.Equal(resp.GetReason(), "k")
+	<-registry.handlerDone
+}
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -34,6 +34,10 @@
 // when the client is closed. The call was not sent.
 var ErrUnreachable error = notSentError("messenger: the peer is not reachable")
 
+// ErrNotEncodable is returned when a message can't be encoded, for example because a text in it
+// is not UTF-8. Any peer would get the same error.
+var ErrNotEncodable error = notSentError("messenger: the message can't be encoded")
+
 // peer holds the connection to one address. It is safe for concurrent use.
 type peer struct {
 	address string
@@ -79,8 +83,8 @@
 }
 
 // call sends the request and waits for the response or the end of ctx. After an
-// error other than ErrUnreachable and ErrBusy the peer may have executed the
-// call.
+// error other than ErrUnreachable, ErrBusy and ErrNotEncodable the peer may have executed
+// the call.
 func (p *peer) call(ctx context.Context, method string, request, response proto.Message) error {
 	args, err := newCallArgs(ctx, request)
 	if err != nil {
@@ -120,7 +124,7 @@
 	if errors.As(done.Error, &serverErr) {
 		return newRemoteError(serverErr)
 	}
-	if errors.Is(done.Error, ErrBusy) {
+	if errors.Is(done.Error, ErrBusy) || errors.Is(done.Error, ErrNotEncodable) {
 		return done.Error
 	}
 	// rpc.ErrShutdown does not prove that nothing was sent: a call also ends
