--- a/internal/soaker/junk.go
+++ b/internal/soaker/junk.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/heathermux/heathermux/platform/standin"
@@ -31,6 +32,10 @@
 	`{"service":"pool","address":"127.0.0.1:9","zone":"z0","state":"ready","capacity":{"cpu":-1e300},"born":1.5,"seq":-1}`,
 	`{"service":"pool","address":"127.0.0.1:9","zone":"z0","state":"ready","capacity":[4000],"labels":"a","born":"1","seq":1}`,
 	"{\"service\":\"\xff\xfe\"}",
+	`{"service":"pool","address":"127.0.0.1:99999","zone":"z0","state":"ready","capacity":{"cpu":4000},"born":1,"seq":1}`,
+	`{"service":"pool","address":"127.0.0.1:9","zone":"z0","state":"ready","capacity":{"cpu":9223372036854775807,"mem_mb":9223372036854775807},"born":1,"seq":1}`,
+	`{"service":"pool","address":"127.0.0.1:9","zone":"z0","state":"draining","capacity":{"cpu":4000},"born":9223372036854775807,"seq":18446744073709551615}`,
+	`{"service":"pool","labels":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
 }
 
 // junkRequests are requests that are cut off or malformed.
