jobscheduler: one bound for the difference of clocks

restartedWorkerTime holds the time of a late order and the difference between the clocks of two hosts; it names both now.

--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -392,9 +392,8 @@
 func (s *Scheduler) formerLeaseBound() time.Duration { return s.leaseBound(s.settings.Lease) }
 
 // restartedWorkerTime is how long after the start of a worker that has restarted under
-// its id it may execute orders to its former incarnation. It is lateOrderTime, and the
-// difference between the clocks of hosts.
-const restartedWorkerTime = 20 * time.Second
+// its id it may execute orders to its former incarnation, by the time of day here.
+const restartedWorkerTime = lateOrderTime + maxClockDifference
 
 // leaseBoundOf returns formerLeaseBound for one worker. An order to its former
 // incarnation, whose clock was ahead, may have given it the longest lease.
