--- a/internal/jobscheduler/manyends_test.go
+++ b/internal/jobscheduler/manyends_test.go
@@ -35,6 +35,19 @@
 	return ended
 }
 
+// completeByParts lets worker "a" list the ends in parts of three, and fails if a task of "job"
+// starts meanwhile or the job is not completed by them.
+func (h *harness) completeByParts(ended []jobscheduler.EndedTask) {
+	h.t.Helper()
+	for end := h.now.Add(2 * lease); h.now.Before(end); {
+		h.advance(20 * time.Millisecond)
+		h.listEnds(ended, 3)
+		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+		h.recordEnds()
+	}
+	h.machine.View(func(s *jobkeeper.State) { h.is.Equal(s.Jobs["job"].EndState, jobwire.JobState_JOB_STATE_COMPLETED) })
+}
+
 // More tasks end while nobody leads than a worker lists at once. To the next leader those that
 // are not in the first list look like tasks that have never run; they must not start again.
 func TestUnlistedEndsAreNotRunAgainByNewLeader(t *testing.T) {
@@ -48,13 +61,7 @@
 
 	h.addWorker("b")
 	h.startTerm()
-	for end := h.now.Add(2 * lease); h.now.Before(end); {
-		h.advance(20 * time.Millisecond)
-		h.listEnds(ended, 3)
-		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
-		h.recordEnds()
-	}
-	h.machine.View(func(s *jobkeeper.State) { h.is.Equal(s.Jobs["job"].EndState, jobwire.JobState_JOB_STATE_COMPLETED) })
+	h.completeByParts(ended)
 }
 
 // The same without a change of leader: a worker answers no poll while more of its tasks end
@@ -72,13 +79,7 @@
 		h.advance(100 * time.Millisecond)
 		h.failPolls("a")
 	}
-	for end := h.now.Add(2 * lease); h.now.Before(end); {
-		h.advance(20 * time.Millisecond)
-		h.listEnds(ended, 3)
-		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
-		h.recordEnds()
-	}
-	h.machine.View(func(s *jobkeeper.State) { h.is.Equal(s.Jobs["job"].EndState, jobwire.JobState_JOB_STATE_COMPLETED) })
+	h.completeByParts(ended)
 }
 
 // A worker lists a part of its ends to a new leader and then goes silent for good. The tasks
