internal/jobscheduler: the outcome of an order that was not sent, and the wish for a new connection

Change: StartNotSent and Start.NewConnection as names only, so that the transport and the decisions can be changed side by side; nothing uses them yet. Result: go build; no behaviour changes.

--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -31,6 +31,9 @@
 	Ticket string
 	// Deadline is the end of the lease, on the worker's clock in milliseconds.
 	Deadline int64
+	// NewConnection asks for a connection that is made for the order, or has just carried
+	// an answer. An order on an older one may be lost unnoticed with a silent worker.
+	NewConnection bool
 }
 
 // Stop orders a worker to end a run; the outcome goes to StopAnswered.
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -225,6 +225,9 @@
 	// StartUndelivered means that the worker has refused the connection, so that this
 	// copy of the order has not reached it.
 	StartUndelivered
+	// StartNotSent means that no connection to the worker was there in time, so that this
+	// copy of the order was not sent and can't be executed later.
+	StartNotSent
 )
 
 // StartAnswered handles the outcome of a Start. The clock is that of the worker
