internal/invoker, internal/jobscheduler: a start that was not sent frees its task at once

Cause: a start without an answer is kept for 15 s after its last copy, because the worker, or its next incarnation, may still execute it. That holds for an order that was sent. Most starts to a dark worker never leave this host, because no connection is made; or they go on an old connection, which takes them though nobody is there. Change: a call that failed before it had a connection is reported as not sent (so is one that waited in this process for longer than its timeout); its run is dropped and the task is queued again at once, and the worker is polled. A copy that was not sent does not prolong the wait for earlier ones. Starts of long-running tasks, copies, and starts to a worker that has not answered for a second close the idle connections first, so that silence shows when the connection is made. Why it works: what was never written to a connection can't arrive. Starts that were written wait as before.

--- a/internal/invoker/client.go
+++ b/internal/invoker/client.go
@@ -9,7 +9,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -63,6 +65,24 @@
 // so that the call has not reached it.
 func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// notSentError is the error of a call that failed before a connection for it was there.
+type notSentError struct {
+	cause error
+}
+
+func (e *notSentError) Error() string {
+	return "invoker: no connection for the order: " + e.cause.Error()
+}
+
+func (e *notSentError) Unwrap() error { return e.cause }
+
+// NotSent reports whether a call failed before a connection for it was there. No byte of it
+// has left this host, so that it can't be executed later either.
+func NotSent(err error) bool {
+	var notSent *notSentError
+	return errors.As(err, &notSent)
+}
+
 // NewClient returns a client without open connections.
 func NewClient() *Client {
 	return &Client{
@@ -111,14 +131,23 @@
 	}
 }
 
+// CloseIdle closes the connections to an address that carry no call. The next call has a new
+// connection, or one that has just carried an answer. An older one may be silent without a
+// sign of it: what is written to it is lost, and whether it arrived can't be told.
+func (c *Client) CloseIdle(address string) { c.httpClient(address).CloseIdleConnections() }
+
 // Post sends body as JSON and returns the status and the body of the response.
-// After an error the outcome is unknown: the worker may have executed the order,
-// or may still do so.
+// After an error the outcome is unknown, unless it is NotSent: the worker may have executed
+// the order, or may still do so.
 func (c *Client) Post(ctx context.Context, address, path string, header http.Header, body any) (int, []byte, error) {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "invoker: encode order")
 	}
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "invoker: create request")
@@ -132,6 +161,11 @@
 	if err != nil {
 		// The other connections to the worker may be broken as well.
 		client.CloseIdleConnections()
+		if !connected.Load() {
+			return 0, nil, &notSentError{
+				cause: err,
+			}
+		}
 		return 0, nil, errors.Wrap(err, "invoker: send order")
 	}
 	defer func() { _ = resp.Body.Close() }()
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -144,6 +144,9 @@
 // Start implements ordersender.Workers. It returns the worker's clock in milliseconds,
 // 0 if unknown.
 func (i *Invoker) Start(ctx context.Context, fence uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64) {
+	if a.NewConnection {
+		i.client.CloseIdle(a.Target.Address)
+	}
 	status, answer, err := i.invoke(ctx, a.Target, StartPath, Order{
 		Fence:          fence,
 		DeadlineMillis: a.Deadline,
@@ -158,6 +161,8 @@
 		return jobscheduler.StartGone, 0
 	case Refused(err):
 		return jobscheduler.StartUndelivered, 0
+	case NotSent(err):
+		return jobscheduler.StartNotSent, 0
 	case Disconnected(err):
 		return jobscheduler.StartDisconnected, 0
 	case err != nil:
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -260,6 +260,10 @@
 		Checkpoint: s.checkpoint(st, index),
 		Ticket:     st.advice.ticket(w.info.GetId(), s.now),
 		Deadline:   deadline,
+
+		// Users miss a long-running task from the moment it is away, so its starts are not risked
+		// on a connection that may be silent. They are rare.
+		NewConnection: st.spec.GetLasting() || !w.answersAt(s.now),
 	})
 	if w.nextPollAt.After(s.now.Add(maxPollWait)) {
 		w.nextPollAt = s.now.Add(s.minPollInterval())
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -102,7 +102,7 @@
 		return
 	}
 	w.setClock(answer.Clock, s.now)
-	w.heardAt, w.unresponsive, w.loggedPollFailure = s.now, false, ""
+	w.heardAt, w.answeredAt, w.unresponsive, w.loggedPollFailure = s.now, s.now, false, ""
 	w.disconnectedAt = time.Time{}
 	w.answeredPollSentAt = answer.SentAt
 	w.acknowledgedEnd = max(w.acknowledgedEnd, a.LastRecordedEnd)
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -55,8 +55,10 @@
 	// unansweredAt is when the last of maxStartAttempts copies got no answer; zero before.
 	unansweredAt time.Time
 	orderedAt    time.Time
-	// copySentAt is when the last copy of the order to start the run was sent.
-	copySentAt time.Time
+	// copySentAt is when the last copy of the order to start the run was sent, formerCopySentAt
+	// when the one before it was.
+	copySentAt       time.Time
+	formerCopySentAt time.Time
 	// sentAt is when the last copy was sent before the worker broke or refused the
 	// connection; zero when another leader has ordered the run.
 	sentAt time.Time
@@ -237,7 +239,7 @@
 	here := w != nil && w.showsClock(clock, s.now)
 	if here {
 		w.setClock(clock, s.now)
-		w.heardAt, w.unresponsive = s.now, false
+		w.heardAt, w.answeredAt, w.unresponsive = s.now, s.now, false
 		w.disconnectedAt = time.Time{}
 	}
 	if answer == StartGone && w != nil {
@@ -268,6 +270,8 @@
 	case StartUnknown:
 		r.undelivered, r.unanswered = false, true
 		s.retryStart(a, r)
+	case StartNotSent:
+		s.startNotSent(r)
 	default:
 		s.handleRefusedStart(r, answer)
 	}
@@ -283,20 +287,48 @@
 	}
 	r.startAttempts++
 	if r.startAttempts >= maxStartAttempts {
-		r.worker.unresponsive = true
-		r.unansweredAt = s.now
-		if s.mayStopOne(r) {
-			s.stop(r)
-		}
+		s.giveUpStarting(r)
 		return
 	}
 	if !r.undelivered && !r.worker.disconnected() {
 		r.sentAt = s.now
 	}
-	r.copySentAt = s.now
+	r.formerCopySentAt, r.copySentAt = r.copySentAt, s.now
+	a.NewConnection = true
 	s.emit(a)
 }
 
+// giveUpStarting sends no further copies of an unanswered start, and stops the run unless its
+// step misses too many others.
+func (s *Scheduler) giveUpStarting(r *run) {
+	r.worker.unresponsive = true
+	r.unansweredAt = s.now
+	if s.mayStopOne(r) {
+		s.stop(r)
+	}
+}
+
+// startNotSent handles a copy of a start for which there was no connection to the worker, which
+// is most likely silent. Unless an earlier copy was sent, the run can't begin there, and its task
+// is queued again at once.
+func (s *Scheduler) startNotSent(r *run) {
+	w := r.worker
+	w.unresponsive = true
+	w.nextPollAt = s.now
+	if r.startAttempts > 0 {
+		r.copySentAt = r.formerCopySentAt
+		if r.state == starting {
+			s.giveUpStarting(r)
+		}
+		return
+	}
+	s.counters.NotSent++
+	s.logger.Info("scheduler: no connection to the worker, so the start was not sent; the task is queued again",
+		"task", taskName(r.key.taskKey), "run", r.key.number, "worker", w.info.GetId(), "born", w.info.GetBorn(), "silent", s.now.Sub(w.heardAt))
+	s.dropRun(r)
+	s.requeueIfNotRunning(r.key.taskKey)
+}
+
 // handleRefusedStart drops a run that has not started, unless an earlier copy of
 // the order may still start it.
 func (s *Scheduler) handleRefusedStart(r *run, answer StartAnswer) {
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -126,6 +126,8 @@
 	// room. Done, Failed, Lost and Lapses count runs by how they ended; a lapse is
 	// the end of a run whose lease had ended.
 	Starts, Done, Failed, Lost, Stops, NoRoom, Lapses int64
+	// NotSent counts the starts that found no connection to their worker.
+	NotSent int64
 	// WorkerCrashes counts the incarnations of workers that ended without notice.
 	WorkerCrashes int64
 	// GivenUp counts the tasks that were given up because workers crash under them.
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -38,6 +38,9 @@
 	pollIntervalPerWorker = 300 * time.Microsecond
 	// failedPollRetryDelay is the time before the next poll after a failed one.
 	failedPollRetryDelay = 250 * time.Millisecond
+	// recentAnswerTime is how long a worker counts as one that answers. It is longer than
+	// maxPollWait, so that a worker with runs counts as one throughout.
+	recentAnswerTime = time.Second
 	// lateOrderTime is how long after it was sent a worker, or a later incarnation of it,
 	// may execute an order that it has not answered.
 	lateOrderTime = 15 * time.Second
@@ -94,6 +97,9 @@
 	// leader first knew of it.
 	heardAt      time.Time
 	unresponsive bool
+	// answeredAt is when the worker last answered an order; zero before. Unlike heardAt it
+	// says that the connections from here work.
+	answeredAt time.Time
 	// answeredPollSentAt is when the last poll that was answered had been sent.
 	answeredPollSentAt time.Time
 	// disconnectedAt is when the worker broke or refused the connection; zero since the
@@ -159,6 +165,9 @@
 	}
 }
 
+// answersAt reports whether the worker has answered an order shortly before the given time.
+func (w *worker) answersAt(now time.Time) bool { return now.Sub(w.answeredAt) <= recentAnswerTime }
+
 func (w *worker) target() Target {
 	return Target{
 		ID:         w.info.GetId(),
--- a/internal/ordersender/local.go
+++ b/internal/ordersender/local.go
@@ -71,6 +71,13 @@
 	return orderTimeout
 }
 
+// notSent returns the outcome of an order that was not sent.
+func notSent(order jobscheduler.Action) Answer {
+	answer := unanswered(order)
+	answer.Start = jobscheduler.StartNotSent
+	return answer
+}
+
 // unanswered returns the outcome of an order that may or may not have been
 // executed.
 func unanswered(order jobscheduler.Action) Answer {
@@ -115,7 +122,7 @@
 	// answer.
 	_ = l.pool.Go(func() {
 		if l.clock.Now().Sub(queuedAt) > timeoutOf(order) {
-			report(unanswered(order))
+			report(notSent(order))
 			return
 		}
 		report(l.execute(ctx, fence, order))
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -52,7 +52,7 @@
 }
 
 func (m workersFrom) Start(_ context.Context, fence uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64) {
-	m.record(m.host, fmt.Sprint("start ", fence, " ", a.Target.ID, " ", a.Task.GetJob(), " ", a.Run, " ", a.Payload, a.Checkpoint, a.Ticket, " ", a.Deadline))
+	m.record(m.host, fmt.Sprint("start ", fence, " ", a.Target.ID, " ", a.Task.GetJob(), " ", a.Run, " ", a.Payload, a.Checkpoint, a.Ticket, " ", a.Deadline, " ", a.NewConnection))
 	if a.Target.ID == "full" {
 		return jobscheduler.StartNoRoom, 17
 	}
@@ -328,6 +328,8 @@
 		Checkpoint: "c",
 		Ticket:     "t",
 		Deadline:   77,
+
+		NewConnection: true,
 	}
 	cases := map[string]struct {
 		order jobscheduler.Action
@@ -336,7 +338,7 @@
 	}{
 		"start": {
 			order: start,
-			call:  "start 1 w job 4 pct 77",
+			call:  "start 1 w job 4 pct 77 true",
 			check: func(is *is.I, a ordersender.Answer) {
 				is.Equal(a.Start, jobscheduler.StartAccepted)
 				is.Equal(a.Clock, int64(17))
@@ -348,7 +350,7 @@
 				Task:   task,
 				Run:    4,
 			},
-			call:  "start 1 full job 4  0",
+			call:  "start 1 full job 4  0 false",
 			check: func(is *is.I, a ordersender.Answer) { is.Equal(a.Start, jobscheduler.StartNoRoom) },
 		},
 		"stop": {
@@ -466,7 +468,7 @@
 	g.is.Equal(g.callers("look 1 w 0 0 2s"), []string{"near", "leader"})
 	// Sent again, the start goes directly.
 	s.Send([]jobscheduler.Action{start}, 10)
-	g.is.Equal(g.awaitCall("start 1 full job 4  0"), []string{"leader"})
+	g.is.Equal(g.awaitCall("start 1 full job 4  0 false"), []string{"leader"})
 	g.setUnreachable("near", false)
 	g.awaitRelays(s, "b")
 }
@@ -639,3 +641,35 @@
 	is.NoErr(err)
 	is.Equal(len(resp.GetAnswers()), ordersender.MaxBufferedAnswers)
 }
+
+// steppingClock is a second later at each look.
+type steppingClock struct {
+	timer.Clock
+
+	now time.Time
+}
+
+func (c *steppingClock) Now() time.Time {
+	c.now = c.now.Add(time.Second)
+	return c.now
+}
+
+// A start that has waited here for longer than it may, as in a process that was suspended, is not
+// sent. It counted as one that the worker may still execute, and kept its task from running.
+func TestStartThatWaitedTooLongIsNotSent(t *testing.T) {
+	is := is.New(t)
+	workers := &fakeWorkers{
+		calls: make(map[string][]string),
+	}
+	local := ordersender.NewLocalSender(workersFrom{
+		fakeWorkers: workers,
+	}, &steppingClock{}, slog.New(slog.DiscardHandler))
+	answers := make(chan ordersender.Answer, 1)
+	local.Go(t.Context(), 1, jobscheduler.Start{
+		Target: target("w", "a"),
+		Task:   task,
+	}, func(a ordersender.Answer) { answers <- a })
+	is.Equal((<-answers).Start, jobscheduler.StartNotSent)
+	local.Close()
+	is.Equal(len(workers.calls), 0)
+}
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -31,6 +31,7 @@
 				Checkpoint:     o.Checkpoint,
 				Ticket:         o.Ticket,
 				DeadlineMillis: o.Deadline,
+				NewConnection:  o.NewConnection,
 			},
 		}
 	case jobscheduler.Stop:
@@ -69,6 +70,8 @@
 			Checkpoint: o.Start.GetCheckpoint(),
 			Ticket:     o.Start.GetTicket(),
 			Deadline:   o.Start.GetDeadlineMillis(),
+
+			NewConnection: o.Start.GetNewConnection(),
 		}
 	case *jobwire.Order_Stop:
 		return jobscheduler.Stop{
