internal/jobscheduler: long-running tasks start on workers that answer

An idle worker is not polled before it has missed two heartbeats and 500 ms, so it takes starts for 3.5 s after its end. One that accepts connections and answers nothing keeps the task for 16 s still. Cause: a worker counts as there until it is known not to be. Change: a long-running task goes to a worker that has answered within a second (busy ones do, by their polls), unless that costs a penalty more. If the best one has not, it is polled, and its answer brings the start.

--- a/internal/jobscheduler/choose.go
+++ b/internal/jobscheduler/choose.go
@@ -45,18 +45,50 @@
 // cheapestWorker returns the worker with the lowest cost that has room for a task now; nil
 // when there is none.
 func (s *Scheduler) cheapestWorker(st *step, index int32, workers []*worker, chosen map[*worker]int) *worker {
-	var best *worker
-	var bestCost float64
+	var best, answering candidate
 	for _, w := range workers {
 		if !s.mayRun(st, index, w, chosen[w]) || !s.mayStartBesideSuspects(st, w) {
 			continue
 		}
-		cost := s.placementCost(st, index, w)
-		if best == nil || cost < bestCost {
-			best, bestCost = w, cost
+		c := candidate{
+			worker: w,
+			cost:   s.placementCost(st, index, w),
+		}
+		best = best.orCheaper(c)
+		if w.answersAt(s.now) {
+			answering = answering.orCheaper(c)
 		}
 	}
-	return best
+	if best.worker == nil || !st.spec.GetLasting() {
+		return best.worker
+	}
+	return s.answeringWorker(best, answering)
+}
+
+// candidate is a worker that has room for a task; its worker is nil when there is none.
+type candidate struct {
+	worker *worker
+	cost   float64
+}
+
+func (c candidate) orCheaper(other candidate) candidate {
+	if c.worker == nil || other.cost < c.cost {
+		return other
+	}
+	return c
+}
+
+// answeringWorker returns the worker for a long-running task, given the cheapest of all and the
+// cheapest of those that have answered lately. A silent worker would keep the task from running
+// for as long as it may still execute the start. So the task goes to one that answers, unless
+// that costs a penalty more; else the cheapest one is polled, and its answer brings the start.
+func (s *Scheduler) answeringWorker(best, answering candidate) *worker {
+	if answering.worker != nil && answering.cost < best.cost+minPenalty {
+		return answering.worker
+	}
+	best.worker.askedForStart = true
+	s.pollNow(best.worker)
+	return nil
 }
 
 // Penalties of a placement, in shares of a worker's capacity.
@@ -70,6 +102,8 @@
 	// costOverMayMiss keeps the loss of one host within the number of tasks that
 	// a step may miss.
 	costOverMayMiss = 4.0
+	// minPenalty is the smallest of these.
+	minPenalty = 1.0
 )
 
 // placementCost returns the cost of a task on a worker; the lowest wins.
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -106,7 +106,8 @@
 	w.disconnectedAt = time.Time{}
 	w.answeredPollSentAt = answer.SentAt
 	w.acknowledgedEnd = max(w.acknowledgedEnd, a.LastRecordedEnd)
-	if len(s.pendingPlacements) > 0 {
+	if len(s.pendingPlacements) > 0 || w.askedForStart {
+		w.askedForStart = false
 		s.markPoolDirty(w.info.GetPool())
 	}
 	s.lapsedRunsSettled(w)
--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -8,6 +8,10 @@
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
+// maxRestartTime is how long a long-running task may be away after its last run where there is
+// room for it.
+const maxRestartTime = 6 * time.Second
+
 func lastingTasks(n int32, milliCores int64) *jobwire.Step {
 	step := tasks(n, milliCores)
 	step.Lasting = true
@@ -74,6 +78,84 @@
 	}
 }
 
+// A worker that was idle when it fell silent was given long-running tasks until it had missed
+// two heartbeats, and each of them was away for 16 s.
+func TestLongRunningTaskIsNotStartedOnSilentWorker(t *testing.T) {
+	tests := map[string]struct {
+		lasting bool
+		want    string
+	}{
+		"a long-running task": {lasting: true, want: "job.0.0@b "},
+		"a batch task":        {want: "job.0.0@a "},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.addWorker("b")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.advance(2 * time.Second)
+			step := tasks(1, 1000)
+			step.Lasting = test.lasting
+			h.submit("job", step)
+			away := h.now
+			var started string
+			for started == "" && h.now.Sub(away) < maxRestartTime {
+				h.advance(50 * time.Millisecond)
+				h.failPolls("a")
+				started = formatStarts(takeAll[jobscheduler.Start](h))
+			}
+			h.is.Equal(started, test.want)
+		})
+	}
+}
+
+// A long-running task goes to a worker that answers although another one would be filled first;
+// but not to one on which it has just failed.
+func TestLongRunningTaskPrefersWorkerThatAnswers(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.addWorker("b")
+	h.startTerm()
+	h.reconcileWorkers()
+	h.advance(2 * time.Second)
+	h.submit("batch", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	batch := h.acceptStarts()[0]
+	h.is.Equal(batch.Target.ID, "a")
+	h.advance(100 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(batch.Task, batch.Run)},
+		},
+	})
+	h.submit("job", lastingTasks(1, 1000))
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(h.acceptStarts()), "job.0.0@a ")
+
+	// The task fails there, so that the other worker is the better one: it is polled first.
+	h.advance(100 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(batch.Task, batch.Run)},
+			Ended:   []jobscheduler.EndedTask{endedTask(1, task("job", 0, 0), 1, jobwire.Ending_ENDING_FAILED)},
+		},
+	})
+	h.advance(time.Millisecond)
+	h.recordEnds()
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	h.advance(time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(batch.Task, batch.Run)},
+		},
+	})
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@b ")
+}
+
 // An order on a connection that carried its last answer long ago may be lost unnoticed, and its
 // task waits as long as if it might still be executed.
 func TestStartAsksForNewConnection(t *testing.T) {
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -100,6 +100,8 @@
 	// answeredAt is when the worker last answered an order; zero before. Unlike heardAt it
 	// says that the connections from here work.
 	answeredAt time.Time
+	// askedForStart is true while a long-running task waits for the next answer.
+	askedForStart bool
 	// answeredPollSentAt is when the last poll that was answered had been sent.
 	answeredPollSentAt time.Time
 	// disconnectedAt is when the worker broke or refused the connection; zero since the
