internal/jobscheduler: a start on a refused connection frees its task at once

Cause: the same as for a start that was not sent: the run was kept though nothing had reached the worker. Change: both outcomes are handled alike, so that the mark of undelivered runs and the places that looked at it are gone. A refused copy after one that may have arrived changes nothing: the run is kept.

--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -58,7 +58,7 @@
 func (s *Scheduler) noteLapsedRuns(w *worker, runs []*run) {
 	alone := w.runsAlone()
 	for _, r := range runs {
-		if r.step == nil || r.undelivered {
+		if r.step == nil {
 			continue
 		}
 		w.lapsedRuns = append(w.lapsedRuns, s.lapse(w, r, alone))
@@ -125,9 +125,7 @@
 	planned := s.plannedEnd(w)
 	runs := w.lapsedRuns
 	for _, r := range w.runs {
-		if !r.undelivered {
-			runs = append(runs, s.lapse(w, r, w.aloneAtEnd))
-		}
+		runs = append(runs, s.lapse(w, r, w.aloneAtEnd))
 	}
 	// A run that was given up long before is not what the worker has crashed under.
 	runs = slices.DeleteFunc(runs, func(r lapsedRun) bool { return s.now.After(r.countsUntil) })
@@ -263,7 +261,7 @@
 	alone := w.runsAlone()
 	var runs []lapsedRun
 	for _, r := range w.runs {
-		if r.step != nil && !r.undelivered {
+		if r.step != nil {
 			runs = append(runs, s.lapse(w, r, alone))
 		}
 	}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -45,9 +45,6 @@
 	// the run. The answer to a start doesn't name the incarnation, so a later one may have
 	// accepted it, under the same id; a poll does.
 	begunHere bool
-	// undelivered is true while all answered copies of the order to start the run have
-	// not reached the worker.
-	undelivered bool
 	// unanswered is true once a copy of the order to start the run was not answered
 	// though the worker kept the connection. It may be executed seconds later.
 	unanswered    bool
@@ -252,23 +249,21 @@
 	}
 	switch answer {
 	case StartAccepted:
-		r.begun, r.undelivered = true, false
+		r.begun = true
 		r.begunHere = r.begunHere || here
 		if r.state == starting {
 			r.state, r.confirmedAt = running, s.now
 		}
 		s.pollSoon(w)
 	case StartUndelivered:
-		r.undelivered = r.undelivered || r.startAttempts == 0 && !r.begun
 		s.workerDisconnected(w)
-		s.retryStart(a, r)
+		s.startNotSent(r)
 	case StartDisconnected:
-		r.undelivered = false
 		r.brokenOff = r.brokenOff || s.now.Sub(r.sentAt) <= promptCrashTime
 		s.workerDisconnected(w)
 		s.retryStart(a, r)
 	case StartUnknown:
-		r.undelivered, r.unanswered = false, true
+		r.unanswered = true
 		s.retryStart(a, r)
 	case StartNotSent:
 		s.startNotSent(r)
@@ -290,7 +285,7 @@
 		s.giveUpStarting(r)
 		return
 	}
-	if !r.undelivered && !r.worker.disconnected() {
+	if !r.worker.disconnected() {
 		r.sentAt = s.now
 	}
 	r.formerCopySentAt, r.copySentAt = r.copySentAt, s.now
--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -22,7 +22,8 @@
 // the silent worker might still begin it.
 func TestTaskOfStartThatWasNotSentStartsElsewhereAtOnce(t *testing.T) {
 	tests := map[string]struct {
-		step *jobwire.Step
+		step   *jobwire.Step
+		answer jobscheduler.StartAnswer
 		// before are the answers to the earlier copies of the start.
 		before []jobscheduler.StartAnswer
 		// longest is how long after the first copy the task starts elsewhere at the latest.
@@ -32,14 +33,22 @@
 	}{
 		"a batch task": {
 			step:    tasks(1, 1000),
+			answer:  jobscheduler.StartNotSent,
 			longest: 100 * time.Millisecond,
 		},
 		"a long-running task": {
 			step:    lastingTasks(1, 1000),
+			answer:  jobscheduler.StartNotSent,
+			longest: 100 * time.Millisecond,
+		},
+		"a long-running task, connection refused": {
+			step:    lastingTasks(1, 1000),
+			answer:  jobscheduler.StartUndelivered,
 			longest: 100 * time.Millisecond,
 		},
 		"after a copy that may have arrived": {
 			step:     tasks(1, 1000),
+			answer:   jobscheduler.StartNotSent,
 			before:   []jobscheduler.StartAnswer{jobscheduler.StartUnknown},
 			longest:  15200 * time.Millisecond,
 			shortest: 14900 * time.Millisecond,
@@ -57,7 +66,7 @@
 			h.addWorker("b")
 			h.advance(50 * time.Millisecond)
 			h.failPolls("a")
-			for _, answer := range append(test.before, jobscheduler.StartNotSent) {
+			for _, answer := range append(test.before, test.answer) {
 				h.withScheduler(func() { h.sched.StartAnswered(start, answer, 0) })
 			}
 			if len(test.before) > 0 {
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -315,7 +315,7 @@
 		if !r.mayBeginAfterRestart() {
 			continue
 		}
-		if !from.endSettled && !r.undelivered {
+		if !from.endSettled {
 			// The crash is counted when the poll in flight is answered.
 			from.lapsedRuns = append(from.lapsedRuns, s.lapse(from, r, from.aloneAtEnd))
 			s.unknownFates[key.taskKey] = s.now.Add(lastPollTime)
