internal/jobscheduler: say in the log what a task with a place waits for

Change: once a second at most, the tasks that have a place and are not at work are looked for. One that has waited for 2 s has a line for each cause, with the time waited, the latest end if known, run and worker; at most 32 lines a look. Metrics.LongWaits counts the waits. Batch tasks are looked at only while they start, stop, run alone, wait for a log write, or move to another data centre with their job.

--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -46,6 +46,7 @@
 			p.dirty = p.dirty || s.startsLeft <= 0
 		}
 	}
+	s.logLongWaits()
 	return s.takeActions()
 }
 
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -104,6 +104,7 @@
 	// open wave.
 	maintenanceDue map[string]bool
 
+	longWaits longWaits
 	// orderSenders is the number of hosts that send orders to workers, with the
 	// leader.
 	orderSenders int
@@ -135,6 +136,8 @@
 	NearStarts, FarStarts, NearWaitMillis int64
 	// Copies counts the copies of slow tasks that were started.
 	Copies int64
+	// LongWaits counts the waits of tasks with a place that were logged as long.
+	LongWaits int64
 	// Refused counts the jobs that were refused because their pool could not do them in time.
 	Refused int64
 	// Waiting is the number of open jobs of which no task has started.
