internal/jobcontroller: export the number of long waits

Cause: a rise of waits of tasks that have a place shows only in log lines. Change: gauge heathermux_task_long_waits from Metrics.LongWaits, beside the other counters of the term. Result: go test ./internal/jobcontroller passes.

--- a/internal/jobcontroller/metrics.go
+++ b/internal/jobcontroller/metrics.go
@@ -102,6 +102,11 @@
 			help: "Tasks that were given up in this term because workers crash under them.",
 			read: func(m jobscheduler.Metrics) int64 { return m.GivenUp },
 		},
+		{
+			name: "heathermux_task_long_waits",
+			help: "Waits of tasks with a place that were logged as long in this term.",
+			read: func(m jobscheduler.Metrics) int64 { return m.LongWaits },
+		},
 		{
 			name: "heathermux_near_starts",
 			help: "Starts in this term of tasks on the rack of their data.",
