internal/jobkeeper: a job keeps the attempts with which it was accepted

Callers saw a job `failed` at the first failed run of a task, of three that its queue gave when it was accepted, because the queue was out of the configuration for 5 s at that moment. More generally the attempts of the configuration in force at the time of a failure counted, so any change of a queue changed the terms of jobs that had been accepted before.

Cause: the state machine looked up the attempts of the queue by name at each end, and a queue that no configuration names counted as one with a single attempt.

Change: the leader writes attempts, stretch and target latency of the accepting queue into the job's log entry, whatever the request says, and the state machine takes the attempts from there.

--- a/internal/jobcontroller/jobs.go
+++ b/internal/jobcontroller/jobs.go
@@ -179,6 +179,7 @@
 	}
 	job.Id, job.Queue = id, q.GetName()
 	job.DataCentres = c.sched.Home(q, job)
+	job.Terms = jobkeeper.QueueTerms(q)
 	job.AcceptedAtUnixNanos = time.Now().UnixNano()
 	return accepted, &jobwire.Command{
 		Change: &jobwire.Command_Submit{
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -254,7 +254,7 @@
 		if !ok || !j.Open() || !j.hasTask(end.GetTask()) {
 			continue
 		}
-		j.recordEnd(end, m.state.maxAttempts(j))
+		j.recordEnd(end, m.state.TermsOf(j).GetAttempts())
 		m.notify(func(o Observer) { o.RunEnded(j, end) })
 		if !j.Open() {
 			m.endJob(now, j)
@@ -263,15 +263,6 @@
 	return nil
 }
 
-// maxAttempts returns the number of failed runs after which a task of the job,
-// and thereby the job, fails.
-func (s *State) maxAttempts(j *Job) int32 {
-	if q := s.Queue(j.Spec.GetQueue()); q != nil {
-		return q.GetAttempts()
-	}
-	return 1
-}
-
 // Queue returns the queue of the configuration in force with the given name, or
 // nil.
 func (s *State) Queue(name string) *jobwire.Queue { return s.queues[name] }
