internal/jobscheduler: a job keeps the target with which it was accepted

After a change of leader jobs started in the wrong order: the new leader worked out until when an accepted job is in time from the queue in force. A job whose queue was out of the configuration at that moment counted as too late from the start and let all others go first, and one whose queue had got another target was held against a target under which it was not accepted.

Cause: stretch and target latency were looked up in the configuration each time an occurrence was opened, also when a new leader opens those of jobs accepted before.

Change: the end of an occurrence in time follows from the terms in the job's log entry. Jobs of older builds have none and follow their queue as before.

--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -212,7 +212,7 @@
 }
 
 func (s *Scheduler) newOccurrence(j *job, number int32) *occurrence {
-	q := s.queues[j.saved.Spec.GetQueue()]
+	terms := s.state.TermsOf(j.saved)
 	dueAt := j.saved.Due(number)
 	if !j.saved.Scheduled() && dueAt.After(s.wall) {
 		dueAt = s.wall
@@ -223,7 +223,7 @@
 		dueAt:  dueAt,
 		held:   !s.isDue(j, number),
 	}
-	o.targetEnd = dueAt.Add(time.Duration(q.GetStretch()*float64(j.criticalPath)) + time.Duration(q.GetTargetNanos()))
+	o.targetEnd = dueAt.Add(time.Duration(terms.GetStretch()*float64(j.criticalPath)) + time.Duration(terms.GetTargetNanos()))
 	for i, spec := range j.saved.Spec.GetSteps() {
 		o.steps = append(o.steps, s.newStep(o, int32(i), spec))
 	}
