internal/jobkeeper: a removed queue goes on for the jobs that it has accepted

While the queue of an accepted job was out of the configuration, callers and operators saw that - its tasks started first, whatever the priority of the queue; - tasks of a queue with a placement adviser started without a ticket; - after a change of leader its tasks did not start at all before the queue was back.

Cause: the scheduler knows only the queues of the configuration in force. A missing one counted as a queue with priority 0, without an adviser and without a pool.

The scheduler uses the kept queues for jobs only; calls see the configuration in force as before.

Result: with the queues in force only, 5 of the 18 cases of TestJobsOfRemovedQueueRunInItsLastPool, TestJobsOfRemovedQueueKeepItsPriority and TestJobsOfRemovedQueueNeedTickets fail; all pass now.

--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -23,6 +23,7 @@
 		Evacuated:     slices.Sorted(maps.Keys(s.Evacuated)),
 
 		EvacuationRevisions: s.encodeEvacuationRevisions(),
+		FormerQueues:        s.encodeFormerQueues(),
 	}
 	for _, id := range s.endedIDs {
 		snapshot.Jobs = append(snapshot.Jobs, s.Jobs[id].encode())
@@ -63,6 +64,9 @@
 	for _, r := range snapshot.GetEvacuationRevisions() {
 		s.EvacuationRevisions[r.GetDataCentre()] = r.GetRevision()
 	}
+	for _, f := range snapshot.GetFormerQueues() {
+		s.formerQueues[f.GetQueue().GetName()] = f
+	}
 	for _, r := range snapshot.GetJobs() {
 		j, err := decodeJob(r)
 		if err != nil {
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -89,6 +89,10 @@
 	workersByAddress map[string][]string
 	// queues indexes the queues of Configuration by name.
 	queues map[string]*jobwire.Queue
+	// formerQueues holds removed queues by name. Invariant: contains each queue that an open job
+	// has and that is not in queues, unless it was removed more than formerQueueRetention before
+	// the job was added.
+	formerQueues map[string]*jobwire.FormerQueue
 	// endedIDs holds the IDs of ended jobs in the order in which they ended.
 	endedIDs []string
 }
@@ -115,6 +119,7 @@
 		Workers:          make(map[string]*jobwire.Worker),
 		Waves:            make(map[string]*jobwire.Wave),
 		workersByAddress: make(map[string][]string),
+		formerQueues:     make(map[string]*jobwire.FormerQueue),
 	}
 }
 
@@ -292,6 +297,7 @@
 			}
 		}
 		m.state.Configuration = c
+		m.state.keepRemovedQueues(now, previousQueues)
 		m.notifyFleetChanged()
 	}
 	return nil
--- a/internal/jobkeeper/terms_test.go
+++ b/internal/jobkeeper/terms_test.go
@@ -130,3 +130,121 @@
 		})
 	}
 }
+
+// The leader looks up the pool, the priority and the adviser of a removed queue for the jobs
+// that were accepted before. The last configuration that had the queue decides; a replica
+// restored from a snapshot must know it too, and queues that nothing needs any more must not
+// pile up.
+func TestRemovedQueueIsKept(t *testing.T) {
+	in := func(pool string) *jobwire.Queue {
+		return &jobwire.Queue{
+			Name:     "q",
+			Pool:     pool,
+			Priority: 4,
+			Advised:  true,
+		}
+	}
+	other := &jobwire.Queue{
+		Name: "other",
+		Pool: "p",
+	}
+	const longAfter = 2 * time.Minute
+	type entry struct {
+		after time.Duration
+		cmd   *jobwire.Command
+	}
+	cases := map[string]struct {
+		entries []entry
+		// want is nil if the queue is not known any more.
+		want *jobwire.Queue
+	}{
+		"with an open job": {
+			entries: []entry{
+				{cmd: submitUnder("job", 3)},
+				{cmd: replaceQueues(2, other)},
+				{after: longAfter, cmd: replaceQueues(3, other)},
+			},
+			want: in("p"),
+		},
+		"changed before it was removed": {
+			entries: []entry{
+				{cmd: submitUnder("job", 3)},
+				{cmd: replaceQueues(2, in("p2"))},
+				{cmd: replaceQueues(3, other)},
+				{after: longAfter, cmd: replaceQueues(4)},
+			},
+			want: in("p2"),
+		},
+		"added again with another pool": {
+			entries: []entry{
+				{cmd: submitUnder("job", 3)},
+				{cmd: replaceQueues(2, other)},
+				{cmd: replaceQueues(3, in("p2"))},
+			},
+			want: in("p2"),
+		},
+		"removed twice": {
+			entries: []entry{
+				{cmd: submitUnder("job", 3)},
+				{cmd: replaceQueues(2, other)},
+				{cmd: replaceQueues(3, in("p2"))},
+				{cmd: replaceQueues(4, other)},
+			},
+			want: in("p2"),
+		},
+		"older configuration": {
+			entries: []entry{
+				{cmd: submitUnder("job", 3)},
+				{cmd: replaceQueues(5, other)},
+				{cmd: replaceQueues(4, in("p2"))},
+			},
+			want: in("p"),
+		},
+		"removed just before a job that it had accepted": {
+			entries: []entry{
+				{cmd: replaceQueues(2, other)},
+				{after: 5 * time.Second, cmd: replaceQueues(3)},
+				{after: 5 * time.Second, cmd: submitUnder("job", 3)},
+				{after: longAfter, cmd: replaceQueues(4)},
+			},
+			want: in("p"),
+		},
+		"without jobs": {
+			entries: []entry{
+				{cmd: replaceQueues(2, other)},
+				{after: longAfter, cmd: replaceQueues(3, other)},
+			},
+		},
+		"with an ended job": {
+			entries: []entry{
+				{cmd: submitUnder("job", 3)},
+				{cmd: replaceQueues(2, other)},
+				{cmd: cancel("job")},
+				{after: longAfter, cmd: replaceQueues(3, other)},
+			},
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			m := jobkeeper.New(timer.System())
+			// halfway loads a snapshot before each entry.
+			halfway := jobkeeper.New(timer.System())
+			for _, e := range append([]entry{{cmd: replaceQueues(1, in("p"))}}, c.entries...) {
+				now = now.Add(e.after)
+				halfway = restored(t, halfway)
+				apply(t, m, now, proto.CloneOf(e.cmd))
+				apply(t, halfway, now, proto.CloneOf(e.cmd))
+			}
+			for _, replica := range []*jobkeeper.StateMachine{m, halfway} {
+				replica.View(func(s *jobkeeper.State) { is.True(proto.Equal(s.LatestQueues()["q"], c.want)) })
+			}
+			ours, err := m.Encode()
+			is.NoErr(err)
+			theirs, err := halfway.Encode()
+			is.NoErr(err)
+			is.Equal(string(ours), string(theirs))
+		})
+	}
+}
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -72,6 +72,7 @@
 	// removedStarts holds the lateStarts of workers that were removed, by id.
 	removedStarts map[string]map[runKey]time.Time
 	pools         map[string]*pool
+	// queues holds the queues in force and the removed ones that open jobs have, by name.
 	queues        map[string]*jobwire.Queue
 	usedByAccount map[string]controller.Amount
 	// Invariant: counts the runs of each task that are not known to have ended.
@@ -200,7 +201,6 @@
 		jobs:           make(map[string]*job),
 		workers:        make(map[string]*worker),
 		pools:          make(map[string]*pool),
-		queues:         make(map[string]*jobwire.Queue),
 		usedByAccount:  make(map[string]controller.Amount),
 		liveRuns:       make(map[taskKey]int),
 		liveRunsByJob:  make(map[string]int),
@@ -340,12 +340,9 @@
 }
 
 // FleetChanged implements jobkeeper.Observer. Open jobs follow their queue to the
-// pool that the new configuration names.
+// pool that the new configuration names; those of a removed queue stay.
 func (s *Scheduler) FleetChanged() {
-	clear(s.queues)
-	for _, q := range s.state.Configuration.GetQueues() {
-		s.queues[q.GetName()] = q
-	}
+	s.queues = s.state.LatestQueues()
 	s.forgetRunTimes()
 	for _, j := range s.jobs {
 		if q := s.queues[j.saved.Spec.GetQueue()]; q != nil && q.GetPool() != j.pool.name {
--- a/internal/jobscheduler/terms_test.go
+++ b/internal/jobscheduler/terms_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/heathermux/heathermux/internal/jobkeeper"
+	"github.com/heathermux/heathermux/internal/jobscheduler"
 	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/wire"
 )
@@ -113,3 +116,182 @@
 		})
 	}
 }
+
+// awayCase tells what becomes of a queue before its jobs start.
+type awayCase struct {
+	queues []*jobwire.Queue
+	// newLeader has the leader change after the queues.
+	newLeader bool
+}
+
+// awayCases returns cases with the given queues under the same leader and under a new one.
+func awayCases(queues ...*jobwire.Queue) map[string]awayCase {
+	return map[string]awayCase{
+		"same leader": {
+			queues: queues,
+		},
+		"new leader": {
+			queues:    queues,
+			newLeader: true,
+		},
+	}
+}
+
+// play has the queues of a case replace those of the harness, without a free worker before.
+func (c awayCase) play(h *harness) {
+	h.replaceQueues(100, c.queues...)
+	if c.newLeader {
+		h.startTerm()
+	}
+}
+
+// addWorkerOf adds a worker of a pool.
+func (h *harness) addWorkerOf(pool, id string) {
+	h.apply(&jobwire.Command{
+		Change: &jobwire.Command_Worker{
+			Worker: &jobwire.Worker{
+				Id:         id,
+				Born:       1,
+				Pool:       pool,
+				Address:    id + ":1",
+				DataCentre: "dc",
+				Capacity: &wire.Resources{
+					MilliCores:  8000,
+					MemoryBytes: 1 << 30,
+				},
+			},
+		},
+	})
+}
+
+// The jobs of a removed queue go on in the pool of the last configuration that had it, and
+// follow the queue when it comes back with another pool. After a change of leader they waited
+// without any pool until the queue came back.
+func TestJobsOfRemovedQueueRunInItsLastPool(t *testing.T) {
+	accepting := queueIn("away", "p")
+	cases := map[string]struct {
+		changes [][]*jobwire.Queue
+		starts  string
+	}{
+		"removed": {
+			changes: [][]*jobwire.Queue{{}},
+			starts:  "job.0.0@a ",
+		},
+		"moved and removed": {
+			changes: [][]*jobwire.Queue{{queueIn("away", "p2")}, {}},
+			starts:  "job.0.0@b ",
+		},
+		"removed and added with another pool": {
+			changes: [][]*jobwire.Queue{{}, {queueIn("away", "p2")}},
+			starts:  "job.0.0@b ",
+		},
+	}
+	for name, c := range cases {
+		for leader, newLeader := range map[string]bool{"same leader": false, "new leader": true} {
+			t.Run(name+", "+leader, func(t *testing.T) {
+				h := newHarness(t)
+				h.replaceQueues(2, accepting)
+				h.submitTo(accepting, "job", time.Second)
+				h.startTerm()
+				for i, queues := range c.changes {
+					h.replaceQueues(uint64(3+i), queues...)
+					if newLeader {
+						h.startTerm()
+					}
+				}
+				h.addWorkerOf("p", "a")
+				h.addWorkerOf("p2", "b")
+				h.reconcileWorkers()
+				h.is.Equal(formatStarts(h.acceptStarts()), c.starts)
+			})
+		}
+	}
+}
+
+// A job of a removed queue must keep its place among the others of its pool: without the
+// priority of its queue it went first.
+func TestJobsOfRemovedQueueKeepItsPriority(t *testing.T) {
+	first, last := queueIn("first", "p"), queueIn("last", "p")
+	last.Priority = 5
+	first.Priority = 1
+	changed := proto.CloneOf(last)
+	changed.Priority = 0
+	cases := map[string]struct {
+		away   map[string]awayCase
+		starts string
+	}{
+		"unchanged": {
+			away:   awayCases(first, last),
+			starts: "of-first.0.0@a ",
+		},
+		"removed": {
+			away:   awayCases(first),
+			starts: "of-first.0.0@a ",
+		},
+		"changed": {
+			away:   awayCases(first, changed),
+			starts: "of-last.0.0@a ",
+		},
+	}
+	for name, c := range cases {
+		for leader, away := range c.away {
+			t.Run(name+", "+leader, func(t *testing.T) {
+				h := newHarness(t)
+				h.replaceQueues(2, first, last)
+				h.submitTo(last, "of-last", 100*time.Millisecond)
+				h.submitTo(first, "of-first", 100*time.Millisecond)
+				h.startTerm()
+				away.play(h)
+				h.addWorker("a")
+				h.reconcileWorkers()
+				h.is.Equal(formatStarts(h.acceptStarts()), c.starts)
+			})
+		}
+	}
+}
+
+// No task of an advised queue may start without a ticket, also while the queue is removed.
+func TestJobsOfRemovedQueueNeedTickets(t *testing.T) {
+	advised, free := queueIn("q", "p"), queueIn("q", "p")
+	advised.Advised, advised.AdviceNanos = true, int64(70*time.Millisecond)
+	cases := map[string]struct {
+		away map[string]awayCase
+		// timeout is that of the call of the adviser; 0 if it is not called.
+		timeout time.Duration
+		starts  string
+	}{
+		"unchanged": {
+			away:    awayCases(advised),
+			timeout: 70 * time.Millisecond,
+		},
+		"removed": {
+			away:    awayCases(),
+			timeout: 70 * time.Millisecond,
+		},
+		"no longer advised": {
+			away:   awayCases(free),
+			starts: "job.0.0@a ",
+		},
+	}
+	for name, c := range cases {
+		for leader, away := range c.away {
+			t.Run(name+", "+leader, func(t *testing.T) {
+				h := newHarness(t)
+				h.replaceQueues(2, advised)
+				h.submitTo(advised, "job", 100*time.Millisecond)
+				h.startTerm()
+				away.play(h)
+				h.addWorker("a")
+				h.reconcileWorkers()
+				h.is.Equal(formatStarts(h.acceptStarts()), c.starts)
+				calls := takeAll[jobscheduler.Advise](h)
+				if c.timeout == 0 {
+					h.is.Equal(len(calls), 0)
+					return
+				}
+				h.is.Equal(len(calls), 1)
+				h.is.True(calls[0].Timeout >= c.timeout)
+			})
+		}
+	}
+}
