internal/jobkeeper: a removed queue that comes back with another pool has moved

A task of an accepted job could get a second run beside its first: its queue was removed, added again with another pool, and the leader was lost just after. The next leader waited for the reports of the workers of the new pool only and started the task there, while it was still running in the former pool.

Cause: the time from which a new leader waits for all pools was set only if the configuration before the new one had the queue with another pool. Over a removal that comparison was lost.

Change: the pool is compared with that of the last configuration that had the queue.

Result: TestNewLeaderWaitsForFormerPoolOfMovedQueue fails in 2 of 3 cases without the change ("removed and added", "removed for two versions"), and passes with it.

--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -66,8 +66,9 @@
 	// Workers holds the latest incarnation of each worker by its ID. Incarnations
 	// are told apart by the start time of the process, Worker.Born.
 	Workers map[string]*jobwire.Worker
-	// QueuesMovedAt is when a queue was last assigned to another pool; some of its
-	// tasks may still run in the previous pool. Zero if that never happened.
+	// QueuesMovedAt is when a queue was last assigned to another pool, also by being removed
+	// and added again; some of its tasks may still run in the previous pool. Zero if that never
+	// happened.
 	QueuesMovedAt time.Time
 	// Waves holds all maintenance waves by their ID.
 	Waves map[string]*jobwire.Wave
@@ -289,10 +290,10 @@
 // the current one.
 func (m *StateMachine) configure(now time.Time, c *jobwire.Configuration) any {
 	if c.GetVersion() > m.state.Configuration.GetVersion() {
-		previousQueues := m.state.queues
+		previousQueues, latestQueues := m.state.queues, m.state.LatestQueues()
 		m.state.setQueues(c)
 		for name, q := range m.state.queues {
-			if previous, ok := previousQueues[name]; ok && previous.GetPool() != q.GetPool() {
+			if latest, ok := latestQueues[name]; ok && latest.GetPool() != q.GetPool() {
 				m.state.QueuesMovedAt = now
 			}
 		}
--- a/internal/jobscheduler/terms_test.go
+++ b/internal/jobscheduler/terms_test.go
@@ -164,6 +164,51 @@
 	})
 }
 
+// A task must not get a second run because its queue has moved to another pool, at once or by
+// being removed and added: the leader is lost, and its successor has to hear from the workers
+// of the former pool, which run the tasks of the queue, before it starts them in the new one.
+func TestNewLeaderWaitsForFormerPoolOfMovedQueue(t *testing.T) {
+	accepting, moved := queueIn("moving", "p"), queueIn("moving", "p2")
+	cases := map[string][][]*jobwire.Queue{
+		"moved":                    {{moved}},
+		"removed and added":        {{}, {moved}},
+		"removed for two versions": {{}, {}, {moved}},
+	}
+	for name, changes := range cases {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.replaceQueues(2, accepting)
+			h.addWorkerOf("p", "a")
+			h.addWorkerOf("p2", "b")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.submitTo(accepting, "job", 10*time.Second)
+			h.advance(time.Millisecond)
+			starts := h.acceptStarts()
+			h.is.Equal(formatStarts(starts), "job.0.0@a ")
+			for i, queues := range changes {
+				h.advance(time.Second)
+				h.replaceQueues(uint64(3+i), queues...)
+			}
+			h.startTerm()
+			h.advance(0)
+			// Worker b reports that it runs nothing; worker a does not answer yet.
+			for _, poll := range takeAll[jobscheduler.Poll](h) {
+				if poll.Target.ID == "b" {
+					h.withScheduler(func() {
+						h.sched.PollAnswered(poll, jobscheduler.PollAnswer{
+							SentAt: h.now,
+							Clock:  h.clock(),
+						})
+					})
+				}
+			}
+			h.advance(time.Millisecond)
+			h.is.Equal(formatStarts(h.acceptStarts()), "")
+		})
+	}
+}
+
 // The jobs of a removed queue go on in the pool of the last configuration that had it, and
 // follow the queue when it comes back with another pool. After a change of leader they waited
 // without any pool until the queue came back.
