internal/jobscheduler: a new leader waits for the former pool of a job however long ago its queue has moved

A task that was running when its queue was given another pool could get a second run, if the leader was lost more than 20 s later, or just before the queue moved, and the worker of the former pool was slow to answer the new leader.

Cause: a new leader waited for the workers of all pools only if a queue had moved within the last 20 s before its term, as if runs ended within that time. Runs stay in the former pool until they end, which may be hours later. A move after the start of the term was not seen at all.

Change: a job that was accepted before the last move of a queue, with 20 s for the difference of clocks, waits for the workers of all pools. It costs such jobs nothing but the wait for the answers of workers of other pools, which ends with their leases.

--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -49,12 +49,9 @@
 	// unreconciled holds the workers whose runs or ends this leader does not all know yet,
 	// without those that are lapsed (see recordLapsed). Jobs of their pools that
 	// were accepted before this term wait until each of these workers has answered
-	// a poll or has ended, or until the leases of the former leader have ended.
+	// a poll or has ended, or until the leases of the former leader have ended. Jobs that
+	// may have had another pool wait for those of all pools.
 	unreconciled map[string]*worker
-	// waitInAllPools is true when jobs accepted before this term wait for the
-	// unreconciled workers of all pools, not only of their own, because a queue
-	// has changed its pool recently.
-	waitInAllPools bool
 	// stoppedAccounts holds the accounts with jobs that were stopped while their
 	// tasks may have been running on workers that are unreconciled now.
 	stoppedAccounts map[string]bool
@@ -230,7 +227,6 @@
 			s.unreconciled[w.GetId()] = s.workers[w.GetId()]
 		}
 	}
-	s.waitInAllPools = wall.Sub(state.QueuesMovedAt) < queueMoveSettleTime
 	for _, j := range state.Jobs {
 		if j.Open() {
 			added := s.addJob(j)
@@ -250,8 +246,8 @@
 // time of day.
 func (s *Scheduler) SetTime(now, wall time.Time) { s.now, s.wall = now, wall }
 
-// queueMoveSettleTime is how long after a queue has changed its pool its tasks
-// may still run in the former pool.
+// queueMoveSettleTime is by how much the time of acceptance of a job may lie after a change of
+// its queue's pool although it had runs in the former pool: the clocks of hosts differ.
 const queueMoveSettleTime = 20 * time.Second
 
 // stoppedJobSettleTime is how long after the end of a job its tasks may still be
@@ -264,14 +260,22 @@
 	if !j.acceptedBeforeTerm || len(s.unreconciled) == 0 {
 		return false
 	}
+	inAllPools := s.mayHaveMoved(j)
 	for _, w := range s.unreconciled {
-		if (s.waitInAllPools || w.info.GetPool() == j.pool.name) && j.mayRunIn(w.info.GetDataCentre()) {
+		if (inAllPools || w.info.GetPool() == j.pool.name) && j.mayRunIn(w.info.GetDataCentre()) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayHaveMoved reports whether a job may have been accepted before a queue, perhaps its own,
+// was last assigned to another pool. Its runs stay in the former pool until they end.
+func (s *Scheduler) mayHaveMoved(j *job) bool {
+	movedAt := s.state.QueuesMovedAt
+	return !movedAt.IsZero() && time.Unix(0, j.saved.Spec.GetAcceptedAtUnixNanos()).Before(movedAt.Add(queueMoveSettleTime))
+}
+
 // unreconciledUse returns an upper bound of what an account may have running on the
 // unreconciled workers: the tasks of its open jobs that may run there, or all that the
 // workers can hold if a job of the account may have been stopped there.
--- a/internal/jobscheduler/terms_test.go
+++ b/internal/jobscheduler/terms_test.go
@@ -166,15 +166,38 @@
 
 // A task must not get a second run because its queue has moved to another pool, at once or by
 // being removed and added: the leader is lost, and its successor has to hear from the workers
-// of the former pool, which run the tasks of the queue, before it starts them in the new one.
+// of the former pool before it starts tasks of the queue in the new one, however long ago the
+// queue has moved, since tasks that run stay where they are.
 func TestNewLeaderWaitsForFormerPoolOfMovedQueue(t *testing.T) {
 	accepting, moved := queueIn("moving", "p"), queueIn("moving", "p2")
-	cases := map[string][][]*jobwire.Queue{
-		"moved":                    {{moved}},
-		"removed and added":        {{}, {moved}},
-		"removed for two versions": {{}, {}, {moved}},
+	cases := map[string]struct {
+		// before and after are the queues before and after the change of leader.
+		before, after [][]*jobwire.Queue
+		// settled is how long the last of them before it has been in force.
+		settled time.Duration
+	}{
+		"moved": {
+			before: [][]*jobwire.Queue{{moved}},
+		},
+		"removed and added": {
+			before: [][]*jobwire.Queue{{}, {moved}},
+		},
+		"removed for two versions": {
+			before: [][]*jobwire.Queue{{}, {}, {moved}},
+		},
+		"moved long ago": {
+			before:  [][]*jobwire.Queue{{moved}},
+			settled: time.Minute,
+		},
+		"moved after the change of leader": {
+			after: [][]*jobwire.Queue{{moved}},
+		},
+		"added after the change of leader": {
+			before: [][]*jobwire.Queue{{}},
+			after:  [][]*jobwire.Queue{{moved}},
+		},
 	}
-	for name, changes := range cases {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t)
 			h.replaceQueues(2, accepting)
@@ -182,16 +205,22 @@
 			h.addWorkerOf("p2", "b")
 			h.startTerm()
 			h.reconcileWorkers()
-			h.submitTo(accepting, "job", 10*time.Second)
+			h.submitTo(accepting, "job", 10*time.Minute)
 			h.advance(time.Millisecond)
-			starts := h.acceptStarts()
-			h.is.Equal(formatStarts(starts), "job.0.0@a ")
-			for i, queues := range changes {
-				h.advance(time.Second)
-				h.replaceQueues(uint64(3+i), queues...)
+			h.is.Equal(formatStarts(h.acceptStarts()), "job.0.0@a ")
+			version := uint64(2)
+			replaceAll := func(changes [][]*jobwire.Queue) {
+				for _, queues := range changes {
+					version++
+					h.now = h.now.Add(time.Second)
+					h.replaceQueues(version, queues...)
+				}
 			}
+			replaceAll(c.before)
+			h.now = h.now.Add(c.settled)
 			h.startTerm()
 			h.advance(0)
+			replaceAll(c.after)
 			// Worker b reports that it runs nothing; worker a does not answer yet.
 			for _, poll := range takeAll[jobscheduler.Poll](h) {
 				if poll.Target.ID == "b" {
