internal/jobkeeper: a worker's texts have no control characters

A heartbeat whose id had a NUL, an end of line or space around it was taken for a worker, and polled in vain until it lapsed: the header of an order can't hold such an id. The other texts went as they were into log lines.

Cause: the texts were checked for length and UTF-8 only.

Change: a heartbeat with a control character in a text, or space around its id, names no worker, as other odd ones.

--- a/internal/jobkeeper/checkworker.go
+++ b/internal/jobkeeper/checkworker.go
@@ -3,7 +3,9 @@
 import (
 	"net"
 	"strconv"
+	"strings"
 	"time"
+	"unicode"
 	"unicode/utf8"
 
 	"github.com/pkg/errors"
@@ -79,8 +81,14 @@
 			return errors.Errorf("worker: a text is longer than %d bytes or not UTF-8", maxWorkerTextBytes)
 		}
 	}
-	if w.GetId() == "" {
-		return errors.New("worker: the id is missing")
+	for _, text := range texts {
+		// An order names its worker in a header, which can't hold such characters.
+		if strings.ContainsFunc(text, unicode.IsControl) {
+			return errors.Errorf("worker: the text %q has a control character", text)
+		}
+	}
+	if w.GetId() == "" || strings.TrimSpace(w.GetId()) != w.GetId() {
+		return errors.Errorf("worker: the id %q is missing or has space around it", w.GetId())
 	}
 	return nil
 }
