internal/jobkeeper: a job with absurd numbers is refused

Jobs were accepted whose tasks ask for 9,223,372,036,854,775,807 thousandths of a core, or 10,000 times a pebibyte, with run times below zero or beyond all times, or whose later starts overflow, so that they lie in the past.

Cause: a submission was checked for amounts below zero only. Sums over the tasks and steps (what an account may have running, the critical path, the time of the next start) overflow an int64 and come out below zero.

Change: the sums over the tasks of a job are bounded by what no fleet has (a billion cores, 4 PiB, a billion accelerators) and no task takes (100 years), and the last start has to lie within the range of times. A single start or interval below zero is refused only for a job that has start times.

--- a/internal/jobkeeper/check.go
+++ b/internal/jobkeeper/check.go
@@ -1,9 +1,13 @@
 package jobkeeper
 
 import (
+	"math"
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/heathermux/heathermux/internal/jobwire"
+	"github.com/heathermux/heathermux/internal/wire"
 )
 
 // Check returns an error that tells what is invalid in a configuration, or nil.
@@ -60,8 +64,16 @@
 	return nil
 }
 
-// maxTasksPerStep bounds the memory that one submitted step takes.
-const maxTasksPerStep = 10_000
+const (
+	// maxTasksPerStep bounds the memory that one submitted step takes.
+	maxTasksPerStep = 10_000
+	// The sums over the tasks of a job are bounded so that those over the jobs of an account stay
+	// within an int64: a billion cores, 4 PiB, a billion accelerators and 100 years.
+	maxJobMilliCores   = 1000 << 30
+	maxJobMemoryBytes  = 1 << 52
+	maxJobAccelerators = 1 << 30
+	maxJobRunTime      = 100 * 365 * 24 * time.Hour
+)
 
 // CheckJob returns an error that tells why a submitted job is invalid, or nil.
 // The text is sent to the submitter.
@@ -69,22 +81,61 @@
 	if len(j.GetSteps()) == 0 {
 		return errors.New("job: there are no steps")
 	}
+	remaining := wire.Resources{
+		MilliCores:   maxJobMilliCores,
+		MemoryBytes:  maxJobMemoryBytes,
+		Accelerators: maxJobAccelerators,
+	}
+	remainingRunTime := maxJobRunTime
 	for i, s := range j.GetSteps() {
 		if s.GetTasks() <= 0 || s.GetTasks() > maxTasksPerStep {
 			return errors.Errorf("job: step %d has %d tasks; there may be 1 to %d", i, s.GetTasks(), maxTasksPerStep)
 		}
-		perTask := s.GetEach()
-		if perTask.GetMilliCores() < 0 || perTask.GetMemoryBytes() < 0 || perTask.GetAccelerators() < 0 {
-			return errors.Errorf("job: step %d asks for less than nothing", i)
+		if err := checkRequest(i, s, &remaining); err != nil {
+			return err
 		}
+		runTime := DeclaredRunTime(s)
+		if runTime < 0 || runTime > remainingRunTime {
+			return errors.Errorf("job: the run time of step %d is below zero, or that of all steps more than %v", i, maxJobRunTime)
+		}
+		remainingRunTime -= runTime
 		for _, dependency := range s.GetAfter() {
 			if dependency < 0 || int(dependency) >= i {
 				return errors.Errorf("job: step %d depends on step %d, which is not an earlier one", i, dependency)
 			}
 		}
 	}
-	if j.GetRepeatCount() < 0 || (j.GetRepeatCount() > 1 && j.GetIntervalNanos() <= 0) {
+	return checkRepetition(j)
+}
+
+// checkRequest checks what the tasks of step i ask for, and takes it off what remains for the
+// steps of the job.
+func checkRequest(i int, s *jobwire.Step, remaining *wire.Resources) error {
+	perTask, tasks := s.GetEach(), int64(s.GetTasks())
+	switch {
+	case perTask.GetMilliCores() < 0 || perTask.GetMemoryBytes() < 0 || perTask.GetAccelerators() < 0:
+		return errors.Errorf("job: step %d asks for less than nothing", i)
+	case perTask.GetMilliCores() > remaining.GetMilliCores()/tasks,
+		perTask.GetMemoryBytes() > remaining.GetMemoryBytes()/tasks,
+		perTask.GetAccelerators() > remaining.GetAccelerators()/tasks:
+		return errors.Errorf("job: with step %d the tasks ask for more than any fleet has", i)
+	}
+	remaining.MilliCores -= perTask.GetMilliCores() * tasks
+	remaining.MemoryBytes -= perTask.GetMemoryBytes() * tasks
+	remaining.Accelerators -= perTask.GetAccelerators() * tasks
+	return nil
+}
+
+func checkRepetition(j *jobwire.Job) error {
+	interval, start := j.GetIntervalNanos(), j.GetStartAtUnixNanos()
+	later := int64(j.GetRepeatCount()) - 1
+	switch {
+	case later < -1 || later > 0 && interval <= 0:
 		return errors.New("job: the repetition has no interval")
+	case later >= 0 && (start < 0 || interval < 0):
+		return errors.New("job: the start or the interval of the repetition is below zero")
+	case later > 0 && later > (math.MaxInt64-start)/interval:
+		return errors.New("job: the last start lies beyond all times")
 	}
 	return nil
 }
