internal/jobcontroller: a wave that names a host twice completes

A maintenance wave whose caller named a host twice was shown as running for ever.

Cause: it counts as completed when as many hosts have begun as it names, and each begins once.

Change: a repeated name is left out before the wave is written to the log.

--- a/internal/jobcontroller/control.go
+++ b/internal/jobcontroller/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -29,11 +30,7 @@
 	case *jobwire.ControlRequest_ReadEvacuation:
 		return c.readEvacuation(call.ReadEvacuation.GetDataCentre())
 	case *jobwire.ControlRequest_Wave:
-		return c.submitChange(ctx, &jobwire.Command{
-			Change: &jobwire.Command_Wave{
-				Wave: call.Wave,
-			},
-		})
+		return c.startWave(ctx, call.Wave)
 	case *jobwire.ControlRequest_ReadWave:
 		return c.readWave(call.ReadWave.GetId())
 	case *jobwire.ControlRequest_Report:
@@ -136,6 +133,22 @@
 	return resp
 }
 
+// startWave starts a maintenance wave. A host that its caller names twice is written once: each
+// host begins once, and the wave is completed when as many have begun as it has.
+func (c *Controller) startWave(ctx context.Context, wave *jobwire.Wave) *jobwire.ControlResponse {
+	named := make(map[string]bool, len(wave.GetHosts()))
+	wave.Hosts = slices.DeleteFunc(wave.GetHosts(), func(host string) bool {
+		repeated := named[host]
+		named[host] = true
+		return repeated
+	})
+	return c.submitChange(ctx, &jobwire.Command{
+		Change: &jobwire.Command_Wave{
+			Wave: wave,
+		},
+	})
+}
+
 func (c *Controller) readWave(id string) *jobwire.ControlResponse {
 	resp := okResponse()
 	c.opts.StateMachine.View(func(s *jobkeeper.State) {
