internal/jobscheduler: a target beyond all times does not overflow

The jobs of a queue with a target latency or a stretch beyond all times counted as too late from the start, and late jobs went before them.

Cause: the sum of the two parts overflowed; a stretch beyond the range of a duration converts to another number on each kind of machine.

Change: each part is bounded by 30 years, also where a full queue refuses jobs.

--- a/internal/jobscheduler/admission.go
+++ b/internal/jobscheduler/admission.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/sharer"
 )
@@ -68,7 +69,7 @@
 		}
 	}
 	_, criticalPath := criticalPaths(spec.GetSteps(), s.runTimesOf(q.GetName()))
-	target := time.Duration(q.GetStretch()*float64(criticalPath)) + time.Duration(q.GetTargetNanos())
+	target := targetTime(jobkeeper.QueueTerms(q), criticalPath)
 	longest := creditTargetFactor * target
 	if s.backlogOf(p).total <= rate*longest.Seconds() {
 		return 0, false
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -223,7 +223,7 @@
 		dueAt:  dueAt,
 		held:   !s.isDue(j, number),
 	}
-	o.targetEnd = dueAt.Add(time.Duration(terms.GetStretch()*float64(j.criticalPath)) + time.Duration(terms.GetTargetNanos()))
+	o.targetEnd = dueAt.Add(targetTime(terms, j.criticalPath))
 	for i, spec := range j.saved.Spec.GetSteps() {
 		o.steps = append(o.steps, s.newStep(o, int32(i), spec))
 	}
@@ -231,6 +231,15 @@
 	return o
 }
 
+// maxTargetTime bounds both parts of a target time, of which several are added up.
+const maxTargetTime = 30 * 365 * 24 * time.Hour
+
+// targetTime returns how long a job with the given critical path may take to be in time.
+func targetTime(terms *jobwire.JobTerms, criticalPath time.Duration) time.Duration {
+	stretched := min(max(terms.GetStretch()*float64(criticalPath), -float64(maxTargetTime)), float64(maxTargetTime))
+	return time.Duration(stretched) + min(max(time.Duration(terms.GetTargetNanos()), -maxTargetTime), maxTargetTime)
+}
+
 func (s *Scheduler) newStep(o *occurrence, number int32, spec *jobwire.Step) *step {
 	st := &step{
 		occurrence:    o,
