--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -66,8 +66,9 @@
 	// Workers holds the latest incarnation of each worker by its ID. Incarnations
 	// are told apart by the start time of the process, Worker.Born.
 	Workers map[string]*jobwire.Worker
-	// QueuesMovedAt is when a queue was last assigned to another pool; some of its
-	// tasks may still run in the previous pool. Zero if that never happened.
+	// QueuesMovedAt is when a queue was last assigned to another pool, also by being removed
+	// and added again; some of its tasks may still run in the previous pool. Zero if that never
+	// happened.
 	QueuesMovedAt time.Time
 	// Waves holds all maintenance waves by their ID.
 	Waves map[string]*jobwire.Wave
@@ -89,6 +90,10 @@
 	workersByAddress map[string][]string
 	// queues indexes the queues of Configuration by name.
 	queues map[string]*jobwire.Queue
+	// formerQueues holds removed queues by name. Invariant: contains each queue that an open job
+	// has and that is not in queues, unless it was removed more than formerQueueRetention before
+	// the job was added.
+	formerQueues map[string]*jobwire.FormerQueue
 	// endedIDs holds the IDs of ended jobs in the order in which they ended.
 	endedIDs []string
 }
@@ -115,6 +120,7 @@
 		Workers:          make(map[string]*jobwire.Worker),
 		Waves:            make(map[string]*jobwire.Wave),
 		workersByAddress: make(map[string][]string),
+		formerQueues:     make(map[string]*jobwire.FormerQueue),
 	}
 }
 
@@ -254,7 +260,7 @@
 		if !ok || !j.Open() || !j.hasTask(end.GetTask()) {
 			continue
 		}
-		j.recordEnd(end, m.state.maxAttempts(j))
+		j.recordEnd(end, m.state.TermsOf(j).GetAttempts())
 		m.notify(func(o Observer) { o.RunEnded(j, end) })
 		if !j.Open() {
 			m.endJob(now, j)
@@ -263,15 +269,6 @@
 	return nil
 }
 
-// maxAttempts returns the number of failed runs after which a task of the job,
-// and thereby the job, fails.
-func (s *State) maxAttempts(j *Job) int32 {
-	if q := s.Queue(j.Spec.GetQueue()); q != nil {
-		return q.GetAttempts()
-	}
-	return 1
-}
-
 // Queue returns the queue of the configuration in force with the given name, or
 // nil.
 func (s *State) Queue(name string) *jobwire.Queue { return s.queues[name] }
@@ -293,14 +290,15 @@
 // the current one.
 func (m *StateMachine) configure(now time.Time, c *jobwire.Configuration) any {
 	if c.GetVersion() > m.state.Configuration.GetVersion() {
-		previousQueues := m.state.queues
+		previousQueues, latestQueues := m.state.queues, m.state.LatestQueues()
 		m.state.setQueues(c)
 		for name, q := range m.state.queues {
-			if previous, ok := previousQueues[name]; ok && previous.GetPool() != q.GetPool() {
+			if latest, ok := latestQueues[name]; ok && latest.GetPool() != q.GetPool() {
 				m.state.QueuesMovedAt = now
 			}
 		}
 		m.state.Configuration = c
+		m.state.keepRemovedQueues(now, previousQueues)
 		m.notifyFleetChanged()
 	}
 	return nil
