internal/jobscheduler, internal/ordersender: the fencing token rises with each incarnation of a worker

Cause: the token was the leader's term. Change: the scheduler counts the earlier incarnations of an id (Target.Restarts), and LocalSender makes the token: term x 2^16 + restarts. The relay gets the count in an appended field; the fence of its sessions, and that of the provider, stays the term. A removed incarnation is kept for lateOrderTime; then its count becomes the least for all workers that become known later, since one that was only cut off comes back with the highest token that it has seen and would refuse a lower one for the rest of the term. Result: TestFencingTokenRisesWithTermAndRestart and TestFencingTokenIsBounded fail with the count left out of the token. TestRestartsRiseWithIncarnation fails in 7 of 9 cases without the rise, in 2 without the least count, in 1 each when a removed incarnation is forgotten at once and when the count rises for an incarnation that comes back. The fakes in sender_test.go print a token as its term and restarts; they compare the same orders as before.

--- a/internal/emulator/jobruns.go
+++ b/internal/emulator/jobruns.go
@@ -60,7 +60,7 @@
 	// JobAccepted means that the order was carried out.
 	JobAccepted JobAnswer = iota
 	// JobFenced means that the worker has accepted an order with a higher fencing
-	// token, that is from a later leader.
+	// token, that is from a later leader, or to a later incarnation of the worker.
 	JobFenced
 	// JobOld means that another run of the task is active, or that one with the
 	// same or a higher number has ended or was stopped.
--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -32,7 +32,7 @@
 
 // Order is the request body of all orders to a worker.
 type Order struct {
-	// Fence is the fencing token, which is the leader's term. A worker refuses
+	// Fence is the fencing token, see ordersender.FencingToken. A worker refuses
 	// orders with a lower token than the highest it has seen.
 	Fence uint64 `json:"fence"`
 	// DeadlineMillis is the end of the worker's lease, on its own clock. It may
--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -17,6 +17,10 @@
 	Address string
 	// DataCentre is where the worker runs; empty when unknown.
 	DataCentre string
+	// Restarts is at least the number of earlier incarnations under the id to which this
+	// leader may have sent orders that can still be executed. Invariant: within a term it
+	// rises with each later incarnation and never falls for one incarnation.
+	Restarts uint64
 }
 
 // Start orders a worker to run a task; the outcome goes to StartAnswered.
--- a/internal/jobscheduler/crash_test.go
+++ b/internal/jobscheduler/crash_test.go
@@ -22,7 +22,7 @@
 		Change: &jobwire.Command_ForgetWorker{
 			ForgetWorker: &jobwire.ForgetWorker{
 				Id:   id,
-				Born: 1,
+				Born: h.bornOf(id),
 			},
 		},
 	})
--- /dev/null
+++ b/internal/jobscheduler/formerincarnation_test.go
@@ -0,0 +1,120 @@
+package jobscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+)
+
+// A worker that has restarted gets orders with a higher fencing token than its former
+// incarnation, also when the leader had removed that one. An incarnation that comes back, for
+// example after it was cut off for minutes, must not get a lower one than before: it would
+// refuse all orders for the rest of the term.
+func TestRestartsRiseWithIncarnation(t *testing.T) {
+	tests := map[string]struct {
+		play func(h *harness)
+		want uint64
+	}{
+		"first incarnation": {
+			play: func(*harness) {},
+		},
+		"second incarnation": {
+			play: func(h *harness) { h.restartWorker("a") },
+			want: 1,
+		},
+		"third incarnation": {
+			play: func(h *harness) {
+				h.restartWorker("a")
+				h.advance(time.Second)
+				h.answerPolls(nil)
+				h.restartWorker("a")
+			},
+			want: 2,
+		},
+		"another heartbeat of the second incarnation": {
+			play: func(h *harness) {
+				h.restartWorker("a")
+				born := h.bornOf("a")
+				h.advance(time.Second)
+				h.answerPolls(nil)
+				h.addIncarnation("a", born)
+			},
+			want: 1,
+		},
+		"second incarnation after the first was removed": {
+			play: func(h *harness) {
+				h.forget("a")
+				h.advance(time.Second)
+				h.restartWorker("a")
+			},
+			want: 1,
+		},
+		"removed incarnation that comes back": {
+			play: func(h *harness) {
+				h.restartWorker("a")
+				born := h.bornOf("a")
+				h.forget("a")
+				h.advance(time.Second)
+				h.addIncarnation("a", born)
+			},
+			want: 1,
+		},
+		"incarnation that comes back long after it was removed": {
+			play: func(h *harness) {
+				h.restartWorker("a")
+				born := h.bornOf("a")
+				h.forget("a")
+				h.advance(2 * time.Minute)
+				h.addIncarnation("a", born)
+			},
+			want: 1,
+		},
+		"third incarnation long after the second was removed": {
+			// No order to the second can still be executed.
+			play: func(h *harness) {
+				h.restartWorker("a")
+				h.forget("a")
+				h.advance(2 * time.Minute)
+				h.restartWorker("a")
+			},
+			want: 1,
+		},
+		"second incarnation in the next term": {
+			play: func(h *harness) {
+				h.restartWorker("a")
+				h.startTerm()
+			},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.advance(time.Second)
+			test.play(h)
+			poll := h.pollOf("a")
+			h.is.Equal(poll.Target.Restarts, test.want)
+			h.is.Equal(poll.Target.Born, h.bornOf("a"))
+		})
+	}
+}
+
+// pollOf returns the next poll of a worker. It has runs, so that it is polled.
+func (h *harness) pollOf(id string) jobscheduler.Poll {
+	h.t.Helper()
+	h.submit("job", tasks(16, 1000))
+	for range 100 {
+		h.advance(100 * time.Millisecond)
+		for _, poll := range takeAll[jobscheduler.Poll](h) {
+			if poll.Target.ID == id {
+				return poll
+			}
+		}
+		h.acceptStarts()
+	}
+	h.t.Fatalf("%s was not polled within 10 s", id)
+	return jobscheduler.Poll{}
+}
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -331,12 +331,15 @@
 }
 
 // restartWorker starts a later incarnation of a worker under its id.
-func (h *harness) restartWorker(id string) {
+func (h *harness) restartWorker(id string) { h.addIncarnation(id, h.now.UnixMilli()) }
+
+// addIncarnation passes the heartbeat of an incarnation of a worker to the leader.
+func (h *harness) addIncarnation(id string, born int64) {
 	h.apply(&jobwire.Command{
 		Change: &jobwire.Command_Worker{
 			Worker: &jobwire.Worker{
 				Id:         id,
-				Born:       h.now.UnixMilli(),
+				Born:       born,
 				Pool:       "p",
 				Address:    id + ":1",
 				DataCentre: "dc",
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -352,6 +352,7 @@
 // workers as lost once their leases have ended, and stops waiting for unreconciled
 // workers once the leases of the former leader have ended.
 func (s *Scheduler) updateWorkers(contact time.Time) {
+	s.forgetRemovedIncarnations()
 	firstPolls := s.firstPollsInFlight()
 	for _, w := range s.workers {
 		s.expireLease(w)
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -71,6 +71,12 @@
 	removedWhilePolled map[incarnation]*worker
 	// removedStarts holds the lateStarts of workers that were removed, by id.
 	removedStarts map[string]map[runKey]time.Time
+	// removedIncarnations holds the incarnations of workers that were removed within
+	// lateOrderTime, by id.
+	removedIncarnations map[string]removedIncarnation
+	// minRestarts is the highest restarts of the removed incarnations that are forgotten.
+	minRestarts uint64
+
 	pools         map[string]*pool
 	queues        map[string]*jobwire.Queue
 	usedByAccount map[string]controller.Amount
@@ -216,6 +222,8 @@
 		crashingUntil:      make(map[string]time.Time),
 		removedWhilePolled: make(map[incarnation]*worker),
 		removedStarts:      make(map[string]map[runKey]time.Time),
+
+		removedIncarnations: make(map[string]removedIncarnation),
 		hosts: hosts{
 			maintenances: make(map[string]*hostMaintenance),
 			moves:        make(map[string]*move),
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -53,6 +53,7 @@
 // worker is the scheduling state of one incarnation of a worker.
 type worker struct {
 	info     *jobwire.Worker
+	restarts uint64 // Target.Restarts
 	capacity controller.Amount
 	used     controller.Amount
 	runs     map[runKey]*run
@@ -165,6 +166,7 @@
 		Born:       w.info.GetBorn(),
 		Address:    w.info.GetAddress(),
 		DataCentre: w.info.GetDataCentre(),
+		Restarts:   w.restarts,
 	}
 }
 
@@ -247,6 +249,7 @@
 			s.unreconciled[info.GetId()] = w
 		}
 	}
+	w.restarts = s.restartsOf(info)
 	s.rejectLateStarts(w, s.removedStarts[info.GetId()])
 	delete(s.removedStarts, info.GetId())
 	s.workers[info.GetId()] = w
@@ -265,6 +268,36 @@
 	}
 }
 
+// removedIncarnation is an incarnation of a worker that was removed or replaced.
+type removedIncarnation struct {
+	born     int64
+	restarts uint64
+	at       time.Time
+}
+
+// restartsOf returns Target.Restarts of an incarnation that becomes known.
+func (s *Scheduler) restartsOf(info *jobwire.Worker) uint64 {
+	former, ok := s.removedIncarnations[info.GetId()]
+	delete(s.removedIncarnations, info.GetId())
+	if ok && former.born != info.GetBorn() {
+		former.restarts++
+	}
+	return max(former.restarts, s.minRestarts)
+}
+
+// forgetRemovedIncarnations forgets the incarnations to which no order can still be on its
+// way. One of them may come back, for example after it was cut off, and would refuse a lower
+// fencing token than the one that it has seen: no worker that becomes known later gets one.
+func (s *Scheduler) forgetRemovedIncarnations() {
+	maps.DeleteFunc(s.removedIncarnations, func(_ string, r removedIncarnation) bool {
+		if s.now.Sub(r.at) <= lateOrderTime {
+			return false
+		}
+		s.minRestarts = max(s.minRestarts, r.restarts)
+		return true
+	})
+}
+
 // rejectLateStarts has a worker reject those of the given starts that it may still
 // execute, before it gets a lease.
 func (s *Scheduler) rejectLateStarts(w *worker, starts map[runKey]time.Time) {
@@ -369,6 +402,11 @@
 	delete(s.workers, w.info.GetId())
 	delete(s.unreconciled, w.info.GetId())
 	s.keepLateStarts(w)
+	s.removedIncarnations[w.info.GetId()] = removedIncarnation{
+		born:     w.info.GetBorn(),
+		restarts: w.restarts,
+		at:       s.now,
+	}
 	s.markPoolDirty(w.info.GetPool())
 	w.unresponsive = true
 	if w.pollInFlight {
--- a/internal/ordersender/local.go
+++ b/internal/ordersender/local.go
@@ -27,14 +27,28 @@
 	pollTimeoutMargin = 600 * time.Millisecond
 )
 
-// Workers calls workers. Its methods may be called concurrently; the fence is
-// the term of the leader that issued the order.
+// Workers calls workers. Its methods may be called concurrently; the fence is the
+// FencingToken of the order.
 type Workers interface {
 	Start(ctx context.Context, fence uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64)
 	Stop(ctx context.Context, fence uint64, a jobscheduler.Stop) (confirmed bool, clock int64)
 	Poll(ctx context.Context, fence uint64, a jobscheduler.Poll) jobscheduler.PollAnswer
 }
 
+// restartBits is the number of low bits of a fencing token that count the restarts of a
+// worker. A token must stay below 2^53, because some workers read numbers in JSON as
+// doubles: that leaves 37 bits for the term. A worker that restarts each second for 18 hours
+// of one term reaches 2^16; its token does not rise from there on.
+const restartBits = 16
+
+// FencingToken returns the fencing token of an order to a worker in a term. It rises with the
+// term and, within a term, with each incarnation of the worker, so that a worker which has
+// seen an order refuses those that were sent to its former incarnation.
+func FencingToken(term uint64, target jobscheduler.Target) uint64 {
+	const maxRestarts = 1<<restartBits - 1
+	return term<<restartBits + min(target.Restarts, maxRestarts)
+}
+
 // Answer is the outcome of an order.
 type Answer struct {
 	// Order is a jobscheduler.Start, Stop or Poll.
@@ -106,10 +120,10 @@
 // Close waits for the orders in flight and rejects further ones.
 func (l *LocalSender) Close() { l.pool.StopAndWait() }
 
-// Go executes an order in the background and reports its outcome once. An order
+// Go executes an order of the leader of a term in the background and reports its outcome once. An order
 // that was queued for longer than its timeout, for example because the process
 // was suspended, is not executed.
-func (l *LocalSender) Go(ctx context.Context, fence uint64, order jobscheduler.Action, report func(Answer)) {
+func (l *LocalSender) Go(ctx context.Context, term uint64, order jobscheduler.Action, report func(Answer)) {
 	queuedAt := l.clock.Now()
 	// A closed pool rejects the order; its leader no longer waits for an
 	// answer.
@@ -118,14 +132,14 @@
 			report(unanswered(order))
 			return
 		}
-		report(l.execute(ctx, fence, order))
+		report(l.execute(ctx, term, order))
 	})
 }
 
 // execute executes an order. A panic, for example over an answer that nothing
 // expects, leaves the outcome unknown: without one, the worker would count as being
 // polled for ever.
-func (l *LocalSender) execute(ctx context.Context, fence uint64, order jobscheduler.Action) (answer Answer) {
+func (l *LocalSender) execute(ctx context.Context, term uint64, order jobscheduler.Action) (answer Answer) {
 	defer func() {
 		if p := recover(); p != nil {
 			l.logger.Error("courier: sending an order panicked; its outcome is unknown", "panic", p, "stack", string(debug.Stack()))
@@ -137,6 +151,8 @@
 	answer = Answer{
 		Order: order,
 	}
+	target, _ := TargetOf(order)
+	fence := FencingToken(term, target)
 	switch o := order.(type) {
 	case jobscheduler.Start:
 		answer.Start, answer.Clock = l.workers.Start(ctx, fence, o)
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -35,6 +35,15 @@
 	c.calls[fmt.Sprint(order)] = append(c.calls[fmt.Sprint(order)], host)
 }
 
+// fenceText returns the term of a fencing token, and after a point the restarts that it counts
+// if there are any.
+func fenceText(fence uint64) string {
+	if restarts := fence % (1 << 16); restarts > 0 {
+		return fmt.Sprint(fence>>16, ".", restarts)
+	}
+	return fmt.Sprint(fence >> 16)
+}
+
 // blockPolls delays polls until the returned function is called.
 func (c *fakeWorkers) blockPolls() func() {
 	released := make(chan struct{})
@@ -52,7 +61,7 @@
 }
 
 func (m workersFrom) Start(_ context.Context, fence uint64, a jobscheduler.Start) (jobscheduler.StartAnswer, int64) {
-	m.record(m.host, fmt.Sprint("start ", fence, " ", a.Target.ID, " ", a.Task.GetJob(), " ", a.Run, " ", a.Payload, a.Checkpoint, a.Ticket, " ", a.Deadline))
+	m.record(m.host, fmt.Sprint("start ", fenceText(fence), " ", a.Target.ID, " ", a.Task.GetJob(), " ", a.Run, " ", a.Payload, a.Checkpoint, a.Ticket, " ", a.Deadline))
 	if a.Target.ID == "full" {
 		return jobscheduler.StartNoRoom, 17
 	}
@@ -60,7 +69,7 @@
 }
 
 func (m workersFrom) Stop(_ context.Context, fence uint64, a jobscheduler.Stop) (bool, int64) {
-	m.record(m.host, fmt.Sprint("stop ", fence, " ", a.Target.ID, " ", a.Task.GetJob(), " ", a.Run))
+	m.record(m.host, fmt.Sprint("stop ", fenceText(fence), " ", a.Target.ID, " ", a.Task.GetJob(), " ", a.Run))
 	return true, 18
 }
 
@@ -68,7 +77,7 @@
 	if a.Target.ID == "malformed" {
 		panic("unexpected answer")
 	}
-	m.record(m.host, fmt.Sprint("look ", fence, " ", a.Target.ID, " ", a.Deadline, " ", a.LastRecordedEnd, " ", a.Wait))
+	m.record(m.host, fmt.Sprint("look ", fenceText(fence), " ", a.Target.ID, " ", a.Deadline, " ", a.LastRecordedEnd, " ", a.Wait))
 	m.mu.Lock()
 	released := m.unblockPolls
 	m.mu.Unlock()
@@ -639,3 +648,92 @@
 	is.NoErr(err)
 	is.Equal(len(resp.GetAnswers()), ordersender.MaxBufferedAnswers)
 }
+
+// A worker that restarts under its id has seen no fencing token. The first order to the later
+// incarnation must make it refuse those that were sent to the former one in the same term,
+// also when a relay on another host sends some of them, and those of former terms.
+func TestFencingTokenRisesWithTermAndRestart(t *testing.T) {
+	g := newCluster(t, map[string]string{
+		"leader": "a",
+		"near":   "b",
+	})
+	s, _ := g.newLeader(1)
+	orders := func(id, dataCentre string) []jobscheduler.Action {
+		later := target(id, dataCentre)
+		later.Restarts = 3
+		return []jobscheduler.Action{
+			jobscheduler.Start{
+				Target: later,
+				Task:   task,
+				Run:    4,
+			},
+			jobscheduler.Stop{
+				Target: later,
+				Task:   task,
+				Run:    4,
+			},
+			jobscheduler.Poll{
+				Target: later,
+			},
+		}
+	}
+	s.Send(orders("direct", "a"), 1)
+	g.awaitRelays(s, "b")
+	s.Send(orders("relayed", "b"), 10)
+	for id, host := range map[string]string{
+		"direct":  "leader",
+		"relayed": "near",
+	} {
+		g.is.Equal(g.awaitCall(fmt.Sprint("start 1.3 ", id, " job 4  0")), []string{host})
+		g.is.Equal(g.awaitCall(fmt.Sprint("stop 1.3 ", id, " job 4")), []string{host})
+		g.is.Equal(g.awaitCall(fmt.Sprint("look 1.3 ", id, " 0 0 0s")), []string{host})
+	}
+}
+
+// The token of a later term must be higher than each of the terms before, however often a
+// worker has restarted, and below 2^53: some workers read numbers in JSON as doubles, and
+// would take neighbouring tokens for one.
+func TestFencingTokenIsBounded(t *testing.T) {
+	tests := map[string]struct {
+		term     uint64
+		restarts uint64
+		want     uint64
+	}{
+		"no restart": {
+			term: 1,
+			want: 65536,
+		},
+		"one restart": {
+			term:     1,
+			restarts: 1,
+			want:     65537,
+		},
+		"last that is counted": {
+			term:     1,
+			restarts: 65535,
+			want:     131071,
+		},
+		"more restarts than are counted": {
+			term:     1,
+			restarts: 1 << 40,
+			want:     131071,
+		},
+		"next term": {
+			term: 2,
+			want: 131072,
+		},
+		"highest term": {
+			term:     1<<37 - 1,
+			restarts: 1 << 40,
+			want:     1<<53 - 1,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(ordersender.FencingToken(test.term, jobscheduler.Target{
+				Restarts: test.restarts,
+			}), test.want)
+		})
+	}
+}
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -19,6 +19,8 @@
 			Id:      target.ID,
 			Born:    target.Born,
 			Address: target.Address,
+
+			Restarts: target.Restarts,
 		},
 	}
 	switch o := order.(type) {
@@ -58,6 +60,8 @@
 		ID:      message.GetTarget().GetId(),
 		Born:    message.GetTarget().GetBorn(),
 		Address: message.GetTarget().GetAddress(),
+
+		Restarts: message.GetTarget().GetRestarts(),
 	}
 	switch o := message.GetOrder().(type) {
 	case *jobwire.Order_Start:
