internal/jobscheduler: wait for a lease that a late poll gives before the first order to a later incarnation

Cause: a later incarnation obeys polls to the former one until an order to itself has reached it. The longest lease was counted from its heartbeat, and not at all after the former incarnation had been removed. When the first polls were lost, a late one in that time gave a lease beyond that: the task started elsewhere while it ran. Change: the longest lease counts from the first answered poll of a worker that has had a former incarnation within the time of late orders. From then on the worker refuses late polls.

--- a/internal/jobscheduler/formerincarnation_test.go
+++ b/internal/jobscheduler/formerincarnation_test.go
@@ -118,3 +118,61 @@
 	h.t.Fatalf("%s was not polled within 10 s", id)
 	return jobscheduler.Poll{}
 }
+
+// A worker that has restarted obeys orders to its former incarnation until the first order to
+// itself reaches it. A poll that it executes at that moment gives it the longest lease from then on,
+// and what it runs must not start elsewhere meanwhile.
+func TestLeaseOfLatePollBeforeFirstOrderIsWaitedFor(t *testing.T) {
+	tests := map[string]func(h *harness){
+		"restarted": func(h *harness) { h.restartWorker("a") },
+		"removed and back": func(h *harness) {
+			h.forget("a")
+			h.advance(time.Second)
+			h.restartWorker("a")
+		},
+		"restarted before the change of leader": func(h *harness) {
+			h.restartWorker("a")
+			h.startTerm()
+		},
+	}
+	for name, restart := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.startTerm()
+			h.reconcileWorkers()
+			restart(h)
+			for range 30 {
+				h.advance(100 * time.Millisecond)
+				h.failPolls("a")
+			}
+			h.advance(300 * time.Millisecond)
+			h.answerPolls(nil)
+			reachedAt := h.now
+			h.submit("job", tasks(1, 1000))
+			h.advance(time.Millisecond)
+			start := h.acceptStarts()[0]
+			h.advance(100 * time.Millisecond)
+			h.answerPolls(map[string]jobscheduler.PollAnswer{
+				"a": {
+					Running: []jobscheduler.RunningTask{runningTask(start.Task, start.Run)},
+				},
+			})
+			h.addWorker("b")
+			silent := func() {
+				h.advance(100 * time.Millisecond)
+				h.failPolls("a")
+				h.recordCrashes()
+				h.recordPlacements()
+			}
+			for h.now.Sub(reachedAt) < maxLease {
+				silent()
+				h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+			}
+			for range 20 {
+				silent()
+			}
+			h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@b ")
+		})
+	}
+}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -128,7 +128,13 @@
 		w.reconciled = true
 		s.endFormerWorkersAt(w)
 		// The runs that it reports may be under a lease of the former leader.
-		for _, end := range []time.Time{s.termStart.Add(s.formerLeaseBound()), w.reconcileBy} {
+		ends := []time.Time{s.termStart.Add(s.formerLeaseBound()), w.reconcileBy}
+		if w.mayObeyFormer {
+			// A late poll may have given it the longest lease until now. It refuses such
+			// polls from here on.
+			ends = append(ends, s.now.Add(s.leaseBound(s.settings.MaxLease)))
+		}
+		for _, end := range ends {
 			if end.After(w.leaseEnd) {
 				w.leaseEnd = end
 			}
@@ -399,12 +405,17 @@
 // leaseBoundOf returns formerLeaseBound for one worker. An order to its former
 // incarnation, whose clock was ahead, may have given it the longest lease.
 func (s *Scheduler) leaseBoundOf(w *jobwire.Worker) time.Duration {
-	if w.GetRestarted() && s.wall.Sub(time.UnixMilli(w.GetBorn())) < restartedWorkerTime {
+	if s.restartedLately(w) {
 		return s.leaseBound(s.settings.MaxLease)
 	}
 	return s.formerLeaseBound()
 }
 
+// restartedLately reports whether a worker may execute orders to its former incarnation.
+func (s *Scheduler) restartedLately(w *jobwire.Worker) bool {
+	return w.GetRestarted() && s.wall.Sub(time.UnixMilli(w.GetBorn())) < restartedWorkerTime
+}
+
 // leaseBound returns the time after which a lease of the given length has ended on
 // a worker whose clock is slow.
 func (s *Scheduler) leaseBound(lease time.Duration) time.Duration {
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -233,6 +233,7 @@
 	s.FleetChanged()
 	for _, w := range state.Workers {
 		s.WorkerChanged(w)
+		s.workers[w.GetId()].mayObeyFormer = s.restartedLately(w)
 		if !w.GetLapsed() {
 			s.workers[w.GetId()].reconcileBy = now.Add(s.leaseBoundOf(w))
 			s.unreconciled[w.GetId()] = s.workers[w.GetId()]
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -83,6 +83,9 @@
 	// reconcileBy is when no run under a lease of a former leader can be in progress
 	// any more on a worker that has not reported its runs.
 	reconcileBy time.Time
+	// mayObeyFormer is true when orders to a former incarnation may have reached this one
+	// before the first order to itself did.
+	mayObeyFormer bool
 	// clockMillis is the worker's clock as of clockAt, a local time.
 	clockMillis int64
 	clockAt     time.Time
@@ -249,6 +252,7 @@
 			s.unreconciled[info.GetId()] = w
 		}
 	}
+	w.mayObeyFormer = s.mayObeyRemoved(info)
 	w.restarts = s.restartsOf(info)
 	s.rejectLateStarts(w, s.removedStarts[info.GetId()])
 	delete(s.removedStarts, info.GetId())
@@ -277,12 +281,19 @@
 
 // restartsOf returns Target.Restarts of an incarnation that becomes known.
 func (s *Scheduler) restartsOf(info *jobwire.Worker) uint64 {
-	former, ok := s.removedIncarnations[info.GetId()]
-	delete(s.removedIncarnations, info.GetId())
-	if ok && former.born != info.GetBorn() {
-		former.restarts++
+	restarts := s.removedIncarnations[info.GetId()].restarts
+	if s.mayObeyRemoved(info) {
+		restarts++
 	}
-	return max(former.restarts, s.minRestarts)
+	delete(s.removedIncarnations, info.GetId())
+	return max(restarts, s.minRestarts)
+}
+
+// mayObeyRemoved reports whether orders to an incarnation that was removed may still reach
+// a later one.
+func (s *Scheduler) mayObeyRemoved(info *jobwire.Worker) bool {
+	former, ok := s.removedIncarnations[info.GetId()]
+	return ok && former.born != info.GetBorn()
 }
 
 // forgetRemovedIncarnations forgets the incarnations to which no order can still be on its
