--- a/internal/jobscheduler/formerincarnation_test.go
+++ b/internal/jobscheduler/formerincarnation_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/ordersender"
 )
 
 // restartTogether ends the processes of several workers at random times. They are silent for
@@ -50,6 +51,69 @@
 	}
 }
 
+// playUntil plays the model until a condition holds.
+func (m *model) playUntil(what string, condition func() bool) {
+	m.t.Helper()
+	for n := range int(time.Minute / modelTick) {
+		if condition() {
+			return
+		}
+		m.step(n)
+	}
+	m.t.Fatalf("not within a minute: %s", what)
+}
+
+// A worker that has restarted executes a poll to its former incarnation seconds later, and
+// held the longest lease from then on, of which the leader didn't know. It must refuse that
+// poll, so that what it runs ends before the next run of the task begins.
+func TestLatePollToFormerIncarnationProlongsLease(t *testing.T) {
+	m := newModelWith(t, 0, 1)
+	m.faults, m.failures = 0, 0
+	a := m.workers[0]
+	m.start = m.now
+	m.startTerm()
+	m.submit("first", tasks(1, 1000))
+	// The deadline in the poll is a time on the clock of the former incarnation.
+	m.playUntil("the former incarnation is 20 s old", func() bool { return m.now.Sub(m.start) > 20*time.Second })
+	m.submit("second", tasks(1, 1000))
+	var held jobscheduler.Poll
+	m.playUntil("a poll extends the lease", func() bool {
+		m.advance(0)
+		for i, action := range m.actions {
+			if poll, ok := action.(jobscheduler.Poll); ok && poll.Deadline > 0 {
+				held = poll
+				m.actions = append(m.actions[:i:i], m.actions[i+1:]...)
+				return true
+			}
+		}
+		m.carryOut()
+		return false
+	})
+	m.startWorker(a)
+	restartedAt := m.now
+	m.register(a)
+	m.playUntil("the job is done", func() bool { return m.completed() == 2 })
+	m.lasting = true
+	m.submit("long", tasks(1, 1000))
+	m.playUntil("the task runs on the later incarnation", func() bool { return len(a.runs) == 1 })
+	b := &modelWorker{
+		id: "w1",
+	}
+	m.startWorker(b)
+	m.register(b)
+	m.workers = append(m.workers, b)
+	m.playUntil("the poll is executed late", func() bool { return m.now.Sub(restartedAt) > 9*time.Second })
+	deadline := a.deadline
+	answer := m.poll(a, ordersender.FencingToken(m.term, held.Target), held)
+	prolonged := a.deadline > deadline
+	a.mode, a.modeEndsAt = neverExecuted, m.now.Add(time.Hour)
+	m.playUntil("the task runs on the other worker", func() bool { return len(b.runs) == 1 })
+	m.is.Equal(m.twice, "")
+	m.is.Equal(len(a.runs), 0)
+	m.is.True(answer.Failed)
+	m.is.True(!prolonged)
+}
+
 // A worker that has restarted gets orders with a higher fencing token than its former
 // incarnation, also when the leader had removed that one. An incarnation that comes back, for
 // example after it was cut off for minutes, must not get a lower one than before: it would
