--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -68,7 +68,13 @@
 	removedWhilePolled map[incarnation]*worker
 	// removedStarts holds the lateStarts of workers that were removed, by id.
 	removedStarts map[string]map[runKey]time.Time
-	pools         map[string]*pool
+	// removedIncarnations holds the incarnations of workers that were removed within
+	// lateOrderTime, by id.
+	removedIncarnations map[string]removedIncarnation
+	// minRestarts is the highest restarts of the removed incarnations that are forgotten.
+	minRestarts uint64
+
+	pools map[string]*pool
 	// queues holds the queues in force and the removed ones that open jobs have, by name.
 	queues        map[string]*jobwire.Queue
 	usedByAccount map[string]controller.Amount
@@ -218,6 +224,8 @@
 		crashingUntil:      make(map[string]time.Time),
 		removedWhilePolled: make(map[incarnation]*worker),
 		removedStarts:      make(map[string]map[runKey]time.Time),
+
+		removedIncarnations: make(map[string]removedIncarnation),
 		hosts: hosts{
 			maintenances: make(map[string]*hostMaintenance),
 			moves:        make(map[string]*move),
@@ -227,6 +235,7 @@
 	s.FleetChanged()
 	for _, w := range state.Workers {
 		s.WorkerChanged(w)
+		s.workers[w.GetId()].mayObeyFormer = s.restartedLately(w)
 		if !w.GetLapsed() {
 			s.workers[w.GetId()].reconcileBy = now.Add(s.leaseBoundOf(w))
 			s.unreconciled[w.GetId()] = s.workers[w.GetId()]
--- a/internal/jobscheduler/waiting.go
+++ b/internal/jobscheduler/waiting.go
@@ -86,7 +86,8 @@
 	waits     map[taskKey]wait
 	// reserved holds the workers that are reserved, by task.
 	reserved map[taskKey]*worker
-	// unreconciled holds the results of unreconciledFor by pool and data centres.
+	// unreconciled holds the results of unreconciledFor by pool, which is empty for jobs that wait
+	// for all pools, and data centres.
 	unreconciled map[[2]string]*worker
 	// severalRuns is true when a task in waits has another run.
 	severalRuns bool
@@ -284,13 +285,17 @@
 	if !j.acceptedBeforeTerm || len(s.unreconciled) == 0 {
 		return nil
 	}
+	inAllPools := s.mayHaveMoved(j)
 	key := [2]string{j.pool.name, areaOf(j)}
+	if inAllPools {
+		key[0] = ""
+	}
 	if found, ok := c.unreconciled[key]; ok {
 		return found
 	}
 	var last *worker
 	for _, w := range s.unreconciled {
-		if !s.waitInAllPools && w.info.GetPool() != j.pool.name || !j.mayRunIn(w.info.GetDataCentre()) {
+		if !inAllPools && w.info.GetPool() != j.pool.name || !j.mayRunIn(w.info.GetDataCentre()) {
 			continue
 		}
 		if last == nil || cmp.Or(w.reconcileBy.Compare(last.reconcileBy), cmp.Compare(last.info.GetId(), w.info.GetId())) > 0 {
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -56,6 +56,7 @@
 // worker is the scheduling state of one incarnation of a worker.
 type worker struct {
 	info     *jobwire.Worker
+	restarts uint64 // Target.Restarts
 	capacity controller.Amount
 	used     controller.Amount
 	runs     map[runKey]*run
@@ -85,6 +86,9 @@
 	// reconcileBy is when no run under a lease of a former leader can be in progress
 	// any more on a worker that has not reported its runs.
 	reconcileBy time.Time
+	// mayObeyFormer is true when orders to a former incarnation may have reached this one
+	// before the first order to itself did.
+	mayObeyFormer bool
 	// clockMillis is the worker's clock as of clockAt, a local time.
 	clockMillis int64
 	clockAt     time.Time
@@ -176,6 +180,7 @@
 		Born:       w.info.GetBorn(),
 		Address:    w.info.GetAddress(),
 		DataCentre: w.info.GetDataCentre(),
+		Restarts:   w.restarts,
 	}
 }
 
@@ -258,6 +263,8 @@
 			s.unreconciled[info.GetId()] = w
 		}
 	}
+	w.mayObeyFormer = s.mayObeyRemoved(info)
+	w.restarts = s.restartsOf(info)
 	s.rejectLateStarts(w, s.removedStarts[info.GetId()])
 	delete(s.removedStarts, info.GetId())
 	s.workers[info.GetId()] = w
@@ -276,6 +283,43 @@
 	}
 }
 
+// removedIncarnation is an incarnation of a worker that was removed or replaced.
+type removedIncarnation struct {
+	born     int64
+	restarts uint64
+	at       time.Time
+}
+
+// restartsOf returns Target.Restarts of an incarnation that becomes known.
+func (s *Scheduler) restartsOf(info *jobwire.Worker) uint64 {
+	restarts := s.removedIncarnations[info.GetId()].restarts
+	if s.mayObeyRemoved(info) {
+		restarts++
+	}
+	delete(s.removedIncarnations, info.GetId())
+	return max(restarts, s.minRestarts)
+}
+
+// mayObeyRemoved reports whether orders to an incarnation that was removed may still reach
+// a later one.
+func (s *Scheduler) mayObeyRemoved(info *jobwire.Worker) bool {
+	former, ok := s.removedIncarnations[info.GetId()]
+	return ok && former.born != info.GetBorn()
+}
+
+// forgetRemovedIncarnations forgets the incarnations to which no order can still be on its
+// way. One of them may come back, for example after it was cut off, and would refuse a lower
+// fencing token than the one that it has seen: no worker that becomes known later gets one.
+func (s *Scheduler) forgetRemovedIncarnations() {
+	maps.DeleteFunc(s.removedIncarnations, func(_ string, r removedIncarnation) bool {
+		if s.now.Sub(r.at) <= lateOrderTime {
+			return false
+		}
+		s.minRestarts = max(s.minRestarts, r.restarts)
+		return true
+	})
+}
+
 // rejectLateStarts has a worker reject those of the given starts that it may still
 // execute, before it gets a lease.
 func (s *Scheduler) rejectLateStarts(w *worker, starts map[runKey]time.Time) {
@@ -380,6 +424,11 @@
 	delete(s.workers, w.info.GetId())
 	delete(s.unreconciled, w.info.GetId())
 	s.keepLateStarts(w)
+	s.removedIncarnations[w.info.GetId()] = removedIncarnation{
+		born:     w.info.GetBorn(),
+		restarts: w.restarts,
+		at:       s.now,
+	}
 	s.markPoolDirty(w.info.GetPool())
 	w.unresponsive = true
 	if w.pollInFlight {
