internal/jobkeeper: the newest recorded start of each task

Cause: which starts a leader has sent without an answer is lost with it. Change: the command RecordedStarts names the worker of runs whose starts are about to be ordered, and earlier runs that have begun. The state keeps the newest start of each task, with the time at which this replica applied it, until the end of that run or of a later one, or a crash under it, is recorded, or the job ends. HasRecordedEnds is HasRecordedRuns now, since a recorded start tells as well that a job has begun; followers answer for such jobs. An older build answers the command with the error for an unknown one and goes on with its state as it was, as with each other appended kind (TestUnknownCommandChangesNothing). TestSnapshotEqualsReplay draws the new commands as well.

--- a/internal/jobcontroller/followerread.go
+++ b/internal/jobcontroller/followerread.go
@@ -53,7 +53,7 @@
 	}
 	state := j.EndState
 	if j.Open() {
-		if !j.HasRecordedEnds() {
+		if !j.HasRecordedRuns() {
 			return nil
 		}
 		state = jobwire.JobState_JOB_STATE_RUNNING
--- a/internal/jobcontroller/jobs.go
+++ b/internal/jobcontroller/jobs.go
@@ -218,7 +218,7 @@
 	switch {
 	case !j.Open():
 		return j.EndState
-	case j.HasRecordedEnds() || c.sched.Started(j.Spec.GetId()):
+	case j.HasRecordedRuns() || c.sched.Started(j.Spec.GetId()):
 		return jobwire.JobState_JOB_STATE_RUNNING
 	}
 	return jobwire.JobState_JOB_STATE_QUEUED
--- a/internal/jobkeeper/crash.go
+++ b/internal/jobkeeper/crash.go
@@ -23,6 +23,7 @@
 		}
 		j.hasCrashRecords = true
 		p.Run = max(p.Run, c.GetRun())
+		p.clearEndedStart()
 		p.Crashes = p.Crashes.WithCrash(isolator.Crash{
 			Run:           c.GetRun(),
 			Circumstances: CircumstancesOf(c),
--- a/internal/jobkeeper/job.go
+++ b/internal/jobkeeper/job.go
@@ -23,7 +23,7 @@
 	GivenUp bool
 
 	// occurrences holds the progress of started occurrences by number. Invariant:
-	// contains every open occurrence with a recorded run end.
+	// contains every open occurrence with a recorded start or end of a run.
 	occurrences map[int32]*occurrenceProgress
 	// done holds the numbers of completed occurrences. Invariant: contains only
 	// those after firstOpen; all before firstOpen are completed.
@@ -43,12 +43,12 @@
 type stepProgress struct {
 	// Invariant: equals the number of entries of tasks with Done set.
 	done int
-	// tasks holds the progress by task index; nil until a run end is recorded.
+	// tasks holds the progress by task index; nil until a start or an end is recorded.
 	tasks []TaskProgress
 }
 
 // TaskProgress is the recorded progress of one task. The zero value stands for a
-// task without a recorded run end.
+// task of whose runs nothing is recorded.
 type TaskProgress struct {
 	// Done is true once the task has succeeded.
 	Done bool
@@ -64,6 +64,9 @@
 	// Crashes holds the crashes of workers that ran the task, and the placement of a run
 	// whose worker may have crashed; nil when there is neither.
 	Crashes *isolator.Record
+	// Start is the newest recorded start; nil once the end of its run or of a later one is
+	// recorded.
+	Start *RecordedStart
 }
 
 func newJob(spec *jobwire.Job) *Job {
@@ -142,9 +145,8 @@
 	return perOccurrence * int64(j.Occurrences()), done
 }
 
-// HasRecordedEnds reports whether the end of any run is recorded. It is false for
-// a job whose first runs are still in progress.
-func (j *Job) HasRecordedEnds() bool {
+// HasRecordedRuns reports whether the start or the end of any run is recorded.
+func (j *Job) HasRecordedRuns() bool {
 	return j.firstOpen > 0 || len(j.occurrences) > 0 || len(j.done) > 0
 }
 
@@ -175,6 +177,7 @@
 		p.Checkpoint = c
 	}
 	p.Run = max(p.Run, end.GetRun())
+	p.clearEndedStart()
 	if spec.GetLasting() {
 		return
 	}
@@ -194,7 +197,7 @@
 
 // isNew reports whether nothing is recorded of the task.
 func (p *TaskProgress) isNew() bool {
-	return !p.Done && p.Failures == 0 && p.Run == 0 && p.Checkpoint == "" && p.Crashes == nil
+	return !p.Done && p.Failures == 0 && p.Run == 0 && p.Checkpoint == "" && p.Crashes == nil && p.Start == nil
 }
 
 // recorded reports whether the end of a run was recorded before, or that of a later run. A
@@ -230,10 +233,12 @@
 	if spec.GetGang() {
 		for i := range s.tasks {
 			s.tasks[i].Done = true
+			s.tasks[i].clearEndedStart()
 		}
 		s.done = len(s.tasks)
 	} else {
 		s.tasks[t.GetIndex()].Done = true
+		s.tasks[t.GetIndex()].clearEndedStart()
 		s.done++
 	}
 	o := j.occurrences[t.GetOccurrence()]
--- a/internal/jobkeeper/snapshot.go
+++ b/internal/jobkeeper/snapshot.go
@@ -124,6 +124,7 @@
 				FailedRuns: p.FailedRuns,
 				Run:        p.Run,
 				Checkpoint: p.Checkpoint,
+				Start:      encodeStart(p.Start),
 			}
 			encodeCrashes(task, p.Crashes)
 			record.Tasks = append(record.Tasks, task)
@@ -191,6 +192,7 @@
 			Run:        t.GetRun(),
 			Checkpoint: t.GetCheckpoint(),
 			Crashes:    decodeCrashes(t),
+			Start:      decodeStart(t.GetStart()),
 		}
 		if t.GetDone() {
 			s.done++
--- a/internal/jobkeeper/statemachine.go
+++ b/internal/jobkeeper/statemachine.go
@@ -190,6 +190,8 @@
 		return m.recordSurvivals(c.SurvivedRuns.GetRuns())
 	case *jobwire.Command_LapsedMarks:
 		return m.markLapsed(c.LapsedMarks.GetMarks())
+	case *jobwire.Command_RecordedStarts:
+		return m.recordStarts(c.RecordedStarts)
 	}
 	return errors.New("jobkeeper: log entry has an unknown command")
 }
--- a/internal/jobkeeper/statemachine_test.go
+++ b/internal/jobkeeper/statemachine_test.go
@@ -264,16 +264,20 @@
 	})
 }
 
-// drawCommand returns a random submission, cancellation, configuration or run end.
+// drawCommand returns a random submission, cancellation, configuration, start or run end.
 func drawCommand(t *rapid.T) *jobwire.Command {
 	id := fmt.Sprint("job", rapid.IntRange(0, 3).Draw(t, "job"))
-	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	switch rapid.IntRange(0, 6).Draw(t, "kind") {
 	case 0:
 		return submit(id, int32(rapid.IntRange(0, 3).Draw(t, "repeat")), 2, 1)
 	case 1:
 		return cancel(id)
 	case 2:
 		return configure(uint64(rapid.IntRange(1, 5).Draw(t, "version")), 2)
+	case 3:
+		return recordStart(id, uint64(rapid.IntRange(1, 4).Draw(t, "run")), "a")
+	case 4:
+		return recordBegun(id, uint64(rapid.IntRange(1, 4).Draw(t, "run")))
 	default:
 		ending := rapid.SampledFrom([]jobwire.Ending{done, failed, jobwire.Ending_ENDING_STOPPED}).Draw(t, "ending")
 		return end(id, int32(rapid.IntRange(0, 2).Draw(t, "occurrence")), int32(rapid.IntRange(0, 1).Draw(t, "step")),
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -111,7 +111,7 @@
 		id:             spec.GetId(),
 		saved:          record,
 		pool:           s.pool(q.GetPool()),
-		started:        record.HasRecordedEnds(),
+		started:        record.HasRecordedRuns(),
 		nextOccurrence: record.FirstOpen(),
 	}
 	j.criticalPathFrom, j.criticalPath = criticalPaths(spec.GetSteps(), s.runTimesOf(q.GetName()))
