internal/jobscheduler: a start of a former leader holds its task until it can't be executed

Cause: the new leader waits for the leases only; the next incarnation of the worker has no fence, and its clock begins anew. Change: a task whose newest recorded start is not marked as begun starts nowhere until the worker has answered this leader, another worker has answered at its address, or 15 s after the begin of the term (sooner if the entry is 20 s old). Until then it counts towards the ceiling of its account. A run that the worker begins meanwhile is adopted. Once the worker has answered, its next incarnation is told to reject the start. Runs that this incarnation has begun by the only copy of their start are marked, with the starts of the same pass or after 0.2 s. HoldStarts and StartRecorded stand around the log write: nothing crashes under a start that was not sent, and a start to a worker that fell silent meanwhile is not sent. The model writes starts to its log before it sends them; 2% of the writes fail.

--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -34,6 +34,8 @@
 	// NewConnection asks for a connection that is made for the order, or has just carried
 	// an answer. An order on an older one may be lost unnoticed with a silent worker.
 	NewConnection bool
+	// Recorded is true once the log names the worker of the run; see StartRecorded.
+	Recorded bool
 }
 
 // Stop orders a worker to end a run; the outcome goes to StopAnswered.
@@ -72,6 +74,12 @@
 	DataCentres []string
 }
 
+// RecordBegun requests a log write of runs whose starts were recorded and have been
+// executed. Nothing waits for it, but it has to be written at last.
+type RecordBegun struct {
+	Runs []*jobwire.BegunRun
+}
+
 // MarkLapsed requests a log entry that sets or clears the lapsed mark of a worker;
 // the outcome goes to LapsedMarked.
 type MarkLapsed struct {
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -92,8 +92,11 @@
 }
 
 // fateUnknown reports whether the task waits for news of a worker that it may have
-// crashed.
+// crashed, or that may still begin a run of it.
 func (s *Scheduler) fateUnknown(key taskKey) bool {
+	if s.startHeld(key) {
+		return true
+	}
 	until, ok := s.unknownFates[key]
 	if ok && !s.now.Before(until) {
 		delete(s.unknownFates, key)
--- a/internal/jobscheduler/harness_test.go
+++ b/internal/jobscheduler/harness_test.go
@@ -330,6 +330,59 @@
 	return placements
 }
 
+// recordStarts applies the log writes of the pending starts and returns those that are to be
+// sent.
+func (h *harness) recordStarts() []jobscheduler.Start {
+	var wanted []jobscheduler.Start
+	for _, start := range takeAll[jobscheduler.Start](h) {
+		h.withScheduler(func() { h.sched.HoldStarts([]jobscheduler.Action{start}) })
+		h.apply(recordedStart(start))
+		h.withScheduler(func() {
+			if h.sched.StartRecorded(start) {
+				start.Recorded = true
+				wanted = append(wanted, start)
+				return
+			}
+			h.sched.StartAnswered(start, jobscheduler.StartNotSent, 0)
+		})
+	}
+	return wanted
+}
+
+// recordedStart returns the log entry of a start.
+func recordedStart(start jobscheduler.Start) *jobwire.Command {
+	return &jobwire.Command{
+		Change: &jobwire.Command_RecordedStarts{
+			RecordedStarts: &jobwire.RecordedStarts{
+				Starts: []*jobwire.RecordedStart{
+					{
+						Task:   start.Task,
+						Run:    start.Run,
+						Worker: start.Target.ID,
+						Born:   start.Target.Born,
+					},
+				},
+			},
+		},
+	}
+}
+
+// recordBegun applies the pending log writes of begun runs and returns how many there were.
+func (h *harness) recordBegun() int {
+	n := 0
+	for _, a := range takeAll[jobscheduler.RecordBegun](h) {
+		n += len(a.Runs)
+		h.apply(&jobwire.Command{
+			Change: &jobwire.Command_RecordedStarts{
+				RecordedStarts: &jobwire.RecordedStarts{
+					Begun: a.Runs,
+				},
+			},
+		})
+	}
+	return n
+}
+
 // restartWorker starts a later incarnation of a worker under its id.
 func (h *harness) restartWorker(id string) {
 	h.apply(&jobwire.Command{
--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -440,17 +440,24 @@
 		}
 		switch a := action.(type) {
 		case jobscheduler.Start:
-			w := m.worker(a.Target.ID)
-			w.lastOrder, w.orderedAt = taskText(a.Task), m.now
-			m.note("%s run %d start ordered on %s until %d, clock %d", taskText(a.Task), a.Run, w.id, a.Deadline, m.clockOf(w))
-			answer := func(outcome jobscheduler.StartAnswer, clock int64) func() {
-				return func() {
-					m.note("%s run %d start answered by %s: %d", taskText(a.Task), a.Run, w.id, outcome)
-					sched.StartAnswered(a, outcome, clock)
-				}
+			if a.Recorded {
+				m.sendStart(a)
+			} else {
+				m.recordStart(a)
 			}
-			m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, term, a), m.clockOf(w)) },
-				func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), nil, answer(jobscheduler.StartGone, 0))
+		case jobscheduler.RecordBegun:
+			m.after(m.between(5*time.Millisecond, 500*time.Millisecond), func() {
+				if m.sched != sched {
+					return
+				}
+				m.apply(&jobwire.Command{
+					Change: &jobwire.Command_RecordedStarts{
+						RecordedStarts: &jobwire.RecordedStarts{
+							Begun: a.Runs,
+						},
+					},
+				})
+			})
 		case jobscheduler.Stop:
 			w := m.worker(a.Target.ID)
 			m.note("%s run %d stop ordered on %s", taskText(a.Task), a.Run, w.id)
@@ -541,6 +548,54 @@
 	}
 }
 
+// recordStart writes a start to the log and sends its order after that. Some writes fail, and
+// of those some are in the log nevertheless.
+func (m *model) recordStart(a jobscheduler.Start) {
+	sched := m.sched
+	m.withScheduler(func() { sched.HoldStarts([]jobscheduler.Action{a}) })
+	fails := m.rng.Float64() < 0.02
+	written := !fails || m.rng.IntN(2) == 0
+	delay := m.between(time.Millisecond, 30*time.Millisecond)
+	if m.rng.Float64() < 0.02 {
+		delay = m.between(30*time.Millisecond, 2*time.Second)
+	}
+	m.after(delay, func() {
+		if m.sched != sched {
+			return
+		}
+		if written {
+			m.apply(recordedStart(a))
+		}
+		send := false
+		m.withScheduler(func() {
+			if send = !fails && sched.StartRecorded(a); !send {
+				m.note("%s run %d start not sent to %s", taskText(a.Task), a.Run, a.Target.ID)
+				sched.StartAnswered(a, jobscheduler.StartNotSent, 0)
+			}
+		})
+		if send {
+			a.Recorded = true
+			m.sendStart(a)
+		}
+	})
+}
+
+// sendStart sends a recorded start.
+func (m *model) sendStart(a jobscheduler.Start) {
+	term, sched := m.term, m.sched
+	w := m.worker(a.Target.ID)
+	w.lastOrder, w.orderedAt = taskText(a.Task), m.now
+	m.note("%s run %d start ordered on %s until %d, clock %d", taskText(a.Task), a.Run, w.id, a.Deadline, m.clockOf(w))
+	answer := func(outcome jobscheduler.StartAnswer, clock int64) func() {
+		return func() {
+			m.note("%s run %d start answered by %s: %d", taskText(a.Task), a.Run, w.id, outcome)
+			sched.StartAnswered(a, outcome, clock)
+		}
+	}
+	m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, term, a), m.clockOf(w)) },
+		func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), nil, answer(jobscheduler.StartGone, 0))
+}
+
 func (m *model) worker(id string) *modelWorker {
 	for _, w := range m.workers {
 		if w.id == id || slices.Contains(w.formerIDs, id) {
--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -78,7 +78,7 @@
 // needsCare reports whether a task may not simply be started: workers have crashed
 // under it, or it waits for news of one.
 func (s *Scheduler) needsCare(st *step, index int32) bool {
-	return s.treatment(st, index) != isolator.Normal || len(s.unknownFates) > 0 && s.fateUnknown(st.key(index))
+	return s.treatment(st, index) != isolator.Normal || len(s.unknownFates)+len(s.heldStarts) > 0 && s.fateUnknown(st.key(index))
 }
 
 // placeSuspects places the tasks of a step that need care, also in a full pool, where a
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -26,6 +26,7 @@
 	clear(s.unreconciledUses)
 	clear(s.waitingForRack)
 	s.dropIdlePlacements()
+	s.expireHeldStarts()
 	for _, j := range s.jobs {
 		s.openDueOccurrences(j)
 	}
@@ -46,6 +47,7 @@
 			p.dirty = p.dirty || s.startsLeft <= 0
 		}
 	}
+	s.recordBegunRuns()
 	return s.takeActions()
 }
 
@@ -58,6 +60,7 @@
 		s.updateReservation(w)
 		s.stopExcess(w)
 		for _, r := range w.runs {
+			s.noteBegun(r)
 			if r.step != nil && r.step.spec.GetLasting() {
 				s.updateLastingRun(w, r)
 			}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -88,6 +88,7 @@
 	w.pollInFlight = false
 	switch {
 	case answer.Gone:
+		s.dropHeldStarts(w)
 		s.workerEnded(w, "another worker has answered at its address")
 		s.forgetWorker(w)
 		return
@@ -112,6 +113,7 @@
 	s.lapsedRunsSettled(w)
 	s.handleEnds(w, answer.Ended)
 	s.reconcile(w, answer)
+	s.dropHeldStarts(w)
 	s.reconciledBy(w, answer)
 	if w.info.GetLapsed() {
 		s.markLapsed(w, false)
@@ -304,7 +306,7 @@
 func (s *Scheduler) adoptRun(w *worker, key runKey) *run {
 	s.openOccurrence(key.StepKey)
 	st := s.findTaskStep(key.taskKey)
-	wanted := st != nil && s.liveRuns[key.taskKey] == 0 && s.unreconciled[w.info.GetId()] == w &&
+	wanted := st != nil && s.liveRuns[key.taskKey] == 0 && (s.unreconciled[w.info.GetId()] == w || s.startHeldFor(key, w)) &&
 		!st.occurrence.job.saved.Task(key.task()).Done
 	if st != nil {
 		st.lastRunNumber[key.index] = max(st.lastRunNumber[key.index], key.number)
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -45,8 +45,10 @@
 	// the run. The answer to a start doesn't name the incarnation, so a later one may have
 	// accepted it, under the same id; a poll does.
 	begunHere bool
-	// undelivered is true while all answered copies of the order to start the run have
-	// not reached the worker.
+	// begunNoted is true once the run needs no RecordBegun, or is among begunRuns.
+	begunNoted bool
+	// undelivered is true while no copy of the order to start the run was sent, and while all
+	// answered copies have not reached the worker.
 	undelivered bool
 	// unanswered is true once a copy of the order to start the run was not answered
 	// though the worker kept the connection. It may be executed seconds later.
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -80,6 +80,14 @@
 	liveRunsByJob map[string]int
 	// Invariant: counts the ends of each task that are being written to the log.
 	unrecordedEnds map[taskKey]int
+	// heldStarts holds the tasks with a start of a former leader that may still be executed;
+	// heldOn holds their keys by the worker of the start.
+	heldStarts map[taskKey]heldStart
+	heldOn     map[string][]taskKey
+	// begunRuns holds the runs that are to be recorded as begun, the first of them since
+	// begunSince.
+	begunRuns  []*run
+	begunSince time.Time
 	// unknownFates holds the tasks that wait for news of a worker that they may have
 	// crashed, with the time until which they wait.
 	unknownFates map[taskKey]time.Time
@@ -211,6 +219,8 @@
 		stoppedAccounts:    make(map[string]bool),
 		unreconciledUses:   make(map[string]controller.Amount),
 		unrecordedEnds:     make(map[taskKey]int),
+		heldStarts:         make(map[taskKey]heldStart),
+		heldOn:             make(map[string][]taskKey),
 		unknownFates:       make(map[taskKey]time.Time),
 		pendingPlacements:  make(map[taskKey]*pendingPlacement),
 		crashingUntil:      make(map[string]time.Time),
@@ -237,11 +247,16 @@
 			added.acceptedBeforeTerm = true
 			s.openBegunOccurrences(added)
 			s.restorePlacements(added)
+			s.holdRecordedStarts(j)
 		} else if wall.Sub(j.EndedAt) < stoppedJobSettleTime {
 			s.noteStoppedJob(j)
 			s.restoreQueueOfEndedJob(j)
 		}
 	}
+	if len(s.heldStarts) > 0 {
+		s.logger.Info("scheduler: starts of a former leader may not have been executed; their tasks wait until the workers have answered, or can't execute them any more",
+			"term", term, "tasks", len(s.heldStarts), "workers", len(s.heldOn))
+	}
 	s.restoreDemand()
 	return s
 }
@@ -274,10 +289,11 @@
 
 // unreconciledUse returns an upper bound of what an account may have running on the
 // unreconciled workers: the tasks of its open jobs that may run there, or all that the
-// workers can hold if a job of the account may have been stopped there.
+// workers can hold if a job of the account may have been stopped there. After that it is what
+// held starts may yet take.
 func (s *Scheduler) unreconciledUse(account string) controller.Amount {
 	if len(s.unreconciled) == 0 {
-		return controller.Amount{}
+		return s.heldUse(account)
 	}
 	if use, ok := s.unreconciledUses[account]; ok {
 		return use
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -348,6 +348,7 @@
 		if !ok || former == w || info.GetBorn() >= w.info.GetBorn() {
 			continue
 		}
+		s.dropHeldStarts(former)
 		s.workerEnded(former, "another worker has answered at its address")
 		s.forgetWorker(former)
 	}
