internal/jobcontroller: starts are in the log before they are sent

Cause: orders to start were handed to the sender as soon as a pass had decided on them. Change: the starts of a pass are written in one RecordedStarts command; their orders are handed to the sender once the write has succeeded and this host can still prove its lead. Repeated copies of a start, polls and stops don't wait. Orders to one worker were never in order, so none is lost. Marks of begun runs are written with the starts; a failed write of them is repeated.

--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -25,6 +25,7 @@
 // dispatch starts all actions without waiting for them; their outcomes are
 // reported to the scheduler as they arrive.
 func (c *Controller) dispatch(ctx context.Context, sched *jobscheduler.Scheduler, fence uint64, actions []jobscheduler.Action) {
+	starts, actions := split(actions, isUnrecordedStart)
 	orders, actions := split(actions, isOrder)
 	hostOrders, actions := split(actions, isHostOrder)
 	records, actions := splitType[jobscheduler.RecordEnds](actions)
@@ -32,6 +33,7 @@
 	placements, actions := splitType[jobscheduler.RecordPlacement](actions)
 	marks, actions := splitType[jobscheduler.MarkLapsed](actions)
 	confinements, actions := splitType[jobscheduler.ConfineJob](actions)
+	begun, actions := splitType[jobscheduler.RecordBegun](actions)
 	for _, action := range actions {
 		c.pool.Go(func() { c.execute(ctx, sched, action) })
 	}
@@ -53,6 +55,16 @@
 	if len(hostOrders) > 0 {
 		c.pool.Go(func() { c.sendHostOrders(ctx, sched, fence, hostOrders) })
 	}
+	if len(starts)+len(begun) > 0 {
+		batch := startBatch{
+			fence:   fence,
+			sender:  c.sender,
+			workers: c.workerCount,
+			starts:  starts,
+			begun:   begun,
+		}
+		c.pool.Go(func() { c.recordStarts(ctx, sched, batch) })
+	}
 	if len(orders) > 0 {
 		c.sender.Send(orders, c.workerCount)
 	}
@@ -302,10 +314,7 @@
 }
 
 func (c *Controller) recordOnce(ctx context.Context, cmd *jobwire.Command) error {
-	ctx, cancel := context.WithTimeout(ctx, logWriteTimeout)
-	defer cancel()
-	_, err := c.submit(ctx, cmd)
-	return err
+	return c.recordWithin(ctx, logWriteTimeout, cmd)
 }
 
 // isCurrent reports whether the scheduler is the one of the current term.
--- a/internal/jobcontroller/controller.go
+++ b/internal/jobcontroller/controller.go
@@ -203,6 +203,7 @@
 		// The next leader would read the same state and panic as well.
 		err := recoverer.Run(c.opts.Logger, "conductor: a scheduling pass panicked; its actions are lost", func() {
 			actions = sched.Pass(authority.Contact, c.sender.SenderCount())
+			sched.HoldStarts(actions)
 			next = sched.Next()
 		})
 		if err != nil {
--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -41,6 +41,12 @@
 	// onHostOrders, if not nil, is called after the announcement of orders to the
 	// provider has been applied.
 	onHostOrders func(*jobwire.HostOrders)
+	// beforeStarts, if not nil, is called before recorded starts are applied, without the
+	// lock.
+	beforeStarts func(*jobwire.RecordedStarts)
+	// failStarts, if not nil, is called in place of the write of recorded starts, whose
+	// outcome is unknown then.
+	failStarts func()
 }
 
 func (l *singleReplicaLog) setOutcomeUnknown(unknown bool) {
@@ -56,8 +62,19 @@
 }
 
 func (l *singleReplicaLog) Submit(_ context.Context, data []byte) (any, error) {
+	starts := recordedStartsIn(data)
+	l.mu.Lock()
+	before := l.beforeStarts
+	l.mu.Unlock()
+	if len(starts.GetStarts()) > 0 && before != nil {
+		before(starts)
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if len(starts.GetStarts()) > 0 && l.failStarts != nil {
+		l.failStarts()
+		return nil, voter.ErrOutcomeUnknown
+	}
 	if l.outcomeUnknown {
 		return nil, voter.ErrOutcomeUnknown
 	}
@@ -72,6 +89,15 @@
 	return result, nil
 }
 
+// recordedStartsIn returns the recorded starts of an entry; nil if it is another one.
+func recordedStartsIn(data []byte) *jobwire.RecordedStarts {
+	cmd := &jobwire.Command{}
+	if proto.Unmarshal(data, cmd) != nil {
+		return nil
+	}
+	return cmd.GetRecordedStarts()
+}
+
 func (l *singleReplicaLog) Authority() voter.Authority {
 	l.mu.Lock()
 	defer l.mu.Unlock()
