--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -58,7 +58,7 @@
 func (s *Scheduler) noteLapsedRuns(w *worker, runs []*run) {
 	alone := w.runsAlone()
 	for _, r := range runs {
-		if r.step == nil {
+		if r.step == nil || r.unsent {
 			continue
 		}
 		w.lapsedRuns = append(w.lapsedRuns, s.lapse(w, r, alone))
@@ -92,8 +92,11 @@
 }
 
 // fateUnknown reports whether the task waits for news of a worker that it may have
-// crashed.
+// crashed, or that may still begin a run of it.
 func (s *Scheduler) fateUnknown(key taskKey) bool {
+	if s.startHeld(key) {
+		return true
+	}
 	until, ok := s.unknownFates[key]
 	if ok && !s.now.Before(until) {
 		delete(s.unknownFates, key)
@@ -125,7 +128,9 @@
 	planned := s.plannedEnd(w)
 	runs := w.lapsedRuns
 	for _, r := range w.runs {
-		runs = append(runs, s.lapse(w, r, w.aloneAtEnd))
+		if !r.unsent {
+			runs = append(runs, s.lapse(w, r, w.aloneAtEnd))
+		}
 	}
 	// A run that was given up long before is not what the worker has crashed under.
 	runs = slices.DeleteFunc(runs, func(r lapsedRun) bool { return s.now.After(r.countsUntil) })
@@ -261,7 +266,7 @@
 	alone := w.runsAlone()
 	var runs []lapsedRun
 	for _, r := range w.runs {
-		if r.step != nil {
+		if r.step != nil && !r.unsent {
 			runs = append(runs, s.lapse(w, r, alone))
 		}
 	}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -45,6 +45,10 @@
 	// the run. The answer to a start doesn't name the incarnation, so a later one may have
 	// accepted it, under the same id; a poll does.
 	begunHere bool
+	// begunNoted is true once the run needs no RecordBegun, or is among begunRuns.
+	begunNoted bool
+	// unsent is true while the caller writes the start to the log: no copy has been sent.
+	unsent bool
 	// unanswered is true once a copy of the order to start the run was not answered
 	// though the worker kept the connection. It may be executed seconds later.
 	unanswered    bool
@@ -303,13 +307,15 @@
 	}
 }
 
-// startNotSent handles a copy of a start for which there was no connection to the worker, which
-// is most likely silent. Unless an earlier copy was sent, the run can't begin there, and its task
+// startNotSent handles a copy of a start that was not sent. If that was for want of a connection,
+// the worker is most likely silent. Unless an earlier copy was sent, the run can't begin there, and its task
 // is queued again at once.
 func (s *Scheduler) startNotSent(r *run) {
 	w := r.worker
-	w.unresponsive = true
-	w.nextPollAt = s.now
+	if !r.unsent {
+		w.unresponsive = true
+		w.nextPollAt = s.now
+	}
 	if r.startAttempts > 0 {
 		r.copySentAt = r.formerCopySentAt
 		if r.state == starting {
@@ -318,8 +324,10 @@
 		return
 	}
 	s.counters.NotSent++
-	s.logger.Info("scheduler: no connection to the worker, so the start was not sent; the task is queued again",
-		"task", taskName(r.key.taskKey), "run", r.key.number, "worker", w.info.GetId(), "born", w.info.GetBorn(), "silent", s.now.Sub(w.heardAt))
+	if !r.unsent {
+		s.logger.Info("scheduler: no connection to the worker, so the start was not sent; the task is queued again",
+			"task", taskName(r.key.taskKey), "run", r.key.number, "worker", w.info.GetId(), "born", w.info.GetBorn(), "silent", s.now.Sub(w.heardAt))
+	}
 	s.dropRun(r)
 	s.requeueIfNotRunning(r.key.taskKey)
 }
--- a/internal/jobscheduler/waiting.go
+++ b/internal/jobscheduler/waiting.go
@@ -17,6 +17,7 @@
 	waitStartUnanswered
 	waitStopUnconfirmed
 	waitSilentWorker
+	waitFormerStart
 	waitEndUnrecorded
 	waitCrashNews
 	waitPlacement
@@ -39,6 +40,8 @@
 		return "stop is not confirmed"
 	case waitSilentWorker:
 		return "worker does not answer"
+	case waitFormerStart:
+		return "start of a former leader may still be executed"
 	case waitEndUnrecorded:
 		return "end of a run is being written to the log"
 	case waitCrashNews:
@@ -120,6 +123,9 @@
 	for key := range s.pendingPlacements {
 		c.addTask(key)
 	}
+	for key := range s.heldStarts {
+		c.addTask(key)
+	}
 	for _, j := range s.jobs {
 		c.addJob(j)
 	}
@@ -220,6 +226,15 @@
 	if treatment == isolator.GivenUp {
 		return wait{}
 	}
+	if h, ok := s.heldStarts[key]; ok {
+		return wait{
+			cause:  waitFormerStart,
+			worker: s.workers[h.worker],
+			run:    h.run,
+			since:  s.termStart,
+			until:  h.until,
+		}
+	}
 	if until, ok := s.unknownFates[key]; ok && s.now.Before(until) {
 		return wait{
 			cause: waitCrashNews,
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -359,7 +359,7 @@
 		if !r.mayBeginAfterRestart() {
 			continue
 		}
-		if !from.endSettled {
+		if !from.endSettled && !r.unsent {
 			// The crash is counted when the poll in flight is answered.
 			from.lapsedRuns = append(from.lapsedRuns, s.lapse(from, r, from.aloneAtEnd))
 			s.unknownFates[key.taskKey] = s.now.Add(lastPollTime)
@@ -403,6 +403,7 @@
 		if !ok || former == w || info.GetBorn() >= w.info.GetBorn() {
 			continue
 		}
+		s.dropHeldStarts(former)
 		s.workerEnded(former, "another worker has answered at its address")
 		s.forgetWorker(former)
 	}
