internal/jobscheduler: a long-running task asks its workers together

Cause: a worker that has not answered for 1 s was polled alone, and the next one only after its answer. Each silent one held the task up for a failed poll of 0.6 s, until heartbeats were missed; a gang on idle workers, one task each, never started where the answers took together longer than the 1 s for which one counts. Change: up to 32 workers with room are polled at once. Evidence: TestLongRunningTasksAskWorkersTogether failed before in both cases (24 members, answers after 50 ms: none started in 20 s; starts them at once).

--- /dev/null
+++ b/internal/jobscheduler/askedworkers_test.go
@@ -0,0 +1,89 @@
+package jobscheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+)
+
+// playUntilStarted plays until a number of tasks have started, at most for the given time, and
+// returns how many have, and after how long. Polls of silent workers fail after 600 ms; others
+// are answered after the given delay.
+func (h *harness) playUntilStarted(want int, longest, delay time.Duration, silent map[string]bool) (int, time.Duration) {
+	type sentPoll struct {
+		jobscheduler.Poll
+		at time.Time
+	}
+	began, started := h.now, 0
+	var inFlight []sentPoll
+	for h.now.Sub(began) < longest {
+		h.advance(4 * time.Millisecond)
+		if started += len(takeAll[jobscheduler.Start](h)); started >= want {
+			break
+		}
+		for _, p := range takeAll[jobscheduler.Poll](h) {
+			inFlight = append(inFlight, sentPoll{
+				Poll: p,
+				at:   h.now,
+			})
+		}
+		var rest []sentPoll
+		for _, p := range inFlight {
+			after := delay
+			if silent[p.Target.ID] {
+				after = 600 * time.Millisecond
+			}
+			if h.now.Sub(p.at) < after {
+				rest = append(rest, p)
+				continue
+			}
+			answer := jobscheduler.PollAnswer{
+				Failed: silent[p.Target.ID],
+				Clock:  h.clock(),
+				SentAt: p.at,
+			}
+			h.withScheduler(func() { h.sched.PollAnswered(p.Poll, answer) })
+		}
+		inFlight = rest
+	}
+	return started, h.now.Sub(began)
+}
+
+// Workers of which none has answered lately were polled one after another. Several silent ones
+// held a long-running task up for 0.6 s each, and a gang never started where the first answer was
+// older than a second when the last arrived.
+func TestLongRunningTasksAskWorkersTogether(t *testing.T) {
+	tests := map[string]struct {
+		silent, answering int
+		tasks             int32
+		gang              bool
+	}{
+		"silent workers come first": {silent: 12, answering: 1, tasks: 1},
+		"a gang on idle workers":    {answering: 24, tasks: 24, gang: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.heartbeat = 1500 * time.Millisecond
+			silent := make(map[string]bool)
+			for n := range test.silent {
+				silent[fmt.Sprintf("a%02d", n)] = true
+				h.addWorker(fmt.Sprintf("a%02d", n))
+			}
+			for n := range test.answering {
+				h.addWorker(fmt.Sprintf("b%02d", n))
+			}
+			h.startTerm()
+			h.reconcileWorkers()
+			h.advance(2 * time.Second)
+			step := lastingTasks(test.tasks, 1000)
+			step.Gang, step.MostPerWorker = test.gang, 1
+			h.submit("job", step)
+			started, took := h.playUntilStarted(int(test.tasks), 20*time.Second, 50*time.Millisecond, silent)
+			h.is.Equal(started, int(test.tasks))
+			h.is.True(took < 200*time.Millisecond) // one poll of each, and a pass
+		})
+	}
+}
--- a/internal/jobscheduler/choose.go
+++ b/internal/jobscheduler/choose.go
@@ -46,6 +46,7 @@
 // when there is none.
 func (s *Scheduler) cheapestWorker(st *step, index int32, workers []*worker, chosen map[*worker]int) *worker {
 	var best, answering candidate
+	var quiet []*worker
 	for _, w := range workers {
 		if !s.mayRun(st, index, w, chosen[w]) || !s.mayStartBesideSuspects(st, w) {
 			continue
@@ -57,12 +58,14 @@
 		best = best.orCheaper(c)
 		if w.answersAt(s.now) {
 			answering = answering.orCheaper(c)
+		} else if len(quiet) < maxAskedWorkers {
+			quiet = append(quiet, w)
 		}
 	}
 	if best.worker == nil || !st.spec.GetLasting() {
 		return best.worker
 	}
-	return s.answeringWorker(best, answering)
+	return s.answeringWorker(best, answering, quiet)
 }
 
 // candidate is a worker that has room for a task; its worker is nil when there is none.
@@ -81,16 +84,23 @@
 // answeringWorker returns the worker for a long-running task, given the cheapest of all and the
 // cheapest of those that have answered lately. A silent worker would keep the task from running
 // for as long as it may still execute the start. So the task goes to one that answers, unless
-// that costs a penalty more; else the cheapest one is polled, and its answer brings the start.
-func (s *Scheduler) answeringWorker(best, answering candidate) *worker {
+// that costs a penalty more; else the cheapest one and the quiet ones are polled, and an answer
+// brings the start. Asked one after another, silent ones would hold the task up for a failed poll
+// each, and the first answers for a large gang would be out of date before the last arrives.
+func (s *Scheduler) answeringWorker(best, answering candidate, quiet []*worker) *worker {
 	if answering.worker != nil && answering.cost < best.cost+minPenalty {
 		return answering.worker
 	}
-	best.worker.askedForStart = true
-	s.pollNow(best.worker)
+	for _, w := range append(quiet, best.worker) {
+		w.askedForStart = true
+		s.pollNow(w)
+	}
 	return nil
 }
 
+// maxAskedWorkers bounds the workers that are polled at once for a long-running task.
+const maxAskedWorkers = 32
+
 // Penalties of a placement, in shares of a worker's capacity.
 const (
 	costOtherRack    = 4.0
