internal/jobscheduler: a worker that has restarted is not polled before its heartbeat

Cause: workerRestarted puts the next poll off until the heartbeat of the later incarnation, which would drop the ends that a poll of the former one acknowledges, so that done tasks run again. A start to the former one that was in flight brought the poll forward: since when it was not sent or refused, before that when it was accepted or came too late. Change: an incarnation that is known to have ended is not polled, whatever asks for it. Evidence: TestRestartedWorkerIsNotPolledBeforeItsHeartbeat failed before in four of its five cases.

--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -293,7 +293,7 @@
 		return s.now
 	}
 	for _, w := range s.workers {
-		if !w.pollInFlight && !w.recordInFlight && w.nextPollAt.Before(next) {
+		if w.mayBePolled() && w.nextPollAt.Before(next) {
 			next = w.nextPollAt
 		}
 	}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -357,7 +357,7 @@
 	for _, w := range s.workers {
 		s.expireLease(w)
 		s.checkSilence(w)
-		if w.pollInFlight || w.recordInFlight || s.now.Before(w.nextPollAt) {
+		if !w.mayBePolled() || s.now.Before(w.nextPollAt) {
 			continue
 		}
 		if !w.reconciled {
@@ -387,6 +387,12 @@
 	}
 }
 
+// mayBePolled reports whether a poll may be sent. A later incarnation would take one to a former
+// incarnation that has ended for its own, and drop the ends that it acknowledges.
+func (w *worker) mayBePolled() bool {
+	return !w.pollInFlight && !w.recordInFlight && w.endEvidence == ""
+}
+
 // formerLeaseBound returns the time since the beginning of this term after which
 // nothing runs under a lease of a former leader. Such leases count from its last
 // confirmation of leadership, which was before the term.
--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -200,3 +200,47 @@
 		})
 	}
 }
+
+// A worker that has restarted is not polled before its heartbeat: a poll of the former incarnation
+// that acknowledges ends makes the later one forget ends that nobody has read, and done tasks run
+// again. The outcome of a start that was in flight brought such a poll forward.
+func TestRestartedWorkerIsNotPolledBeforeItsHeartbeat(t *testing.T) {
+	tests := map[string]jobscheduler.StartAnswer{
+		"no connection":      jobscheduler.StartNotSent,
+		"connection refused": jobscheduler.StartUndelivered,
+		"no answer":          jobscheduler.StartUnknown,
+		"accepted":           jobscheduler.StartAccepted,
+		"too late":           jobscheduler.StartLeaseExpired,
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.submit("job", tasks(1, 1000))
+			h.advance(time.Millisecond)
+			h.acceptStarts()
+			h.advance(100 * time.Millisecond)
+			h.answerPolls(map[string]jobscheduler.PollAnswer{
+				"a": {
+					Ended: []jobscheduler.EndedTask{endedTask(1, task("job", 0, 0), 1, jobwire.Ending_ENDING_DONE)},
+				},
+			})
+			h.advance(time.Millisecond)
+			h.recordEnds()
+			h.submit("next", tasks(1, 1000))
+			h.advance(time.Millisecond)
+			start := takeAll[jobscheduler.Start](h)[0]
+			poll := takeAll[jobscheduler.Poll](h)[0]
+			h.withScheduler(func() {
+				h.sched.PollAnswered(poll, jobscheduler.PollAnswer{
+					Restarted: true,
+				})
+				h.sched.StartAnswered(start, answer, 0)
+			})
+			h.advance(300 * time.Millisecond)
+			h.is.Equal(len(takeAll[jobscheduler.Poll](h)), 0)
+		})
+	}
+}
