internal/jobscheduler: tests of what a start that was not sent leaves behind

Cause: two lines of startNotSent could be taken out without a test that fails: that the worker counts as unresponsive, and that a later copy which was not sent doesn't count for the 15 s. Change: a test of each. Evidence: each fails when its line is taken out, and passes on this commit.

--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -244,3 +244,48 @@
 		})
 	}
 }
+
+// A worker to which there was no connection, of whose silence no poll has told yet, was the best one
+// for the task again. It would be given it for each connection that fails.
+func TestTaskIsNotGivenAgainToWorkerWithoutConnection(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", lastingTasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartNotSent, 0) })
+	for range 10 {
+		h.advance(10 * time.Millisecond)
+		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	}
+	h.answerPolls(nil)
+	h.advance(100 * time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@a ")
+}
+
+// A task waits from the last copy of its start that may have arrived. It waited from a later copy
+// that was not sent.
+func TestCopyThatWasNotSentDoesNotProlongWait(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	sentAt := h.now
+	h.addWorker("b")
+	for _, answer := range []jobscheduler.StartAnswer{jobscheduler.StartUnknown, jobscheduler.StartNotSent} {
+		h.advance(500 * time.Millisecond)
+		h.failPolls("a")
+		h.withScheduler(func() { h.sched.StartAnswered(start, answer, 0) })
+	}
+	h.advance(time.Millisecond)
+	takeAll[jobscheduler.Start](h) // the copy
+	for len(takeAll[jobscheduler.Start](h)) == 0 {
+		h.advance(10 * time.Millisecond)
+		h.failPolls("a")
+		h.is.True(h.now.Sub(sentAt) < 15200*time.Millisecond)
+	}
+	h.is.True(h.now.Sub(sentAt) > 14900*time.Millisecond)
+}
