internal/jobscheduler: a placement on a silent worker is decided anew once its poll fails

Cause: a task under which a worker has crashed starts where the log places it once the worker has answered. If its poll failed, the task still waited for the whole of placementTime, 2 s, and then for the next silent worker. Change: once the placement is in the log, it is decided anew when the worker counts as unresponsive. Evidence: TestPlacementOnSilentWorkerIsDecidedAnewOnceItsPollFails failed before. The tests of crashes, isolation and placements pass.

--- a/internal/jobscheduler/isolate.go
+++ b/internal/jobscheduler/isolate.go
@@ -126,7 +126,9 @@
 	}
 	if a, ok := s.pendingPlacements[key]; ok {
 		ready := a.recorded && (len(a.worker.runs) > 0 || a.worker.answeredSince(a.decidedAt))
-		if !ready && s.now.Before(a.until) {
+		// An answer of a worker that has just not answered a poll is not waited for.
+		silent := a.recorded && a.worker.unresponsive
+		if !ready && !silent && s.now.Before(a.until) {
 			s.pollNow(a.worker)
 			return false
 		}
--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -289,3 +289,28 @@
 	}
 	h.is.True(h.now.Sub(sentAt) > 14900*time.Millisecond)
 }
+
+// A task under which a worker has crashed was placed on one that is silent, and waited there for 2 s
+// although a poll had shown the silence long before. Three such workers kept a long-running task away
+// for 6 s.
+func TestPlacementOnSilentWorkerIsDecidedAnewOnceItsPollFails(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.addWorker("b")
+	h.startTerm()
+	h.reconcileWorkers()
+	h.advance(2 * time.Second)
+	h.submit("job", lastingTasks(1, 1000))
+	h.crashed("job", 1)
+	h.advance(time.Millisecond)
+	h.is.Equal(h.recordPlacements()[0].Target.ID, "a")
+	h.advance(600 * time.Millisecond)
+	h.failPolls("a")
+	began := h.now
+	for len(takeAll[jobscheduler.Start](h)) == 0 {
+		h.advance(10 * time.Millisecond)
+		h.recordPlacements()
+		h.failPolls("a")
+		h.is.True(h.now.Sub(began) < 300*time.Millisecond)
+	}
+}
