internal/jobscheduler: a worker that is asked for a long-running task answers at once

Cause: the poll of answeringWorker lets a worker with runs wait until one ends, for up to 0.7 s, and the task and others behind it wait as long. Change: such a poll has no wait; the lease that it gives stays. Evidence: TestBusyWorkerAnswersAtOnceWhenAskedForStart failed before.

--- a/internal/jobscheduler/askedworkers_test.go
+++ b/internal/jobscheduler/askedworkers_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
 // playUntilStarted plays until a number of tasks have started, at most for the given time, and
@@ -87,3 +88,31 @@
 		})
 	}
 }
+
+// A poll that a long-running task waits for was a long poll where the worker is busy: the worker
+// holds it until a run ends, for up to 0.7 s.
+func TestBusyWorkerAnswersAtOnceWhenAskedForStart(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("batch", tasks(2, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	other := h.acceptStarts()[1]
+	h.advance(100 * time.Millisecond)
+	h.answerPolls(map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(other.Task, other.Run)},
+			Ended:   []jobscheduler.EndedTask{endedTask(1, task("batch", 0, 0), 1, jobwire.Ending_ENDING_DONE)},
+		},
+	})
+	h.advance(1100 * time.Millisecond) // the write of the end to the log takes long
+	h.submit("job", lastingTasks(1, 1000))
+	h.advance(time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	h.recordEnds()
+	h.advance(time.Millisecond)
+	polls := takeAll[jobscheduler.Poll](h)
+	h.is.Equal(len(polls), 1)
+	h.is.Equal(polls[0].Wait, time.Duration(0))
+	h.is.True(polls[0].Deadline > 0)
+}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -498,7 +498,9 @@
 	// The worker may receive a poll whose answer is lost, so an unresponsive worker
 	// gets no further lease: its runs count as lost when the last lease ends.
 	if len(w.runs) > 0 && w.reconciled && !w.unresponsive && w.mayHoldLease() {
-		poll.Wait = maxPollWait
+		if !w.askedForStart {
+			poll.Wait = maxPollWait
+		}
 		poll.Deadline = w.leaseDeadline(contact, s.settings.Lease)
 		if poll.Deadline > 0 {
 			w.extendLease(poll.Deadline)
