--- a/internal/jobscheduler/askedworkers_test.go
+++ b/internal/jobscheduler/askedworkers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,3 +117,17 @@
 	h.is.Equal(polls[0].Wait, time.Duration(0))
 	h.is.True(polls[0].Deadline > 0)
 }
+
+// Batch tasks waited while a worker was polled for a long-running task, as if the pool were full,
+// although there was room for both.
+func TestBatchTasksStartWhileWorkerIsAskedForLongRunningTask(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.startTerm()
+	h.reconcileWorkers()
+	h.advance(2 * time.Second)
+	h.submit("job", lastingTasks(1, 1000))
+	h.submit("other", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	h.is.True(strings.Contains(formatStarts(takeAll[jobscheduler.Start](h)), "other.0.0@a "))
+}
