internal/jobscheduler: test of a gang that loses its places while workers are asked

Cause: placeGang leaves the workers of a long-running gang unclaimed while they are polled, and steps that rank after it take them in the same pass. The gang then waits until as many are free together. Not mended here.

--- a/internal/jobscheduler/askedworkers_test.go
+++ b/internal/jobscheduler/askedworkers_test.go
@@ -131,3 +131,25 @@
 	h.advance(time.Millisecond)
 	h.is.True(strings.Contains(formatStarts(takeAll[jobscheduler.Start](h)), "other.0.0@a "))
 }
+
+// A gang for which there was room lost it, while its workers were polled, to batch tasks that rank
+// after it.
+func TestGangKeepsItsPlacesWhileWorkersAreAsked(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.addWorker("b")
+	h.startTerm()
+	h.reconcileWorkers()
+	h.advance(2 * time.Second)
+	gang := lastingTasks(2, 8000)
+	gang.Gang = true
+	h.submit("job", gang)
+	h.submit("other", tasks(2, 8000))
+	h.advance(time.Millisecond)
+	started := formatStarts(h.acceptStarts())
+	h.advance(time.Millisecond)
+	h.answerPolls(nil)
+	h.advance(time.Millisecond)
+	started += formatStarts(h.acceptStarts())
+	h.is.Equal(started, "job.0.0@a job.0.1@b ")
+}
