internal/invoker: an order is not redirected

Cause: a start counts as not delivered when a connection was refused. http.Client follows a redirect of a POST with 307 or 308, so that the refused connection may be one to another address, after the order has arrived.

--- a/internal/invoker/client.go
+++ b/internal/invoker/client.go
@@ -101,6 +101,9 @@
 	if !ok {
 		e = &endpoint{
 			client: &http.Client{
+				// A failure behind a redirect would say nothing about the order, which has
+				// arrived at the address.
+				CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 				Transport: &http.Transport{
 					DialContext:         DialWithReset,
 					MaxConnsPerHost:     maxConnsPerWorker,
--- a/internal/invoker/invoker_test.go
+++ b/internal/invoker/invoker_test.go
@@ -342,3 +342,21 @@
 		})
 	}
 }
+
+// An order that has arrived was taken for one that was not delivered, because what answered it led
+// to an address at which nothing listens.
+func TestStartIsNotRedirected(t *testing.T) {
+	is := is.New(t)
+	closed := httptest.NewServer(http.NotFoundHandler())
+	closed.Close()
+	server := httptest.NewServer(http.RedirectHandler(closed.URL, http.StatusTemporaryRedirect))
+	defer server.Close()
+	answer, _ := invoker.New().Start(contextWithTimeout(t), 7, jobscheduler.Start{
+		Target: jobscheduler.Target{
+			ID:      "j-1",
+			Address: server.Listener.Addr().String(),
+		},
+		Task: task,
+	})
+	is.Equal(answer, jobscheduler.StartUnknown)
+}
