internal/jobscheduler: test of an earlier copy that is stopped when its worker answers again

Cause: the call of giveUpStarting in startNotSent could be taken out without a test that fails. The run would then stay for ever on a worker that answers and doesn't list it. Evidence: the test fails without that call, and passes on this commit.

--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -314,3 +314,24 @@
 		h.is.True(h.now.Sub(began) < 300*time.Millisecond)
 	}
 }
+
+// A start of which a copy was not sent is given up, so that a worker that answers again is told to
+// reject the earlier copy. Its task would wait for ever.
+func TestEarlierCopyIsStoppedWhenWorkerAnswersAgain(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	for _, answer := range []jobscheduler.StartAnswer{jobscheduler.StartUnknown, jobscheduler.StartNotSent} {
+		h.withScheduler(func() { h.sched.StartAnswered(start, answer, 0) })
+	}
+	for range 10 {
+		h.advance(20 * time.Millisecond)
+		h.answerPolls(nil)
+	}
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Run, start.Run)
+}
