internal/jobscheduler: the model of interleaved orders has starts that were not sent

Cause: the model never gave the outcome StartNotSent, so none of its plays could show two runs because of it. Change: half of the starts that are never executed are reported as not sent. Evidence: TestOneRunAtATime, TestTaskThatCrashesWorkersIsGivenUp and TestDoneTaskIsNotStartedAgain pass.

--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -266,8 +266,9 @@
 // send executes an order now or later and reports its answer, or that there was
 // none, to the scheduler of the term in which it was sent.
 // A later incarnation of the worker executes the order, too. It then reports restarted
-// where the answer names the incarnation; restarted is nil where it does not.
-func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, undelivered, restarted, gone func()) {
+// where the answer names the incarnation; restarted is nil where it does not. An order for which
+// there was no connection is reported as notSent; that is nil where it is not told from others.
+func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, undelivered, restarted, gone, notSent func()) {
 	w := m.worker(target.ID)
 	sched := m.sched
 	report := func(f func()) {
@@ -313,6 +314,10 @@
 		m.after(delay, func() { executeIf(m.reaches(w, target.ID, born), execute) })
 	case executedLate:
 		m.after(m.between(2*time.Second, 12*time.Second), func() { executeIf(m.reaches(w, target.ID, born), execute) })
+	default:
+		if notSent != nil && delay%2 == 0 {
+			unanswered = notSent
+		}
 	}
 	m.after(timeout+m.between(0, 300*time.Millisecond), func() { report(unanswered) })
 }
@@ -450,7 +455,7 @@
 				}
 			}
 			m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, term, a), m.clockOf(w)) },
-				func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), nil, answer(jobscheduler.StartGone, 0))
+				func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), nil, answer(jobscheduler.StartGone, 0), answer(jobscheduler.StartNotSent, 0))
 		case jobscheduler.Stop:
 			w := m.worker(a.Target.ID)
 			m.note("%s run %d stop ordered on %s", taskText(a.Task), a.Run, w.id)
@@ -461,7 +466,7 @@
 					m.note("%s run %d stop answered by %s: %v", taskText(a.Task), a.Run, w.id, confirmed)
 					sched.StopAnswered(a, confirmed, clock)
 				}
-			}, unconfirmed, unconfirmed, nil, unconfirmed)
+			}, unconfirmed, unconfirmed, nil, unconfirmed, nil)
 		case jobscheduler.Poll:
 			w := m.worker(a.Target.ID)
 			sentAt := m.now
@@ -491,7 +496,7 @@
 				sched.PollAnswered(a, jobscheduler.PollAnswer{
 					Gone: true,
 				})
-			})
+			}, nil)
 		case jobscheduler.RecordEnds:
 			m.after(20*time.Millisecond, func() {
 				if m.sched != sched {
