--- a/internal/jobscheduler/choose.go
+++ b/internal/jobscheduler/choose.go
@@ -43,9 +43,12 @@
 }
 
 // cheapestWorker returns the worker with the lowest cost that has room for a task now; nil
-// when there is none.
+// when there is none. A silent worker would keep a long-running task from running for as long as
+// it may still execute the start. So the task goes to one that has answered lately, unless that
+// costs a penalty more; if there is none, workers are asked first.
 func (s *Scheduler) cheapestWorker(st *step, index int32, workers []*worker, chosen map[*worker]int) *worker {
 	var best, answering candidate
+	var quiet []*worker
 	for _, w := range workers {
 		if !s.mayRun(st, index, w, chosen[w]) || !s.mayStartBesideSuspects(st, w) {
 			continue
@@ -57,12 +60,23 @@
 		best = best.orCheaper(c)
 		if w.answersAt(s.now) {
 			answering = answering.orCheaper(c)
+		} else if len(quiet) < maxAskedWorkers {
+			quiet = append(quiet, w)
 		}
 	}
-	if best.worker == nil || !st.spec.GetLasting() {
+	st.asksWorkers = false
+	switch {
+	case best.worker == nil || !st.spec.GetLasting():
+		return best.worker
+	case answering.worker != nil && answering.cost < best.cost+minPenalty:
+		return answering.worker
+	case st.spec.GetGang():
+		// While it waited for answers, other tasks would take its places one by one.
 		return best.worker
 	}
-	return s.answeringWorker(best, answering)
+	st.asksWorkers = true
+	s.askForStart(append(quiet, best.worker))
+	return nil
 }
 
 // candidate is a worker that has room for a task; its worker is nil when there is none.
@@ -78,19 +92,19 @@
 	return c
 }
 
-// answeringWorker returns the worker for a long-running task, given the cheapest of all and the
-// cheapest of those that have answered lately. A silent worker would keep the task from running
-// for as long as it may still execute the start. So the task goes to one that answers, unless
-// that costs a penalty more; else the cheapest one is polled, and its answer brings the start.
-func (s *Scheduler) answeringWorker(best, answering candidate) *worker {
-	if answering.worker != nil && answering.cost < best.cost+minPenalty {
-		return answering.worker
+// askForStart polls workers for which a long-running task has room, but that have not answered
+// lately; an answer brings the start. They are polled together: one after another, silent ones would
+// hold the task up for a failed poll each.
+func (s *Scheduler) askForStart(workers []*worker) {
+	for _, w := range workers {
+		w.askedForStart = true
+		s.pollNow(w)
 	}
-	best.worker.askedForStart = true
-	s.pollNow(best.worker)
-	return nil
 }
 
+// maxAskedWorkers bounds the workers that are polled at once for a long-running task.
+const maxAskedWorkers = 32
+
 // Penalties of a placement, in shares of a worker's capacity.
 const (
 	costOtherRack    = 4.0
--- a/internal/jobscheduler/job.go
+++ b/internal/jobscheduler/job.go
@@ -92,7 +92,10 @@
 	lastFailedOn map[int32]string
 	// runsPerWorker counts the runs by worker id.
 	runsPerWorker map[string]int
-	advice        advice
+	// asksWorkers is true when the last search for a worker has found only ones that have to
+	// be asked first. There is room, so the search says nothing about other steps.
+	asksWorkers bool
+	advice      advice
 }
 
 // JobAdded implements jobkeeper.Observer.
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -170,6 +170,9 @@
 			continue
 		}
 		w := s.chooseWorker(st, index, workers, nil)
+		if w == nil && st.asksWorkers {
+			return true
+		}
 		if w == nil {
 			s.requestAdvice(st, workers)
 			return false
@@ -297,7 +300,7 @@
 		return s.now
 	}
 	for _, w := range s.workers {
-		if !w.pollInFlight && !w.recordInFlight && w.nextPollAt.Before(next) {
+		if w.mayBePolled() && w.nextPollAt.Before(next) {
 			next = w.nextPollAt
 		}
 	}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -366,7 +366,7 @@
 	for _, w := range s.workers {
 		s.expireLease(w)
 		s.checkSilence(w)
-		if w.pollInFlight || w.recordInFlight || s.now.Before(w.nextPollAt) {
+		if !w.mayBePolled() || s.now.Before(w.nextPollAt) {
 			continue
 		}
 		if !w.reconciled {
@@ -396,6 +396,12 @@
 	}
 }
 
+// mayBePolled reports whether a poll may be sent. A later incarnation would take one to a former
+// incarnation that has ended for its own, and drop the ends that it acknowledges.
+func (w *worker) mayBePolled() bool {
+	return !w.pollInFlight && !w.recordInFlight && w.endEvidence == ""
+}
+
 // formerLeaseBound returns the time since the beginning of this term after which
 // nothing runs under a lease of a former leader. Such leases count from its last
 // confirmation of leadership, which was before the term.
@@ -506,7 +512,9 @@
 	// The worker may receive a poll whose answer is lost, so an unresponsive worker
 	// gets no further lease: its runs count as lost when the last lease ends.
 	if len(w.runs) > 0 && w.reconciled && !w.unresponsive && w.mayHoldLease() {
-		poll.Wait = maxPollWait
+		if !w.askedForStart {
+			poll.Wait = maxPollWait
+		}
 		poll.Deadline = w.leaseDeadline(contact, s.settings.Lease)
 		if poll.Deadline > 0 {
 			w.extendLease(poll.Deadline)
--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -200,3 +200,138 @@
 		})
 	}
 }
+
+// A worker that has restarted is not polled before its heartbeat: a poll of the former incarnation
+// that acknowledges ends makes the later one forget ends that nobody has read, and done tasks run
+// again. The outcome of a start that was in flight brought such a poll forward.
+func TestRestartedWorkerIsNotPolledBeforeItsHeartbeat(t *testing.T) {
+	tests := map[string]jobscheduler.StartAnswer{
+		"no connection":      jobscheduler.StartNotSent,
+		"connection refused": jobscheduler.StartUndelivered,
+		"no answer":          jobscheduler.StartUnknown,
+		"accepted":           jobscheduler.StartAccepted,
+		"too late":           jobscheduler.StartLeaseExpired,
+	}
+	for name, answer := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.submit("job", tasks(1, 1000))
+			h.advance(time.Millisecond)
+			h.acceptStarts()
+			h.advance(100 * time.Millisecond)
+			h.answerPolls(map[string]jobscheduler.PollAnswer{
+				"a": {
+					Ended: []jobscheduler.EndedTask{endedTask(1, task("job", 0, 0), 1, jobwire.Ending_ENDING_DONE)},
+				},
+			})
+			h.advance(time.Millisecond)
+			h.recordEnds()
+			h.submit("next", tasks(1, 1000))
+			h.advance(time.Millisecond)
+			start := takeAll[jobscheduler.Start](h)[0]
+			poll := takeAll[jobscheduler.Poll](h)[0]
+			h.withScheduler(func() {
+				h.sched.PollAnswered(poll, jobscheduler.PollAnswer{
+					Restarted: true,
+				})
+				h.sched.StartAnswered(start, answer, 0)
+			})
+			h.advance(300 * time.Millisecond)
+			h.is.Equal(len(takeAll[jobscheduler.Poll](h)), 0)
+		})
+	}
+}
+
+// A worker to which there was no connection, of whose silence no poll has told yet, was the best one
+// for the task again. It would be given it for each connection that fails.
+func TestTaskIsNotGivenAgainToWorkerWithoutConnection(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", lastingTasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartNotSent, 0) })
+	for range 10 {
+		h.advance(10 * time.Millisecond)
+		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	}
+	h.answerPolls(nil)
+	h.advance(100 * time.Millisecond)
+	h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "job.0.0@a ")
+}
+
+// A task waits from the last copy of its start that may have arrived. It waited from a later copy
+// that was not sent.
+func TestCopyThatWasNotSentDoesNotProlongWait(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	sentAt := h.now
+	h.addWorker("b")
+	for _, answer := range []jobscheduler.StartAnswer{jobscheduler.StartUnknown, jobscheduler.StartNotSent} {
+		h.advance(500 * time.Millisecond)
+		h.failPolls("a")
+		h.withScheduler(func() { h.sched.StartAnswered(start, answer, 0) })
+	}
+	h.advance(time.Millisecond)
+	takeAll[jobscheduler.Start](h) // the copy
+	for len(takeAll[jobscheduler.Start](h)) == 0 {
+		h.advance(10 * time.Millisecond)
+		h.failPolls("a")
+		h.is.True(h.now.Sub(sentAt) < 15200*time.Millisecond)
+	}
+	h.is.True(h.now.Sub(sentAt) > 14900*time.Millisecond)
+}
+
+// A task under which a worker has crashed was placed on one that is silent, and waited there for 2 s
+// although a poll had shown the silence long before. Three such workers kept a long-running task away
+// for 6 s.
+func TestPlacementOnSilentWorkerIsDecidedAnewOnceItsPollFails(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.addWorker("b")
+	h.startTerm()
+	h.reconcileWorkers()
+	h.advance(2 * time.Second)
+	h.submit("job", lastingTasks(1, 1000))
+	h.crashed("job", 1)
+	h.advance(time.Millisecond)
+	h.is.Equal(h.recordPlacements()[0].Target.ID, "a")
+	h.advance(600 * time.Millisecond)
+	h.failPolls("a")
+	began := h.now
+	for len(takeAll[jobscheduler.Start](h)) == 0 {
+		h.advance(10 * time.Millisecond)
+		h.recordPlacements()
+		h.failPolls("a")
+		h.is.True(h.now.Sub(began) < 300*time.Millisecond)
+	}
+}
+
+// A start of which a copy was not sent is given up, so that a worker that answers again is told to
+// reject the earlier copy. Its task would wait for ever.
+func TestEarlierCopyIsStoppedWhenWorkerAnswersAgain(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.submit("job", tasks(1, 1000))
+	h.startTerm()
+	h.reconcileWorkers()
+	start := takeAll[jobscheduler.Start](h)[0]
+	for _, answer := range []jobscheduler.StartAnswer{jobscheduler.StartUnknown, jobscheduler.StartNotSent} {
+		h.withScheduler(func() { h.sched.StartAnswered(start, answer, 0) })
+	}
+	for range 10 {
+		h.advance(20 * time.Millisecond)
+		h.answerPolls(nil)
+	}
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Run, start.Run)
+}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -39,7 +39,8 @@
 	// failedPollRetryDelay is the time before the next poll after a failed one.
 	failedPollRetryDelay = 250 * time.Millisecond
 	// recentAnswerTime is how long a worker counts as one that answers. It is longer than
-	// maxPollWait, so that a worker with runs counts as one throughout.
+	// maxPollWait, so that a worker with runs counts as one throughout unless the fleet is so
+	// large that pollIntervalPerWorker spaces the polls out.
 	recentAnswerTime = time.Second
 	// lateOrderTime is how long after it was sent a worker, or a later incarnation of it,
 	// may execute an order that it has not answered.
