internal/jobscheduler: only starts of long-running tasks wait for the log

Change: Start.ToRecord; the scheduler sets it for long-running tasks, whose starts are rare, and for batch tasks where Settings.RecordBatchStarts asks for it. The daemon of the own interface does; the users' platform program does not. TestStartsToRecord.

--- a/internal/daemon/jobs.go
+++ b/internal/daemon/jobs.go
@@ -85,6 +85,7 @@
 			MaxLease:           jobWorkerMaxLease,
 			Heartbeat:          jobWorkerHeartbeat,
 			ProviderOrderDelay: jobWorkerLease,
+			RecordBatchStarts:  true,
 		},
 	})
 	d.jobs.configurer = jobconfigurer.New(jobconfigurer.Options{
--- a/internal/jobcontroller/controller_test.go
+++ b/internal/jobcontroller/controller_test.go
@@ -270,7 +270,8 @@
 		Clock:    timer.System(),
 		Logger:   slog.New(slog.DiscardHandler),
 		Settings: jobscheduler.Settings{
-			Lease: 3 * time.Second,
+			Lease:             3 * time.Second,
+			RecordBatchStarts: true,
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/jobcontroller/starts.go
+++ b/internal/jobcontroller/starts.go
@@ -26,7 +26,7 @@
 
 func isUnrecordedStart(action jobscheduler.Action) bool {
 	a, ok := action.(jobscheduler.Start)
-	return ok && !a.Recorded
+	return ok && a.ToRecord
 }
 
 // recordStarts writes the starts of one pass to the log and then sends their orders. If the
@@ -87,7 +87,7 @@
 				sched.StartAnswered(a, jobscheduler.StartNotSent, 0)
 				continue
 			}
-			a.Recorded = true
+			a.ToRecord = false
 			orders = append(orders, a)
 		}
 		if len(orders) > 0 {
--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -38,8 +38,9 @@
 	// NewConnection asks for a connection that is made for the order, or has just carried
 	// an answer. An order on an older one may be lost unnoticed with a silent worker.
 	NewConnection bool
-	// Recorded is true once the log names the worker of the run; see StartRecorded.
-	Recorded bool
+	// ToRecord is true until the log names the worker of the run, if it has to be there before
+	// the order is sent; see StartRecorded.
+	ToRecord bool
 }
 
 // Stop orders a worker to end a run; the outcome goes to StopAnswered.
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -271,6 +271,7 @@
 		// Users miss a long-running task from the moment it is away, so its starts are not risked
 		// on a connection that may be silent. They are rare.
 		NewConnection: st.spec.GetLasting() || !w.answersAt(s.now),
+		ToRecord:      st.spec.GetLasting() || s.settings.RecordBatchStarts,
 	})
 	if w.nextPollAt.After(s.now.Add(maxPollWait)) {
 		w.nextPollAt = s.now.Add(s.minPollInterval())
--- a/internal/jobscheduler/recordedstarts.go
+++ b/internal/jobscheduler/recordedstarts.go
@@ -9,8 +9,9 @@
 	"github.com/heathermux/heathermux/internal/jobwire"
 )
 
-// The caller writes each start to the log before it sends the order, so that the next leader
-// knows which starts may have been sent without an answer. A later incarnation of a worker,
+// The caller writes starts of long-running tasks to the log before it sends the orders, so that
+// the next leader knows which starts may have been sent without an answer. Those of batch tasks
+// follow only where the settings ask for it: they are many, and wait for the write. A later incarnation of a worker,
 // whose fence begins anew, may execute them seconds later.
 
 const (
@@ -115,7 +116,7 @@
 func (s *Scheduler) HoldStarts(actions []Action) {
 	for _, action := range actions {
 		a, ok := action.(Start)
-		if !ok || a.Recorded {
+		if !ok || !a.ToRecord {
 			continue
 		}
 		if _, r := s.findRun(a.Target, a.Task, a.Run); r != nil {
@@ -183,6 +184,6 @@
 func (s *Scheduler) startsEmitted() bool {
 	return slices.ContainsFunc(s.actions, func(a Action) bool {
 		start, ok := a.(Start)
-		return ok && !start.Recorded
+		return ok && start.ToRecord
 	})
 }
--- a/internal/jobscheduler/recordedstarts_test.go
+++ b/internal/jobscheduler/recordedstarts_test.go
@@ -249,3 +249,29 @@
 	h.is.Equal(starts, "job.0.0@b ")
 	h.is.True(waited <= lease+time.Second)
 }
+
+// Each start of a batch task that waits for a log write lengthens a peak, so only those of
+// long-running tasks wait for it unless the settings ask for more.
+func TestStartsToRecord(t *testing.T) {
+	tests := map[string]struct {
+		lasting, recordBatchStarts, want bool
+	}{
+		"batch task":                        {},
+		"batch task, asked for by settings": {recordBatchStarts: true, want: true},
+		"long-running task":                 {lasting: true, want: true},
+		"long-running task, asked for, too": {lasting: true, recordBatchStarts: true, want: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.skipBatchStarts = !test.recordBatchStarts
+			h.addWorker("a")
+			step := tasks(1, 1000)
+			step.Lasting = test.lasting
+			h.submit("job", step)
+			h.startTerm()
+			h.reconcileWorkers()
+			h.is.Equal(takeAll[jobscheduler.Start](h)[0].ToRecord, test.want)
+		})
+	}
+}
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -31,6 +31,10 @@
 	// ProviderOrderDelay is how far apart the orders of two leaders for one host
 	// are. A new leader waits that long before the orders of a maintenance wave.
 	ProviderOrderDelay time.Duration
+	// RecordBatchStarts has the starts of batch tasks in the log before they are sent, too. A
+	// task then never runs twice after a change of leader, but each start waits for a log
+	// write, and peaks last longer.
+	RecordBatchStarts bool
 	// Locality says how much slower tasks are away from their data or their group.
 	Locality localizer.Settings
 	// ObserveStartDelay, if not nil, is called with the time between the due time
