--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -217,7 +217,8 @@
 	StartRefused
 	// StartInvalid means that the worker does not understand the order.
 	StartInvalid
-	// StartFenced means that a later leader sends orders to the worker.
+	// StartFenced means that a later leader sends orders to the worker, or this one sends
+	// orders to a later incarnation of it.
 	StartFenced
 	// StartNoTicket means that the ticket of the placement adviser was not valid.
 	StartNoTicket
