internal/jobscheduler: idle workers whose heartbeats are in time are not asked first

One part: an idle worker was asked first unless it had answered within a second. TestLongRunningTaskAsksOnlyWorkerWhoseHeartbeatIsOverdue failed before.

--- a/internal/jobscheduler/choose.go
+++ b/internal/jobscheduler/choose.go
@@ -44,7 +44,7 @@
 
 // cheapestWorker returns the worker with the lowest cost that has room for a task now; nil
 // when there is none. A silent worker would keep a long-running task from running for as long as
-// it may still execute the start. So the task goes to one that has answered lately, unless that
+// it may still execute the start. So the task goes to one that was heard lately, unless that
 // costs a penalty more; if there is none, workers are asked first.
 func (s *Scheduler) cheapestWorker(st *step, index int32, workers []*worker, chosen map[*worker]int) *worker {
 	var best, answering candidate
@@ -58,7 +58,7 @@
 			cost:   s.placementCost(st, index, w),
 		}
 		best = best.orCheaper(c)
-		if w.answersAt(s.now) {
+		if s.heardLately(w) {
 			answering = answering.orCheaper(c)
 		} else if len(quiet) < maxAskedWorkers {
 			quiet = append(quiet, w)
--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -335,3 +335,31 @@
 	h.is.Equal(len(stops), 1)
 	h.is.Equal(stops[0].Run, start.Run)
 }
+
+// A wave of maintenance was late because each long-running task that left a host waited for an
+// answer of an idle worker. One whose next heartbeat is not overdue is not asked.
+func TestLongRunningTaskAsksOnlyWorkerWhoseHeartbeatIsOverdue(t *testing.T) {
+	tests := map[string]struct {
+		silent time.Duration
+		want   string
+	}{
+		"heartbeat in time": {silent: 1500 * time.Millisecond, want: "job.0.0@a "},
+		"heartbeat overdue": {silent: 1800 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.heartbeat = 1500 * time.Millisecond
+			h.addWorker("a")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.advance(5 * time.Second)
+			h.answerPolls(nil)
+			h.withScheduler(func() { h.sched.HeartbeatReceived("a", 1, h.clock()) })
+			h.advance(test.silent)
+			h.submit("job", lastingTasks(1, 1000))
+			h.advance(time.Millisecond)
+			h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), test.want)
+		})
+	}
+}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -21,6 +21,8 @@
 	// appear before it is polled; silenceMargin covers their way to the leader.
 	missedHeartbeats = 2
 	silenceMargin    = 500 * time.Millisecond
+	// heartbeatMargin covers the way of a heartbeat to the leader through another host.
+	heartbeatMargin = 200 * time.Millisecond
 	// lastPollTime bounds the time until the last poll of an incarnation is answered.
 	lastPollTime = 2 * time.Second
 	// lapsedWorkerRetention is how long a lapsed worker that is not heard of stays
@@ -175,6 +177,13 @@
 // answersAt reports whether the worker has answered an order shortly before the given time.
 func (w *worker) answersAt(now time.Time) bool { return now.Sub(w.answeredAt) <= recentAnswerTime }
 
+// heardLately reports whether the worker has answered lately, or its next heartbeat is not
+// overdue. To ask each idle one first would make long-running tasks wait for a pass more
+// whenever a host is emptied.
+func (s *Scheduler) heardLately(w *worker) bool {
+	return w.answersAt(s.now) || s.settings.Heartbeat > 0 && s.now.Sub(w.heardAt) <= s.settings.Heartbeat+heartbeatMargin
+}
+
 func (w *worker) target() Target {
 	return Target{
 		ID:         w.info.GetId(),
