review/6: one heartbeat of another writer runs a task twice

The earlier case 6 (a late order, a lost leader and a worker that is back under its id) is that of review/5, so it is dropped. In its place: a heartbeat without slots, with a version of another type and a later start, ends a live worker for the system.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 )
 
@@ -188,55 +187,3 @@
 	}
 	return nil
 }
-
-// workerDownTime is how long the worker of late is down.
-const workerDownTime = 4800 * time.Millisecond
-
-// late plays a start that its worker leaves unanswered and carries out late. The leader is killed
-// before it can repeat the order. The worker crashes and is back under its id.
-func late(r *rig, trouble bool, _ uint64) error {
-	if err := r.startServing(); err != nil {
-		return err
-	}
-	j := batchJob(0x5000, 8)
-	var keeper atomic.Pointer[worker]
-	if trouble {
-		for _, w := range r.workers {
-			w.mu.Lock()
-			w.keeps = func(o order) bool { return o.Task == j.ID+".0.0.0" && keeper.CompareAndSwap(nil, w) }
-			w.mu.Unlock()
-		}
-	}
-	leader := r.leader()
-	r.hub.note("the leader is %s", leader.name)
-	go r.submit(0, j)
-	if trouble {
-		for end := time.Now().Add(5 * time.Second); keeper.Load() == nil; time.Sleep(5 * time.Millisecond) {
-			if time.Now().After(end) {
-				return errNoStart
-			}
-		}
-		time.Sleep(150 * time.Millisecond)
-		leader.kill()
-		time.Sleep(350 * time.Millisecond)
-		w := keeper.Load()
-		id := w.current().id
-		w.crash()
-		time.Sleep(crashTime)
-		if err := leader.start(); err != nil {
-			return err
-		}
-		time.Sleep(workerDownTime - crashTime)
-		if err := w.start(id); err != nil {
-			return err
-		}
-	}
-	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(300 * time.Millisecond) {
-		if j.state = r.state(0, j); j.state == "completed" {
-			break
-		}
-	}
-	r.hub.note("job %s is shown as %s", j.ID, j.state)
-	time.Sleep(2 * time.Second)
-	return nil
-}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -16,7 +16,9 @@
 	"formation": formation,
 	"absence":   absence,
 	"crashes":   crashes,
-	"late":      late,
+	"odd":       odd,
+	"born":      born,
+	"clocks":    clocks,
 	"many-ends": manyEnds,
 }
 
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -44,10 +44,6 @@
 	silentUntil time.Time
 	// lateFor, if not zero, is after what time starts are executed; they get no answer.
 	lateFor time.Duration
-	// keeps, if not nil, reports whether a start gets no answer and is carried out as soon as
-	// the next life begins.
-	keeps func(o order) bool
-	kept  []order
 }
 
 // life is one life of a worker, from its start to its crash.
@@ -133,14 +129,6 @@
 	w.server = server
 	w.mu.Unlock()
 	w.hub.note("worker %s begins a life as %s, born %d", w.address, id, l.born)
-	w.mu.Lock()
-	kept := w.kept
-	w.kept = nil
-	w.mu.Unlock()
-	for _, o := range kept {
-		status, a := w.startRun(l, o)
-		w.hub.note("late order %s run %d is carried out at %s: %d %s", o.Task, o.Run, id, status, a.Reason)
-	}
 	go func() { _ = server.Serve(listener) }()
 	go w.run(l)
 	go w.sendHeartbeats(l)
@@ -166,32 +154,6 @@
 	_ = server.Close()
 }
 
-// loseLife ends the life that the worker has without a sign of it: nothing that is sent here is
-// answered for the given time. Then the next life begins, under the same id.
-func (w *worker) loseLife(length time.Duration) {
-	w.mu.Lock()
-	l := w.life
-	if l == nil {
-		w.mu.Unlock()
-		return
-	}
-	w.silentUntil = time.Now().Add(length)
-	server := w.server
-	w.life = nil
-	close(l.dead)
-	w.hub.note("worker %s (%s) loses power for %v with %d runs", w.address, l.id, length, len(l.runs))
-	for _, r := range l.runs {
-		w.hub.runEnded(l, r, "gone")
-	}
-	w.mu.Unlock()
-	time.AfterFunc(length, func() {
-		_ = server.Close()
-		if err := w.start(l.id); err != nil {
-			w.hub.note("could not start %s again: %v", l.id, err)
-		}
-	})
-}
-
 // drain lets the worker report that it drains, and leave two seconds and a half later. Its
 // successor begins at its address a second after that.
 func (w *worker) drain() {
@@ -286,13 +248,6 @@
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
-		if strings.HasSuffix(r.URL.Path, "run-start") && w.keep(l, o) {
-			select {
-			case <-r.Context().Done():
-			case <-l.dead:
-			}
-			return
-		}
 		if late > 0 && strings.HasSuffix(r.URL.Path, "run-start") {
 			w.hub.note("order %s run %d to %s gets no answer and is executed after %v", o.Task, o.Run, l.id, late)
 			id := l.id
@@ -315,18 +270,6 @@
 	}
 }
 
-// keep keeps an order for the next life, if it is to be kept.
-func (w *worker) keep(l *life, o order) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.keeps == nil || !w.keeps(o) {
-		return false
-	}
-	w.hub.note("order %s run %d to %s gets no answer; it is carried out late", o.Task, o.Run, l.id)
-	w.kept = append(w.kept, o)
-	return true
-}
-
 // obey checks the fence and takes the deadline of an order; w.mu is held.
 func (l *life) obey(o order) bool {
 	if o.Fence < l.fence {
