--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,7 +6,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // cases are the cases by name. Each returns an error if it could not run.
@@ -64,6 +66,13 @@
 		return 2
 	}
 	defer r.close()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		r.close()
+		os.Exit(2)
+	}()
 	f, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
