--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -3,7 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
+	"slices"
+	"sync/atomic"
 	"time"
 )
 
@@ -328,3 +331,73 @@
 	}
 	return nil
 }
+
+// silence is how long the platform is silent in caseUpkeep.
+const silence = 5 * time.Second
+
+// caseUpkeep: the platform carries out an order for an upkeep and is silent for some seconds; when
+// the order is repeated, the connections to half of the minions are reset.
+func caseUpkeep(r *rig, trouble bool) error {
+	r.hub.guarded["one"] = true
+	var second atomic.Bool
+	r.cloud.onUpkeep = func(times int) {
+		switch {
+		case times == 1 && trouble:
+			r.cloud.silentUntil.Store(time.Now().Add(silence).UnixNano())
+		case times > 1:
+			second.Store(true)
+		}
+	}
+	lives, err := r.setUp([]map[string]any{route("a", "/a/", "one")}, []map[string]any{service("one", true)},
+		[]map[string]any{tenant("t1", keyOne, 0)})
+	if err != nil {
+		return err
+	}
+	r.submit(&jobSpec{
+		id:       "5c0e7a21d94b36f8",
+		Spec:     "watch",
+		Steps:    []stepSpec{{Count: minions - 1, CPU: 1000, MemMB: 1000, EstimateMS: 900, LongRunning: true, MayMiss: 1, MaxPerServer: 1, work: time.Hour}},
+		attempts: 3,
+		queue:    "/a/",
+		pools:    []string{"one"},
+		tenant:   "t1",
+	}, keyOne)
+	time.Sleep(5 * time.Second)
+	client := &http.Client{
+		Timeout: time.Second,
+	}
+	body := fmt.Sprintf(`{"wave":1,"machines":[%q,%q],"duration_s":20,"ceiling":1}`, lives[0].machine, lives[1].machine)
+	if !await(10*time.Second, func() bool {
+		return post(client, "http://"+r.hub.controls[0]+"/-/wave-start", body) == http.StatusOK
+	}) {
+		return errSetup
+	}
+	if trouble {
+		if !await(40*time.Second, second.Load) {
+			r.rec.notef("no order was repeated")
+		}
+		for range 4 {
+			r.resetSome((minions + 1) / 2)
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	time.Sleep(15 * time.Second)
+	return nil
+}
+
+// resetSome resets the connections to that many minions that are up, the newest ones.
+func (r *rig) resetSome(count int) {
+	r.hub.mu.Lock()
+	var lives []*life
+	for _, l := range slices.Backward(r.hub.lives) {
+		if !l.ended && len(lives) < count {
+			lives = append(lives, l)
+		}
+	}
+	r.hub.mu.Unlock()
+	n := 0
+	for _, l := range lives {
+		n += l.reset()
+	}
+	r.rec.notef("%d connections to %d minions are reset", n, len(lives))
+}
--- a/review/standin-3/cloud.go
+++ b/review/standin-3/cloud.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,6 +24,15 @@
 	// skipsGone is true if the adviser decides nothing for a caller that has gone before the
 	// turn of its call.
 	skipsGone bool
+	// upkeeps counts the calls for the upkeep of a machine in a wave, and inUpkeep holds the last
+	// minions of the machines in upkeep, by machine. Both are guarded by hub.mu.
+	upkeeps  map[string]int
+	inUpkeep map[string]*life
+	// silentUntil is until when the platform answers nothing and carries out nothing, in Unix
+	// nanoseconds.
+	silentUntil atomic.Int64
+	// onUpkeep, if not nil, is called before a call for an upkeep is answered.
+	onUpkeep func(times int)
 }
 
 func newCloud(h *hub, address string) (*cloud, error) {
@@ -31,13 +41,15 @@
 		return nil, err
 	}
 	c := &cloud{
-		hub:     h,
-		address: listener.Addr().String(),
+		hub:      h,
+		upkeeps:  make(map[string]int),
+		inUpkeep: make(map[string]*life),
+		address:  listener.Addr().String(),
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /-/machines", c.list)
-	mux.HandleFunc("POST /-/machine-move", c.move)
-	mux.HandleFunc("POST /-/machine-upkeep", c.refuse)
+	mux.HandleFunc("GET /-/machines", c.unlessSilent(c.list))
+	mux.HandleFunc("POST /-/machine-move", c.unlessSilent(c.move))
+	mux.HandleFunc("POST /-/machine-upkeep", c.unlessSilent(c.upkeep))
 	mux.HandleFunc("POST /-/advise", c.advise)
 	c.server = &http.Server{
 		Handler:           mux,
@@ -47,10 +59,24 @@
 	return c, nil
 }
 
-func (c *cloud) close() { _ = c.server.Close() }
+// unlessSilent lets f handle calls except while the platform is silent.
+func (c *cloud) unlessSilent(f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c.stayAway(r)
+		f(w, r)
+	}
+}
 
-// machineOf returns the name of the machine of a minion.
-func machineOf(l *life) string { return "machine-of-" + l.id }
+// stayAway never answers a call that comes, or was carried out, while the platform is silent.
+func (c *cloud) stayAway(r *http.Request) {
+	if left := time.Until(time.Unix(0, c.silentUntil.Load())); left > 0 {
+		c.hub.rec.notef("the platform does not answer %s", r.URL.Path)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *cloud) close() { _ = c.server.Close() }
 
 // list lists the machines of all minions that are up.
 func (c *cloud) list(w http.ResponseWriter, _ *http.Request) {
@@ -60,7 +86,7 @@
 	for _, l := range c.hub.lives {
 		if !l.ended {
 			rows = append(rows, map[string]any{
-				"machine":  machineOf(l),
+				"machine":  l.machine,
 				"pool":     l.pool,
 				"state":    "up",
 				"zone":     l.zone,
@@ -70,6 +96,17 @@
 			})
 		}
 	}
+	for name, l := range c.inUpkeep {
+		rows = append(rows, map[string]any{
+			"machine":  name,
+			"pool":     l.pool,
+			"state":    "upkeep",
+			"zone":     l.zone,
+			"labels":   l.labels,
+			"capacity": l.capacity,
+			"id":       "",
+		})
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
 		"machines":        rows,
@@ -93,7 +130,7 @@
 	var moved *life
 	c.hub.mu.Lock()
 	for _, l := range c.hub.lives {
-		if !l.ended && machineOf(l) == body.Machine {
+		if !l.ended && l.machine == body.Machine {
 			moved = l
 		}
 	}
@@ -105,20 +142,78 @@
 	if moved.pool != body.Pool {
 		moved.end("its machine moves to pool " + body.Pool)
 		time.AfterFunc(moveTime, func() {
-			if _, err := c.hub.startLife(moved.id+"-moved", body.Pool, moved.zone, moved.address, moved.labels, moved.capacity); err != nil {
+			next, err := c.hub.startLife(moved.id+"-moved", body.Pool, moved.zone, moved.address, moved.labels, moved.capacity)
+			if err != nil {
 				c.hub.rec.notef("the minion of a moved machine did not start: %v", err)
+				return
 			}
+			c.hub.mu.Lock()
+			defer c.hub.mu.Unlock()
+			next.machine = moved.machine
 		})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write([]byte(`{}`))
 }
 
-// refuse refuses a call: the machine is not up.
-func (c *cloud) refuse(w http.ResponseWriter, _ *http.Request) {
+// upkeepTime is how long the upkeep of a machine takes.
+const upkeepTime = 2 * time.Second
+
+// upkeep takes a machine down for its upkeep in a wave, once: if that is done, the call has no
+// effect and is answered with 200 too.
+func (c *cloud) upkeep(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Machine string `json:"machine"`
+		Wave    int64  `json:"wave"`
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	h := c.hub
+	var at *life
+	h.mu.Lock()
+	for _, l := range h.lives {
+		if !l.ended && l.machine == body.Machine {
+			at = l
+		}
+	}
+	done := fmt.Sprint(body.Machine, " ", body.Wave)
+	c.upkeeps[done]++
+	times := c.upkeeps[done]
+	if times == 1 && at != nil {
+		c.inUpkeep[body.Machine] = at
+	}
+	h.mu.Unlock()
+	h.rec.notef("%s orders the upkeep of %s, token %s, call %d", r.Header.Get("Duty-Holder"), body.Machine, r.Header.Get("Fencing-Token"), times)
+	if at == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if times == 1 {
+		at.end("its machine goes into upkeep")
+		time.AfterFunc(upkeepTime, func() { c.bringUp(body.Machine, at) })
+	}
+	if c.onUpkeep != nil {
+		c.onUpkeep(times)
+	}
+	c.stayAway(r)
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(http.StatusConflict)
-	_, _ = w.Write([]byte(`{"reason":"busy"}`))
+	_, _ = w.Write([]byte(`{}`))
+	h.rec.notef("the platform has answered 200 to call %d", times)
+}
+
+// bringUp starts the next minion on a machine after its upkeep.
+func (c *cloud) bringUp(name string, former *life) {
+	next, err := c.hub.startLife(former.id+"-next", former.pool, former.zone, former.address, former.labels, former.capacity)
+	c.hub.mu.Lock()
+	defer c.hub.mu.Unlock()
+	delete(c.inUpkeep, name)
+	if err != nil {
+		c.hub.rec.notef("the minion did not start after the upkeep: %v", err)
+		return
+	}
+	next.machine = name
 }
 
 // adviceTerms are the terms of a queue that needs advice.
--- a/review/standin-3/explore.go
+++ b/review/standin-3/explore.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -46,6 +47,7 @@
 	keys   map[string]string
 	spots  []*spot
 	only   string
+	waves  int
 }
 
 // spot is a place for a minion.
@@ -244,7 +246,7 @@
 	defer group.Wait()
 	for time.Now().Before(end) {
 		e.mu.Lock()
-		n, pause := e.random.IntN(12), time.Duration(300+e.random.IntN(2500))*time.Millisecond
+		n, pause := e.random.IntN(17), time.Duration(300+e.random.IntN(2500))*time.Millisecond
 		short := time.Duration(200+e.random.IntN(3500)) * time.Millisecond
 		s := e.spots[e.random.IntN(len(e.spots))]
 		core := e.rig.cores[e.random.IntN(3)]
@@ -286,7 +288,7 @@
 				time.Sleep(short)
 				if n == 5 {
 					s.number++
-					s.id = fmt.Sprintf("%s-%d", strings.SplitN(s.id, "_", 2)[0], s.number)
+					s.id = fmt.Sprintf("%s-%d", strings.SplitN(s.id, "_", 2)[0], 100*e.waves+s.number)
 				}
 				_ = e.start(s)
 			})
@@ -328,6 +330,38 @@
 			}
 			e.mu.Unlock()
 			e.rig.configure(changed, services, tenants)
+		case 12, 13:
+			e.rig.hub.mu.Lock()
+			var names []string
+			for _, l := range e.rig.hub.lives {
+				if !l.ended && len(names) < 3 && e.random.IntN(4) == 0 {
+					names = append(names, l.machine)
+				}
+			}
+			e.waves++
+			body, _ := json.Marshal(map[string]any{"wave": e.waves, "machines": names, "duration_s": 10, "ceiling": 1 + e.waves%2})
+			e.rig.hub.mu.Unlock()
+			client := &http.Client{Timeout: time.Second}
+			for _, address := range e.rig.hub.controls {
+				if post(client, "http://"+address+"/-/wave-start", string(body)) == http.StatusOK {
+					break
+				}
+			}
+		case 14:
+			e.rig.cloud.silentUntil.Store(time.Now().Add(2 * short).UnixNano())
+		case 15:
+			group.Go(func() {
+				for range 4 {
+					e.rig.resetSome(4)
+					time.Sleep(short / 8)
+				}
+			})
+		case 16:
+			e.withSpot(&group, s, func() {
+				s.life.end("it crashes")
+				time.Sleep(short / 40)
+				_ = e.start(s)
+			})
 		case 11:
 			zone := zones[int(short/time.Millisecond)%3]
 			group.Go(func() {
@@ -382,13 +416,28 @@
 		return
 	}
 	group.Go(func() {
-		f()
+		if e.find(s) {
+			f()
+		}
 		e.mu.Lock()
 		s.busy = false
 		e.mu.Unlock()
 	})
 }
 
+// find finds the minion that is up at a place, and reports whether there is one.
+func (e *explorer) find(s *spot) bool {
+	e.rig.hub.mu.Lock()
+	defer e.rig.hub.mu.Unlock()
+	for _, l := range e.rig.hub.lives {
+		if l.address == s.address && !l.ended {
+			s.life, s.id, s.pool = l, l.id, l.pool
+			return true
+		}
+	}
+	return false
+}
+
 // newLate returns which orders get no answer, and how much later they are carried out.
 func newLate(seed uint64) func(string) time.Duration {
 	var mu sync.Mutex
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -17,6 +17,7 @@
 	"crashes":  caseCrashes,
 	"failing":  caseFailing,
 	"replaced": caseReplaced,
+	"upkeep":   caseUpkeep,
 }
 
 func main() {
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -59,9 +59,14 @@
 	bornMS   int64
 	capacity amount
 	guards   bool
-	server   *http.Server
-	stopped  chan struct{}
-	once     sync.Once
+	// machine is the name of the platform's machine.
+	machine string
+	server  *http.Server
+	stopped chan struct{}
+	once    sync.Once
+
+	connsMu sync.Mutex
+	conns   map[net.Conn]bool
 
 	// The fields below are guarded by hub.mu.
 	fence     uint64
@@ -116,6 +121,7 @@
 		changed:  make(chan struct{}),
 		beats:    true,
 	}
+	l.machine = "machine-of-" + id
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /-/run-start", l.order(l.start))
 	mux.HandleFunc("POST /-/run-stop", l.order(l.stop))
@@ -124,6 +130,7 @@
 	l.server = &http.Server{
 		Handler:           mux,
 		ReadHeaderTimeout: time.Second,
+		ConnState:         l.track,
 	}
 	go func() { _ = l.server.Serve(listener) }()
 	go l.tick()
@@ -135,6 +142,35 @@
 	return l, nil
 }
 
+// track keeps the open connections, so that they can be reset.
+func (l *life) track(c net.Conn, state http.ConnState) {
+	l.connsMu.Lock()
+	defer l.connsMu.Unlock()
+	if l.conns == nil {
+		l.conns = make(map[net.Conn]bool)
+	}
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(l.conns, c)
+		return
+	}
+	l.conns[c] = true
+}
+
+// reset resets all open connections to the minion and returns their number.
+func (l *life) reset() int {
+	l.connsMu.Lock()
+	defer l.connsMu.Unlock()
+	for c := range l.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+	n := len(l.conns)
+	clear(l.conns)
+	return n
+}
+
 // end ends the incarnation: all that it runs is gone.
 func (l *life) end(why string) {
 	l.once.Do(func() {
