review/12: a done task is started again by a late copy of its start

Cause: a second copy of an unanswered start is sent while the first may still be carried out, and a new life of the minion obeys the first one until it has been reached.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -6,4 +6,4 @@
   echo "build first: the command in deploy/system.toml, and review/build-3.sh" >&2
   exit 2
 fi
-exec target/standin-3 --case replaced --record review/12/record.txt
+exec target/standin-3 --case late-copy --record review/12/record.txt
--- a/review/standin-3/hub.go
+++ b/review/standin-3/hub.go
@@ -85,6 +85,8 @@
 	used        map[string]int64
 	starts      int
 	quiet       bool
+	// firstBeatAfter is how long after its start a minion sends its first heartbeat.
+	firstBeatAfter time.Duration
 }
 
 func newHub(rec *record, controls []string) *hub {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -13,11 +13,11 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(r *rig, trouble bool) error{
-	"advice":   caseAdvice,
-	"crashes":  caseCrashes,
-	"failing":  caseFailing,
-	"replaced": caseReplaced,
-	"upkeep":   caseUpkeep,
+	"advice":        caseAdvice,
+	"failing":       caseFailing,
+	"late-copy":     caseLateCopy,
+	"replaced-core": caseReplacedCore,
+	"upkeep":        caseUpkeep,
 }
 
 func main() {
--- a/review/standin-3/minion.go
+++ b/review/standin-3/minion.go
@@ -509,6 +509,10 @@
 		Timeout: time.Second,
 	}
 	current := 0
+	l.hub.mu.Lock()
+	wait := l.hub.firstBeatAfter
+	l.hub.mu.Unlock()
+	time.Sleep(wait)
 	for {
 		l.hub.mu.Lock()
 		silent := l.dark || !l.beats
--- a/review/standin-3/rig.go
+++ b/review/standin-3/rig.go
@@ -186,6 +186,22 @@
 	return nil
 }
 
+// setSeeds writes the settings with other seeds, and tells the process so.
+func (p *process) setSeeds(seeds []string) error {
+	lines := strings.Split(p.settings, "\n")
+	for i, line := range lines {
+		if strings.HasPrefix(line, "seeds=") {
+			lines[i] = "seeds=" + strings.Join(seeds, ",")
+		}
+	}
+	p.settings = strings.Join(lines, "\n")
+	if err := os.WriteFile(filepath.Join(p.rig.dir, p.name+".conf"), []byte(p.settings), 0o600); err != nil {
+		return err
+	}
+	p.signal(syscall.SIGHUP)
+	return nil
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.rig.rec.notef("process %s gets signal %v", p.name, s)
 	p.rig.hub.mu.Lock()
