jobscheduler: fence starts without an answer, and probe their workers

The copy of a start that had got no answer was executed 6 s late by the next incarnation of the worker.

Cause: the fencing token rose only when a heartbeat showed a later incarnation. Until then, up to a heartbeat after its birth, that one had seen no token and obeyed the copy. Ruled out: a second order of the leader (the log has none), and the former incarnation (it knew the run). A test that answers 1.4 s earlier with the token refuses the copy.

Change: the epoch of a worker (before: restarts) rises with each start that gets no answer, and all later orders carry it, the next copy included. While such a start may be executed (15 s) the worker is probed: a poll without lease and acknowledgement, held open while it answers and repeated each 25 ms after its connection broke. Workers that were removed, and in the first 15 s of a term those that do not answer a new leader, are probed as well. A poll that an order with a higher epoch has overtaken is repeated at once.

TestNextIncarnationLearnsFenceBeforeItsHeartbeat and TestUnansweredStartOfRemovedWorkerIsProbed failed before. TestRestartedWorkerIsNotPolledBeforeItsHeartbeat asked for no poll at all; what it guards against is a poll that acknowledges, so it asks now that each poll is a probe and has neither acknowledgement nor lease.

--- a/internal/invoker/invoker.go
+++ b/internal/invoker/invoker.go
@@ -210,6 +210,7 @@
 		Gone:      errors.Is(err, errOtherWorker),
 		Restarted: errors.Is(err, errRestarted),
 		Refused:   Refused(err),
+		Fenced:    err != nil && status == http.StatusConflict,
 		Clock:     reply.ClockMillis,
 	}
 	if err == nil {
--- a/internal/jobcontroller/metrics.go
+++ b/internal/jobcontroller/metrics.go
@@ -122,6 +122,11 @@
 			help: "How long the tasks that started on the rack of their data have waited for a place there, in this term and all together.",
 			read: func(m jobscheduler.Metrics) int64 { return m.NearWaitMillis },
 		},
+		{
+			name: "heathermux_late_order_probes",
+			help: "Polls in this term that only carry a fencing token to workers that may execute a start late.",
+			read: func(m jobscheduler.Metrics) int64 { return m.Probes },
+		},
 		{
 			name: "heathermux_task_copies",
 			help: "Copies of slow tasks that were started in this term.",
--- a/internal/jobscheduler/action.go
+++ b/internal/jobscheduler/action.go
@@ -17,10 +17,10 @@
 	Address string
 	// DataCentre is where the worker runs; empty when unknown.
 	DataCentre string
-	// Restarts is at least the number of earlier incarnations under the id to which this
-	// leader may have sent orders that can still be executed. Invariant: within a term it
+	// Epoch is higher than that of all orders to earlier incarnations under the id that can still be
+	// executed, and of all starts that got no answer. Invariant: within a term it
 	// rises with each later incarnation and never falls for one incarnation.
-	Restarts uint64
+	Epoch uint64
 }
 
 // Start orders a worker to run a task; the outcome goes to StartAnswered.
@@ -62,6 +62,9 @@
 	LastRecordedEnd uint64
 	// Wait is how long the worker may hold the poll open until a run ends.
 	Wait time.Duration
+	// Probe is true if only the fencing token has to reach the worker: the answer says nothing
+	// about its runs.
+	Probe bool
 }
 
 // RecordEnds requests a log write of ends; the outcome goes to EndsRecorded.
--- a/internal/jobscheduler/crashmodel_test.go
+++ b/internal/jobscheduler/crashmodel_test.go
@@ -42,6 +42,9 @@
 // restart ends the process of a worker and starts it after the given time.
 func (m *model) restart(w *modelWorker, down time.Duration, newID bool) {
 	former := w.id
+	if m.silentWhileDown {
+		w.onEnd = nil
+	}
 	m.startWorker(w)
 	w.downUntil = m.now.Add(down)
 	m.after(down, func() {
--- a/internal/jobscheduler/formerincarnation_test.go
+++ b/internal/jobscheduler/formerincarnation_test.go
@@ -118,7 +118,7 @@
 // incarnation, also when the leader had removed that one. An incarnation that comes back, for
 // example after it was cut off for minutes, must not get a lower one than before: it would
 // refuse all orders for the rest of the term.
-func TestRestartsRiseWithIncarnation(t *testing.T) {
+func TestEpochRisesWithIncarnation(t *testing.T) {
 	tests := map[string]struct {
 		play func(h *harness)
 		want uint64
@@ -203,7 +203,7 @@
 			h.advance(time.Second)
 			test.play(h)
 			poll := h.pollOf("a")
-			h.is.Equal(poll.Target.Restarts, test.want)
+			h.is.Equal(poll.Target.Epoch, test.want)
 			h.is.Equal(poll.Target.Born, h.bornOf("a"))
 		})
 	}
--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -22,6 +22,11 @@
 	modelTick = 5 * time.Millisecond
 	// modelOrderTimeout is when an order without an answer counts as unanswered.
 	modelOrderTimeout = 500 * time.Millisecond
+	// modelProbeTimeout is when a probe without an answer counts as unanswered.
+	modelProbeTimeout = 250 * time.Millisecond
+	// modelProbeTime bounds the time from the birth of an incarnation to the first probe that
+	// reaches it: one probe that was sent before it began, and the way of the next.
+	modelProbeTime = modelProbeTimeout + 400*time.Millisecond
 	// modelStopTime is how long a worker takes to end a run.
 	modelStopTime = 200 * time.Millisecond
 	// modelMaxEnds is how many ends a modelWorker lists at once. It is small, so that lists
@@ -35,8 +40,8 @@
 	number uint64
 	endsAt time.Time
 	ending jobwire.Ending
-	// early is true when an order to a former incarnation has begun the run before any order
-	// to this one had arrived.
+	// early is true when an order to a former incarnation has begun the run before a probe
+	// could reach this one, or before an order of this leader did if a former one had sent it.
 	early bool
 }
 
@@ -62,8 +67,11 @@
 	born  time.Time
 	rate  float64
 	fence uint64
-	// reached is true once an order to this incarnation has arrived.
+	// reached is true once an order to this incarnation has arrived, probed once a probe has.
 	reached bool
+	probed  bool
+	// hardlyReachable is true once an order that was sent to this incarnation was lost or late.
+	hardlyReachable bool
 	// deadline is the end of the longest lease, on the worker's clock in
 	// milliseconds.
 	deadline int64
@@ -77,6 +85,8 @@
 	orderedAt time.Time
 	// formerIDs holds the ids of the incarnations before, where they had others.
 	formerIDs []string
+	// onEnd breaks the calls without an answer when the process ends.
+	onEnd []func()
 	// downUntil is when the process is back after a crash; it refuses connections
 	// until then.
 	downUntil time.Time
@@ -142,7 +152,7 @@
 	// twice describes the first double run; empty while there was none.
 	twice string
 	// earlyTwice counts the double runs of which one was early. With reachLater they are not
-	// reported in twice: no fencing token can exclude them.
+	// reported in twice: no fencing token had arrived that could exclude them.
 	earlyTwice int
 	// obeyedFormer describes the first order to a former incarnation that a worker has obeyed
 	// although an order to its present one had arrived; empty while there was none.
@@ -268,9 +278,10 @@
 	}
 }
 
-// fate decides what happens to an order to a worker.
-func (m *model) fate(w *modelWorker) orderFate {
-	if m.now.After(w.modeEndsAt) && m.rng.Float64() < m.faults/20 {
+// fate decides what happens to an order to a worker. Probes begin no mode: how often workers
+// are disturbed must not depend on how often they are probed.
+func (m *model) fate(w *modelWorker, probe bool) orderFate {
+	if !probe && m.now.After(w.modeEndsAt) && m.rng.Float64() < m.faults/20 {
 		w.mode = orderFate(m.rng.IntN(4))
 		w.modeEndsAt = m.now.Add(m.between(time.Second/2, 6*time.Second))
 	}
@@ -288,7 +299,7 @@
 // A later incarnation of the worker executes the order, too. It then reports restarted
 // where the answer names the incarnation; restarted is nil where it does not. An order for which
 // there was no connection is reported as notSent; that is nil where it is not told from others.
-func (m *model) send(target jobscheduler.Target, timeout time.Duration, execute func() func(), unanswered, undelivered, restarted, gone, notSent func()) {
+func (m *model) send(target jobscheduler.Target, probe bool, timeout time.Duration, execute func() func(), unanswered, undelivered, restarted, gone, notSent func()) {
 	w := m.worker(target.ID)
 	sched := m.sched
 	report := func(f func()) {
@@ -297,8 +308,11 @@
 		}
 	}
 	born := w.born
-	fate := m.fate(w)
+	fate := m.fate(w, probe)
 	delay := m.between(time.Millisecond, 20*time.Millisecond)
+	if fate != answered {
+		w.hardlyReachable = true
+	}
 	if m.refuses(w) || m.doneEnds != nil && target.Born != born.UnixMilli() {
 		// A process that has ended refuses connections at once, whatever the network loses.
 		m.after(delay, func() { report(undelivered) })
@@ -339,7 +353,15 @@
 			unanswered = notSent
 		}
 	}
-	m.after(timeout+m.between(0, 300*time.Millisecond), func() { report(unanswered) })
+	finished := false
+	finish := func() {
+		if !finished {
+			finished = true
+			report(unanswered)
+		}
+	}
+	m.after(timeout+m.between(0, 300*time.Millisecond), finish)
+	w.onEnd = append(w.onEnd, func() { m.after(delay, finish) })
 }
 
 // reaches reports whether an order to a worker arrives: at the incarnation that was up
@@ -370,22 +392,28 @@
 	w.deadline = max(w.deadline, min(deadline, m.clockOf(w)+maxLease.Milliseconds()))
 }
 
+// early reports whether a worker has neither been reached nor had a probe the time to.
+func (m *model) early(w *modelWorker) bool {
+	return m.reachLater && !w.reached && !w.probed && (w.hardlyReachable || m.now.Sub(w.born) <= modelProbeTime)
+}
+
 // accept reports whether a worker obeys an order with the given fencing token.
-func (m *model) accept(w *modelWorker, fence uint64, target jobscheduler.Target) bool {
+func (m *model) accept(w *modelWorker, fence uint64, target jobscheduler.Target, probe bool) bool {
 	if fence < w.fence {
 		return false
 	}
 	w.fence = fence
 	own := target.Born == w.born.UnixMilli()
-	if !own && w.reached && m.obeyedFormer == "" {
+	if !own && !probe && w.reached && m.obeyedFormer == "" {
 		m.obeyedFormer = fmt.Sprintf("after %v: %s obeys an order to its incarnation of %d\n%s", m.now.Sub(m.start), w.id, target.Born, m.historyOf(w.id+" ", "leader"))
 	}
 	w.reached = w.reached || own
+	w.probed = w.probed || probe
 	return true
 }
 
 func (m *model) startRun(w *modelWorker, fence uint64, a jobscheduler.Start) jobscheduler.StartAnswer {
-	if !m.accept(w, fence, a.Target) {
+	if !m.accept(w, fence, a.Target, false) {
 		return jobscheduler.StartFenced
 	}
 	m.extend(w, a.Deadline)
@@ -399,7 +427,7 @@
 	if m.clockOf(w) > w.deadline {
 		return jobscheduler.StartLeaseExpired
 	}
-	early := m.reachLater && !w.reached
+	early := m.early(w) || m.reachLater && !w.reached && fence>>16 < m.term
 	for _, other := range m.workers {
 		r, ok := other.runs[name]
 		if ok && (early || r.early) {
@@ -416,7 +444,9 @@
 		ending = jobwire.Ending_ENDING_FAILED
 	}
 	m.note("%s run %d begins on %s", name, a.Run, w.id)
-	m.noteStartAfterEnd(name, a.Run, w)
+	if !early {
+		m.noteStartAfterEnd(name, a.Run, w)
+	}
 	r := &modelRun{
 		task:   a.Task,
 		number: a.Run,
@@ -435,7 +465,7 @@
 }
 
 func (m *model) stopRun(w *modelWorker, fence uint64, a jobscheduler.Stop) bool {
-	if !m.accept(w, fence, a.Target) {
+	if !m.accept(w, fence, a.Target, false) {
 		return false
 	}
 	name := taskText(a.Task)
@@ -454,8 +484,9 @@
 }
 
 func (m *model) poll(w *modelWorker, fence uint64, a jobscheduler.Poll) jobscheduler.PollAnswer {
-	if !m.accept(w, fence, a.Target) {
+	if !m.accept(w, fence, a.Target, a.Probe) {
 		return jobscheduler.PollAnswer{
+			Fenced: true,
 			Failed: true,
 		}
 	}
@@ -508,7 +539,7 @@
 			w := m.worker(a.Target.ID)
 			m.note("%s run %d stop ordered on %s", taskText(a.Task), a.Run, w.id)
 			unconfirmed := func() { sched.StopAnswered(a, false, 0) }
-			m.send(a.Target, modelOrderTimeout, func() func() {
+			m.send(a.Target, false, modelOrderTimeout, func() func() {
 				confirmed, clock := m.stopRun(w, ordersender.FencingToken(term, a.Target), a), m.clockOf(w)
 				return func() {
 					m.note("%s run %d stop answered by %s: %v", taskText(a.Task), a.Run, w.id, confirmed)
@@ -518,7 +549,11 @@
 		case jobscheduler.Poll:
 			w := m.worker(a.Target.ID)
 			sentAt := m.now
-			m.send(a.Target, modelOrderTimeout+a.Wait, func() func() {
+			timeout := modelOrderTimeout
+			if a.Probe {
+				timeout = modelProbeTimeout
+			}
+			m.send(a.Target, a.Probe, timeout+a.Wait, func() func() {
 				answer := m.poll(w, ordersender.FencingToken(term, a.Target), a)
 				answer.SentAt = sentAt
 				for _, r := range answer.Running {
@@ -638,7 +673,7 @@
 			sched.StartAnswered(a, outcome, clock)
 		}
 	}
-	m.send(a.Target, modelOrderTimeout, func() func() { return answer(m.startRun(w, ordersender.FencingToken(term, a.Target), a), m.clockOf(w)) },
+	m.send(a.Target, false, modelOrderTimeout, func() func() { return answer(m.startRun(w, ordersender.FencingToken(term, a.Target), a), m.clockOf(w)) },
 		func() { answer(m.unansweredStart(w), 0)() }, answer(jobscheduler.StartUndelivered, 0), nil, answer(jobscheduler.StartGone, 0), answer(jobscheduler.StartNotSent, 0))
 }
 
@@ -700,6 +735,9 @@
 // startWorker begins an incarnation of a worker.
 func (m *model) startWorker(w *modelWorker) {
 	m.noteCrash(w)
+	for _, breakCall := range w.onEnd {
+		breakCall()
+	}
 	*w = modelWorker{
 		id:     w.id,
 		born:   m.now,
--- /dev/null
+++ b/internal/jobscheduler/latestart_test.go
@@ -0,0 +1,106 @@
+package jobscheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/heathermux/heathermux/internal/jobscheduler"
+	"github.com/heathermux/heathermux/internal/jobwire"
+)
+
+// doneAfterCopy plays a start whose first copy gets no answer. The second one is executed, and the task is
+// done.
+func (h *harness) doneAfterCopy() {
+	h.submit("job", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	first := takeAll[jobscheduler.Start](h)[0]
+	h.advance(500 * time.Millisecond)
+	h.withScheduler(func() { h.sched.StartAnswered(first, jobscheduler.StartUnknown, 0) })
+	h.advance(time.Millisecond)
+	second := h.acceptStarts()[0]
+	h.is.True(second.Target.Epoch > first.Target.Epoch) // so that the worker refuses the first copy
+	h.advance(100 * time.Millisecond)
+	for range 2 {
+		h.answerPolls(map[string]jobscheduler.PollAnswer{
+			"a": {
+				Ended: []jobscheduler.EndedTask{endedTask(1, task("job", 0, 0), 1, jobwire.Ending_ENDING_DONE)},
+			},
+		})
+		h.recordEnds()
+		h.advance(time.Millisecond)
+	}
+}
+
+// A copy of a start that got no answer was executed by the next incarnation of the worker after
+// the task was done: nothing had told that one of a fencing token before its first heartbeat.
+// It has to be probed from its birth on, as long as the copy may be executed.
+func TestNextIncarnationLearnsFenceBeforeItsHeartbeat(t *testing.T) {
+	tests := map[string]struct {
+		// end is what tells that the worker has ended.
+		end func(h *harness)
+	}{
+		"ends in silence": {
+			end: func(*harness) {},
+		},
+		"is removed": {
+			end: func(h *harness) { h.forget("a") },
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.addWorker("a")
+			h.startTerm()
+			h.reconcileWorkers()
+			h.doneAfterCopy()
+			test.end(h)
+			longest, last := time.Duration(0), h.now
+			for range 2600 {
+				h.advance(5 * time.Millisecond)
+				for _, poll := range takeAll[jobscheduler.Poll](h) {
+					h.is.True(poll.Target.Epoch >= 1)
+					h.is.Equal(poll.Target.ID, "a")
+					longest = max(longest, h.now.Sub(last))
+					last = h.now
+					h.withScheduler(func() {
+						h.sched.PollAnswered(poll, jobscheduler.PollAnswer{
+							Failed:       true,
+							Refused:      true,
+							Disconnected: true,
+						})
+					})
+				}
+			}
+			longest = max(longest, h.now.Sub(last))
+			h.is.True(longest <= 150*time.Millisecond)
+			h.advance(4 * time.Second)
+			takeAll[jobscheduler.Poll](h)
+			h.is.Equal(len(h.sched.Pass(h.now, 1)), 0) // the copy can't be executed any more
+		})
+	}
+}
+
+// The order is answered while the worker is not known, as after a deregistration that overtakes
+// it. It may be executed late all the same.
+func TestUnansweredStartOfRemovedWorkerIsProbed(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.startTerm()
+	h.reconcileWorkers()
+	h.submit("job", tasks(1, 1000))
+	h.advance(time.Millisecond)
+	start := takeAll[jobscheduler.Start](h)[0]
+	takeAll[jobscheduler.Poll](h)
+	h.forget("a")
+	h.withScheduler(func() { h.sched.StartAnswered(start, jobscheduler.StartDisconnected, 0) })
+	h.advance(time.Millisecond)
+	probes := takeAll[jobscheduler.Poll](h)
+	h.is.Equal(len(probes), 1)
+	h.is.True(probes[0].Probe)
+	h.is.Equal(probes[0].Target.Epoch, start.Target.Epoch+1)
+	h.restartWorker("a")
+	h.advance(time.Millisecond)
+	for _, poll := range takeAll[jobscheduler.Poll](h) {
+		h.is.True(poll.Target.Epoch > start.Target.Epoch+1) // above what the probes have told
+	}
+}
--- a/internal/jobscheduler/pass.go
+++ b/internal/jobscheduler/pass.go
@@ -31,6 +31,7 @@
 		s.openDueOccurrences(j)
 	}
 	s.updateWorkers(contact)
+	s.probeLateOrders()
 	s.updateRuns()
 	if s.now.Sub(s.allMarkedAt) >= s.passInterval() {
 		// No event tells when start delays, quarantines and tickets end.
@@ -305,6 +306,9 @@
 			next = w.nextPollAt
 		}
 	}
+	if at, ok := s.lateOrders.Next(); ok && at.Before(next) {
+		next = at
+	}
 	return next
 }
 
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -30,6 +30,9 @@
 	// Refused is true when the connection was refused: nothing listens at the
 	// worker's address.
 	Refused bool
+	// Fenced is true when the worker has refused the poll because it has seen a higher fencing
+	// token.
+	Fenced bool
 	// Disconnected is true when the connection was refused or broke, as when the
 	// process of the worker has ended.
 	Disconnected bool
@@ -74,6 +77,10 @@
 
 // PollAnswered handles the outcome of a Poll.
 func (s *Scheduler) PollAnswered(a Poll, answer PollAnswer) {
+	if a.Probe {
+		s.lateOrders.Answered(a.Target.ID, !answer.Failed, s.now)
+		return
+	}
 	if w, ok := s.removedWhilePolled[incarnation{
 		id:   a.Target.ID,
 		born: a.Target.Born,
@@ -98,6 +105,10 @@
 	case answer.Refused && w.shuttingDown:
 		s.forgetWorker(w)
 		return
+	case answer.Fenced && a.Target.Epoch < w.epoch:
+		// An order sent after this poll has overtaken it.
+		w.nextPollAt = s.now
+		return
 	case answer.Failed:
 		s.pollFailed(w, answer)
 		return
@@ -162,6 +173,10 @@
 			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now), "disconnected", answer.Disconnected, "cause", answer.Cause)
 	}
 	w.unresponsive = true
+	if until := s.termStart.Add(lateOrderTime); s.now.Before(until) {
+		// Starts of the former leader may have got no answer.
+		s.lateOrders.Watch(w.info.GetId(), w.target(), until)
+	}
 	if answer.Disconnected {
 		s.workerDisconnected(w)
 	}
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -249,6 +249,9 @@
 		s.forgetWorker(w)
 		return
 	}
+	if answer == StartUnknown || answer == StartDisconnected {
+		s.startMayComeLate(a.Target, r)
+	}
 	if r == nil {
 		return
 	}
@@ -295,6 +298,7 @@
 	}
 	r.formerCopySentAt, r.copySentAt = r.copySentAt, s.now
 	a.NewConnection = true
+	a.Target = r.worker.target()
 	s.emit(a)
 }
 
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -15,6 +15,7 @@
 	"github.com/heathermux/heathermux/internal/jobkeeper"
 	"github.com/heathermux/heathermux/internal/jobwire"
 	"github.com/heathermux/heathermux/internal/localizer"
+	"github.com/heathermux/heathermux/internal/prober"
 	"github.com/heathermux/heathermux/internal/rebalancer"
 )
 
@@ -75,8 +76,10 @@
 	// removedIncarnations holds the incarnations of workers that were removed within
 	// lateOrderTime, by id.
 	removedIncarnations map[string]removedIncarnation
-	// minRestarts is the highest restarts of the removed incarnations that are forgotten.
-	minRestarts uint64
+	// minEpoch is the highest epoch of the removed incarnations that are forgotten.
+	minEpoch uint64
+	// lateOrders holds the workers that may execute a start late, by id; see lateorder.go.
+	lateOrders *prober.Schedule[Target]
 
 	pools map[string]*pool
 	// queues holds the queues in force and the removed ones that open jobs have, by name.
@@ -152,6 +155,9 @@
 	// NearStarts and FarStarts count the starts of tasks with a data rack, on it and on
 	// others; NearWaitMillis is how long the former have waited for their places in all.
 	NearStarts, FarStarts, NearWaitMillis int64
+	// Probes counts the polls that only carry a fencing token to workers that may execute a
+	// start late.
+	Probes int64
 	// Copies counts the copies of slow tasks that were started.
 	Copies int64
 	// LongWaits counts the waits of tasks with a place that were logged as long.
@@ -240,6 +246,12 @@
 		removedStarts:      make(map[string]map[runKey]time.Time),
 
 		removedIncarnations: make(map[string]removedIncarnation),
+		lateOrders: prober.New[Target](prober.Settings{
+			AnsweredInterval:  answeredProbeInterval,
+			FailedInterval:    failedProbeInterval,
+			IntervalPerTarget: probeIntervalPerWorker,
+			MaxAtOnce:         maxProbesAtOnce,
+		}),
 		hosts: hosts{
 			maintenances: make(map[string]*hostMaintenance),
 			moves:        make(map[string]*move),
--- a/internal/jobscheduler/silentworker_test.go
+++ b/internal/jobscheduler/silentworker_test.go
@@ -201,9 +201,9 @@
 	}
 }
 
-// A worker that has restarted is not polled before its heartbeat: a poll of the former incarnation
-// that acknowledges ends makes the later one forget ends that nobody has read, and done tasks run
-// again. The outcome of a start that was in flight brought such a poll forward.
+// A worker that has restarted is not polled before its heartbeat, but for probes, which
+// acknowledge nothing: a poll of the former incarnation that acknowledges ends makes the later one
+// forget ends that nobody has read, and done tasks run again. The outcome of a start that was in flight brought such a poll forward.
 func TestRestartedWorkerIsNotPolledBeforeItsHeartbeat(t *testing.T) {
 	tests := map[string]jobscheduler.StartAnswer{
 		"no connection":      jobscheduler.StartNotSent,
@@ -240,7 +240,12 @@
 				h.sched.StartAnswered(start, answer, 0)
 			})
 			h.advance(300 * time.Millisecond)
-			h.is.Equal(len(takeAll[jobscheduler.Poll](h)), 0)
+			for _, poll := range takeAll[jobscheduler.Poll](h) {
+				h.is.Equal(poll, jobscheduler.Poll{
+					Target: poll.Target,
+					Probe:  true,
+				})
+			}
 		})
 	}
 }
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -59,7 +59,7 @@
 // worker is the scheduling state of one incarnation of a worker.
 type worker struct {
 	info     *jobwire.Worker
-	restarts uint64 // Target.Restarts
+	epoch    uint64 // Target.Epoch
 	capacity controller.Amount
 	used     controller.Amount
 	runs     map[runKey]*run
@@ -190,7 +190,7 @@
 		Born:       w.info.GetBorn(),
 		Address:    w.info.GetAddress(),
 		DataCentre: w.info.GetDataCentre(),
-		Restarts:   w.restarts,
+		Epoch:      w.epoch,
 	}
 }
 
@@ -274,7 +274,7 @@
 		}
 	}
 	w.mayObeyFormer = s.mayObeyRemoved(info)
-	w.restarts = s.restartsOf(info)
+	w.epoch = s.epochOf(info)
 	s.rejectLateStarts(w, s.removedStarts[info.GetId()])
 	delete(s.removedStarts, info.GetId())
 	s.workers[info.GetId()] = w
@@ -295,19 +295,19 @@
 
 // removedIncarnation is an incarnation of a worker that was removed or replaced.
 type removedIncarnation struct {
-	born     int64
-	restarts uint64
-	at       time.Time
+	born  int64
+	epoch uint64
+	at    time.Time
 }
 
-// restartsOf returns Target.Restarts of an incarnation that becomes known.
-func (s *Scheduler) restartsOf(info *jobwire.Worker) uint64 {
-	restarts := s.removedIncarnations[info.GetId()].restarts
+// epochOf returns Target.Epoch of an incarnation that becomes known.
+func (s *Scheduler) epochOf(info *jobwire.Worker) uint64 {
+	epoch := s.removedIncarnations[info.GetId()].epoch
 	if s.mayObeyRemoved(info) {
-		restarts++
+		epoch++
 	}
 	delete(s.removedIncarnations, info.GetId())
-	return max(restarts, s.minRestarts)
+	return max(epoch, s.minEpoch)
 }
 
 // mayObeyRemoved reports whether orders to an incarnation that was removed may still reach
@@ -325,7 +325,7 @@
 		if s.now.Sub(r.at) <= lateOrderTime {
 			return false
 		}
-		s.minRestarts = max(s.minRestarts, r.restarts)
+		s.minEpoch = max(s.minEpoch, r.epoch)
 		return true
 	})
 }
@@ -435,10 +435,11 @@
 	delete(s.workers, w.info.GetId())
 	delete(s.unreconciled, w.info.GetId())
 	s.keepLateStarts(w)
+	s.lateOrders.Update(w.info.GetId(), w.target())
 	s.removedIncarnations[w.info.GetId()] = removedIncarnation{
-		born:     w.info.GetBorn(),
-		restarts: w.restarts,
-		at:       s.now,
+		born:  w.info.GetBorn(),
+		epoch: w.epoch,
+		at:    s.now,
 	}
 	s.markPoolDirty(w.info.GetPool())
 	w.unresponsive = true
--- a/internal/ordersender/local.go
+++ b/internal/ordersender/local.go
@@ -25,6 +25,9 @@
 	// pollTimeoutMargin is added to the time that a worker may wait before it
 	// answers a Poll.
 	pollTimeoutMargin = 600 * time.Millisecond
+	// probeTimeoutMargin is that of a probe. While a host is silent each attempt to connect
+	// waits for as long, and a worker that starts there meanwhile is reached by the next one.
+	probeTimeoutMargin = 250 * time.Millisecond
 )
 
 // Workers calls workers. Its methods may be called concurrently; the fence is the
@@ -35,18 +38,18 @@
 	Poll(ctx context.Context, fence uint64, a jobscheduler.Poll) jobscheduler.PollAnswer
 }
 
-// restartBits is the number of low bits of a fencing token that count the restarts of a
+// epochBits is the number of low bits of a fencing token that hold the epoch of a
 // worker. A token must stay below 2^53, because some workers read numbers in JSON as
-// doubles: that leaves 37 bits for the term. A worker that restarts each second for 18 hours
-// of one term reaches 2^16; its token does not rise from there on.
-const restartBits = 16
+// doubles: that leaves 37 bits for the term. A worker that leaves a start unanswered each
+// second for 18 hours of one term reaches 2^16; its token does not rise from there on.
+const epochBits = 16
 
 // FencingToken returns the fencing token of an order to a worker in a term. It rises with the
-// term and, within a term, with each incarnation of the worker, so that a worker which has
-// seen an order refuses those that were sent to its former incarnation.
+// term and, within a term, with the epoch, so that a worker which has seen an order refuses
+// those that were sent to its former incarnation, and starts that have got no answer.
 func FencingToken(term uint64, target jobscheduler.Target) uint64 {
-	const maxRestarts = 1<<restartBits - 1
-	return term<<restartBits + min(target.Restarts, maxRestarts)
+	const maxEpoch = 1<<epochBits - 1
+	return term<<epochBits + min(target.Epoch, maxEpoch)
 }
 
 // Answer is the outcome of an order.
@@ -79,10 +82,14 @@
 
 // timeoutOf returns the time after which an order counts as unanswered.
 func timeoutOf(order jobscheduler.Action) time.Duration {
-	if poll, ok := order.(jobscheduler.Poll); ok {
-		return poll.Wait + pollTimeoutMargin
+	poll, ok := order.(jobscheduler.Poll)
+	switch {
+	case !ok:
+		return orderTimeout
+	case poll.Probe:
+		return poll.Wait + probeTimeoutMargin
 	}
-	return orderTimeout
+	return poll.Wait + pollTimeoutMargin
 }
 
 // notSent returns the outcome of an order that was not sent.
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -694,7 +694,7 @@
 	s, _ := g.newLeader(1)
 	orders := func(id, dataCentre string) []jobscheduler.Action {
 		later := target(id, dataCentre)
-		later.Restarts = 3
+		later.Epoch = 3
 		return []jobscheduler.Action{
 			jobscheduler.Start{
 				Target: later,
@@ -725,48 +725,48 @@
 }
 
 // The token of a later term must be higher than each of the terms before, however often a
-// worker has restarted, and below 2^53: some workers read numbers in JSON as doubles, and
+// worker has restarted or left a start unanswered, and below 2^53: some workers read numbers in JSON as doubles, and
 // would take neighbouring tokens for one.
 func TestFencingTokenIsBounded(t *testing.T) {
 	tests := map[string]struct {
-		term     uint64
-		restarts uint64
-		want     uint64
+		term  uint64
+		epoch uint64
+		want  uint64
 	}{
-		"no restart": {
+		"first epoch": {
 			term: 1,
 			want: 65536,
 		},
-		"one restart": {
-			term:     1,
-			restarts: 1,
-			want:     65537,
+		"second epoch": {
+			term:  1,
+			epoch: 1,
+			want:  65537,
 		},
 		"last that is counted": {
-			term:     1,
-			restarts: 65535,
-			want:     131071,
+			term:  1,
+			epoch: 65535,
+			want:  131071,
 		},
-		"more restarts than are counted": {
-			term:     1,
-			restarts: 1 << 40,
-			want:     131071,
+		"epochs beyond those": {
+			term:  1,
+			epoch: 1 << 40,
+			want:  131071,
 		},
 		"next term": {
 			term: 2,
 			want: 131072,
 		},
 		"highest term": {
-			term:     1<<37 - 1,
-			restarts: 1 << 40,
-			want:     1<<53 - 1,
+			term:  1<<37 - 1,
+			epoch: 1 << 40,
+			want:  1<<53 - 1,
 		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			is.Equal(ordersender.FencingToken(test.term, jobscheduler.Target{
-				Restarts: test.restarts,
+				Epoch: test.epoch,
 			}), test.want)
 		})
 	}
--- a/internal/ordersender/wire.go
+++ b/internal/ordersender/wire.go
@@ -20,7 +20,7 @@
 			Born:    target.Born,
 			Address: target.Address,
 
-			Restarts: target.Restarts,
+			Epoch: target.Epoch,
 		},
 	}
 	switch o := order.(type) {
@@ -49,6 +49,7 @@
 				DeadlineMillis: o.Deadline,
 				Seen:           o.LastRecordedEnd,
 				WaitNanos:      int64(o.Wait),
+				Probe:          o.Probe,
 			},
 		}
 	}
@@ -62,7 +63,7 @@
 		Born:    message.GetTarget().GetBorn(),
 		Address: message.GetTarget().GetAddress(),
 
-		Restarts: message.GetTarget().GetRestarts(),
+		Epoch: message.GetTarget().GetEpoch(),
 	}
 	switch o := message.GetOrder().(type) {
 	case *jobwire.Order_Start:
@@ -89,6 +90,7 @@
 			Deadline:        o.Look.GetDeadlineMillis(),
 			LastRecordedEnd: o.Look.GetSeen(),
 			Wait:            time.Duration(o.Look.GetWaitNanos()),
+			Probe:           o.Look.GetProbe(),
 		}
 	}
 	return nil
@@ -108,6 +110,7 @@
 	message.Look = &jobwire.LookResult{
 		Failed:    a.Poll.Failed,
 		Refused:   a.Poll.Refused,
+		Fenced:    a.Poll.Fenced,
 		Gone:      a.Poll.Gone,
 		Restarted: a.Poll.Restarted,
 		Cause:     a.Poll.Cause,
@@ -148,6 +151,7 @@
 	a.Poll = jobscheduler.PollAnswer{
 		Failed:    look == nil || look.GetFailed(),
 		Refused:   look.GetRefused(),
+		Fenced:    look.GetFenced(),
 		Gone:      look.GetGone(),
 		Restarted: look.GetRestarted(),
 		Cause:     look.GetCause(),
