jobscheduler: acknowledge ends only to a worker that has just answered

What callers see (TWICE): a task that has ended as done runs again on another worker some seconds later.

Cause: after a poll without an answer the next one repeated its acknowledgement.

Change: ends are acknowledged only if the worker has answered within the last second and no order has failed since; otherwise a poll without an acknowledgement goes first, whose answer names the incarnation. An acknowledging poll without an answer raises the epoch, so that it is refused when it is executed late.

TestEndsAreNotAcknowledgedAfterFailedPoll failed before.

--- a/internal/jobscheduler/interleaving_test.go
+++ b/internal/jobscheduler/interleaving_test.go
@@ -313,7 +313,7 @@
 	if fate != answered {
 		w.hardlyReachable = true
 	}
-	if m.refuses(w) || m.doneEnds != nil && target.Born != born.UnixMilli() {
+	if m.refuses(w) {
 		// A process that has ended refuses connections at once, whatever the network loses.
 		m.after(delay, func() { report(undelivered) })
 		return
@@ -859,15 +859,16 @@
 }
 
 // A task that is done may not start again once its end has been acknowledged, although workers
-// list their ends in parts and each leader has another time of day. Orders to a former
-// incarnation of a worker don't reach the next one here: until an order to itself has arrived
-// they can prolong its lease unknown to the leader.
+// list their ends in parts, each leader has another time of day, and starts to a former
+// incarnation of a worker are executed by the next one. Not looked for are starts there before a
+// probe could reach it, and those of a former leader before an order of the present one did.
 func TestDoneTaskIsNotStartedAgain(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			m := newModel(t, seed)
 			m.doneEnds = make(map[string]*modelDoneEnd)
+			m.reachLater = true
 			if twice := m.play(60 * time.Second); twice != "" {
 				t.Error(twice)
 			}
--- a/internal/jobscheduler/latestart_test.go
+++ b/internal/jobscheduler/latestart_test.go
@@ -1,6 +1,7 @@
 package jobscheduler_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -104,3 +105,48 @@
 		h.is.True(poll.Target.Epoch > start.Target.Epoch+1) // above what the probes have told
 	}
 }
+
+// A poll that acknowledged ends reached a later incarnation, which numbers its ends anew: it
+// forgot an end that nobody had read, and the done task ran again. Ends are acknowledged only to a
+// worker that has just answered.
+func TestEndsAreNotAcknowledgedAfterFailedPoll(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.startTerm()
+	h.reconcileWorkers()
+	h.submit("job", tasks(2, 1000))
+	h.advance(time.Millisecond)
+	h.acceptStarts()
+	h.advance(100 * time.Millisecond)
+	answer := map[string]jobscheduler.PollAnswer{
+		"a": {
+			Running: []jobscheduler.RunningTask{runningTask(task("job", 0, 1), 1)},
+			Ended:   []jobscheduler.EndedTask{endedTask(1, task("job", 0, 0), 1, jobwire.Ending_ENDING_DONE)},
+		},
+	}
+	h.answerPolls(answer)
+	h.advance(time.Millisecond)
+	h.recordEnds()
+	h.advance(time.Millisecond)
+	first := takeAll[jobscheduler.Poll](h)[0]
+	h.is.Equal(first.LastRecordedEnd, uint64(1))
+	h.withScheduler(func() {
+		h.sched.PollAnswered(first, jobscheduler.PollAnswer{
+			Failed: true,
+		})
+	})
+	h.advance(300 * time.Millisecond)
+	second := h.takeOrdinaryPolls()[0]
+	h.is.Equal(second.LastRecordedEnd, uint64(0))
+	h.is.True(second.Target.Epoch > first.Target.Epoch) // so that the first one is refused
+	h.actions = append(h.actions, second)
+	h.answerPolls(answer)
+	h.advance(20 * time.Millisecond)
+	h.is.Equal(h.takeOrdinaryPolls()[0].LastRecordedEnd, uint64(1))
+}
+
+// takeOrdinaryPolls returns the pending polls but for probes.
+func (h *harness) takeOrdinaryPolls() []jobscheduler.Poll {
+	polls := takeAll[jobscheduler.Poll](h)
+	return slices.DeleteFunc(polls, func(p jobscheduler.Poll) bool { return p.Probe })
+}
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -110,7 +110,7 @@
 		w.nextPollAt = s.now
 		return
 	case answer.Failed:
-		s.pollFailed(w, answer)
+		s.pollFailed(w, a, answer)
 		return
 	}
 	w.setClock(answer.Clock, s.now)
@@ -166,13 +166,17 @@
 	}
 }
 
-func (s *Scheduler) pollFailed(w *worker, answer PollAnswer) {
+func (s *Scheduler) pollFailed(w *worker, a Poll, answer PollAnswer) {
 	if w.reconciled && len(w.runs) > 0 && answer.Cause != w.loggedPollFailure {
 		w.loggedPollFailure = answer.Cause
 		s.logger.Info("scheduler: worker did not answer a poll; its runs count as lost when its lease ends", "worker", w.info.GetId(),
 			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now), "disconnected", answer.Disconnected, "cause", answer.Cause)
 	}
 	w.unresponsive = true
+	if a.LastRecordedEnd > 0 {
+		// A later incarnation that executed it would drop ends that nobody has read.
+		s.raiseEpoch(a.Target)
+	}
 	if until := s.termStart.Add(lateOrderTime); s.now.Before(until) {
 		// Starts of the former leader may have got no answer.
 		s.lateOrders.Watch(w.info.GetId(), w.target(), until)
@@ -191,13 +195,16 @@
 // schedulePoll sets the time of the next poll. Ends are recorded before it,
 // because the worker lists them until a poll acknowledges them.
 func (s *Scheduler) schedulePoll(w *worker) {
-	if len(w.runs) > 0 || w.moreEnds {
+	if len(w.runs) > 0 || w.moreEnds || w.owesAcknowledgement() {
 		w.nextPollAt = s.now.Add(s.minPollInterval())
 		return
 	}
 	w.nextPollAt = s.now.Add(untilEventPollDelay)
 }
 
+// owesAcknowledgement reports whether recorded ends are to be acknowledged to the worker.
+func (w *worker) owesAcknowledgement() bool { return w.lastRecordedEnd > w.acknowledgedEnd }
+
 // minPollInterval returns the minimum time between two polls of a worker. It
 // grows with the fleet, so that all polls together take a bounded part of the
 // leader's time.
@@ -519,9 +526,9 @@
 	poll := Poll{
 		Target: w.target(),
 	}
-	if w.lastRecordedEnd > w.acknowledgedEnd {
-		// Repeated without need, it would make a later incarnation, which numbers its
-		// ends anew, forget ends that nobody has read.
+	if w.owesAcknowledgement() && !w.unresponsive && w.answersAt(s.now) {
+		// Sent without need, or after a sign that the worker may have ended, it would make a
+		// later incarnation, which numbers its ends anew, forget ends that nobody has read.
 		poll.LastRecordedEnd = w.lastRecordedEnd
 	}
 	// The worker may receive a poll whose answer is lost, so an unresponsive worker
