jobscheduler: a broken connection does not prove that a worker has ended

Cause: the provider answers 200 also for an order that was executed before, so that the next worker of the host is alive; one broken connection after the answer counted as the proof that it had ended, and its runs started elsewhere. Ruled out: the listing (the case without any listing fails as well), an end of the worker (the record has none).

Change: evidence has a type and one pure function that judges it (endevidence.go); every removal goes through it. After an accepted order a worker has ended if polls have found its connections refused for 100 ms, or if a listing requested since has its host down or with another worker. Found on the same path and mended: a listing with an unknown state ended the worker too; a refused connection after an announced end needs the same 100 ms; an answer that a host has moved removes its worker only without runs.

A run that is being stopped replaces none now, and another run of the task counts when it ends.

The cases "the connections break" of TestTasksOfMaintainedHostStartElsewhere, TestHostListedInUnknownStateEndsNoWorker and TestSecondRunHidesNoFirstRun failed before. The case "the worker refuses the connection" set only that the connection broke; it sets that it was refused now, which is what its name says.

--- a/internal/jobscheduler/capacity.go
+++ b/internal/jobscheduler/capacity.go
@@ -378,7 +378,9 @@
 	case HostOrderDone:
 		m.orderAccepted, m.acceptedAt = true, s.now
 		if m.worker != nil && s.workers[m.worker.info.GetId()] == m.worker {
-			s.forgetWorker(m.worker)
+			s.forgetIfEnded(m.worker, endEvidence{
+				kind: endHostMoved,
+			})
 		}
 	case HostOrderNotSent:
 		// The rebalancer decides anew.
--- a/internal/jobscheduler/crash.go
+++ b/internal/jobscheduler/crash.go
@@ -108,8 +108,8 @@
 // workerEnded handles evidence that an incarnation of a worker has ended. If it has
 // crashed, the crash counts for each task that it had. While a poll is in flight this
 // waits for its answer, which may list the ends of runs.
-func (s *Scheduler) workerEnded(w *worker, evidence string) {
-	if w.endEvidence != "" {
+func (s *Scheduler) workerEnded(w *worker, evidence endKind) {
+	if w.endEvidence != endNone {
 		return
 	}
 	w.endEvidence = evidence
@@ -121,7 +121,7 @@
 
 // settleEndedWorker counts the crash of an incarnation that has ended.
 func (s *Scheduler) settleEndedWorker(w *worker) {
-	if w.endEvidence == "" || w.endSettled {
+	if w.endEvidence == endNone || w.endSettled {
 		return
 	}
 	w.endSettled = true
@@ -147,7 +147,7 @@
 		names = append(names, taskName(r.key.taskKey))
 	}
 	s.logger.Info("scheduler: incarnation of a worker has ended", "worker", w.info.GetId(), "born", w.info.GetBorn(),
-		"evidence", w.endEvidence, "planned", planned, "silent", s.now.Sub(w.heardAt), "runs", len(runs),
+		"evidence", w.endEvidence.String(), "planned", planned, "silent", s.now.Sub(w.heardAt), "runs", len(runs),
 		"suspects", suspects, "others", len(w.endedWith), "tasks", names)
 	if planned != "" {
 		return
--- a/internal/jobscheduler/hostdown.go
+++ b/internal/jobscheduler/hostdown.go
@@ -4,8 +4,8 @@
 
 // The provider answers that an order for a host is done also when an earlier leader has
 // had it executed, and does nothing then. The worker on the host may be alive and goes on
-// with its runs, so it counts as ended only by evidence: it refuses or breaks the
-// connection of a poll that was sent after the answer, or a listing has the host down.
+// with its runs, so it counts as ended only by evidence (endevidence.go): it refuses the
+// connections of polls that were sent after the answer, or a listing has the host down.
 // Until then it gets no starts, and its long-running tasks count as unavailable.
 
 // ending reports whether the host's worker is expected to end because the provider has
@@ -21,21 +21,32 @@
 	}
 }
 
-// pollOfEndingWorkerFailed handles the failure of a poll of a worker whose host may be
-// going down.
-func (s *Scheduler) pollOfEndingWorkerFailed(w *worker, disconnected bool) {
+// pollOfEndingWorkerFailed handles the failure of a poll of a worker that has announced its end
+// or whose host may be going down, and reports whether the worker has ended. While that is not
+// known it is polled again at once.
+func (s *Scheduler) pollOfEndingWorkerFailed(w *worker, answer PollAnswer) bool {
+	kind := endNone
+	switch {
+	case answer.Refused:
+		kind = endRefused
+	case answer.Disconnected:
+		kind = endDisconnected
+	}
+	if s.forgetIfEnded(w, endEvidence{
+		kind:   kind,
+		sentAt: w.pollSentAt,
+	}) {
+		return true
+	}
 	for _, m := range s.hosts.maintenances {
-		switch {
-		case m.worker != w || !s.ending(m):
-			continue
-		case disconnected && w.pollSentAt.After(m.acceptedAt):
-			s.forgetWorker(w)
-			return
-		case !w.pollSentAt.After(m.acceptedAt):
-			// The poll was sent before the answer of the provider.
+		if m.worker == w && (answer.Disconnected || !w.pollSentAt.After(m.acceptedAt)) {
 			s.awaitEnd(m)
 		}
 	}
+	if w.shuttingDown && answer.Disconnected {
+		w.nextPollAt = s.now
+	}
+	return false
 }
 
 // maintenanceListed handles a listing, requested at the given time, of a host that goes
@@ -52,14 +63,22 @@
 		}
 	case !ok:
 		// A listing may lack a host that is up.
+	case h.State == HostUnknown:
+		// The entry tells nothing.
 	case h.State != HostUp:
-		s.forgetWorker(m.worker)
+		s.forgetIfEnded(m.worker, endEvidence{
+			kind:   endHostListedDown,
+			sentAt: requestedAt,
+		})
 	case h.Worker == m.worker.info.GetId():
 		s.logger.Info("scheduler: host was in maintenance before; its worker goes on", "host", m.host, "wave", m.wave, "worker", h.Worker)
 		s.cancelMaintenance(m)
 	default:
 		// The host is up again with another worker.
-		s.forgetWorker(m.worker)
+		s.forgetIfEnded(m.worker, endEvidence{
+			kind:   endHostListedDown,
+			sentAt: requestedAt,
+		})
 		delete(s.hosts.maintenances, m.host)
 	}
 }
--- a/internal/jobscheduler/maintenance_test.go
+++ b/internal/jobscheduler/maintenance_test.go
@@ -427,6 +427,7 @@
 func TestTasksOfMaintainedHostStartElsewhere(t *testing.T) {
 	tests := map[string]struct {
 		refuses bool
+		breaks  bool
 		listed  jobscheduler.HostState
 		want    int
 	}{
@@ -442,6 +443,10 @@
 		"nothing is known": {
 			listed: jobscheduler.HostUnknown,
 		},
+		"the connections break": {
+			breaks: true,
+			listed: jobscheduler.HostUnknown,
+		},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -453,7 +458,8 @@
 			h.withScheduler(func() { h.sched.Maintained(order, jobscheduler.HostOrderDone) })
 			running["a"] = jobscheduler.PollAnswer{
 				Failed:       true,
-				Disconnected: test.refuses,
+				Refused:      test.refuses,
+				Disconnected: test.refuses || test.breaks,
 			}
 			var starts []jobscheduler.Start
 			for range 8 {
@@ -477,6 +483,69 @@
 	}
 }
 
+// An entry of a listing with a state that nobody knows ended the worker of its host, which was
+// alive.
+func TestHostListedInUnknownStateEndsNoWorker(t *testing.T) {
+	h := newHarness(t)
+	running := servingStep(h)
+	order, ok := awaitMaintenance(h, running)
+	h.is.True(ok)
+	h.addWorker("c")
+	h.withScheduler(func() { h.sched.Maintained(order, jobscheduler.HostOrderDone) })
+	for range 20 {
+		h.advance(100 * time.Millisecond)
+		h.answerPolls(running)
+		listHost(h, jobscheduler.Host{
+			Name:   "host-a",
+			Pool:   "p",
+			State:  jobscheduler.HostUnknown,
+			Worker: "a",
+		})
+		h.is.Equal(formatStarts(takeAll[jobscheduler.Start](h)), "")
+	}
+}
+
+// A second run of a task, for example of an order that was executed late, hid the first one
+// once it was reported: when it had ended, the task counted as unavailable for good, and
+// maintenance waited for it.
+func TestSecondRunHidesNoFirstRun(t *testing.T) {
+	tests := map[string]uint64{
+		"with a lower number":  0,
+		"with a higher number": 7,
+	}
+	for name, number := range tests {
+		t.Run(name, func(t *testing.T) { secondRunIsStopped(newHarness(t), number) })
+	}
+}
+
+func secondRunIsStopped(h *harness, number uint64) {
+	running := servingStep(h)
+	h.addWorker("c")
+	second := running["b"].Running[0]
+	second.Run = number
+	running["c"] = jobscheduler.PollAnswer{
+		Running: []jobscheduler.RunningTask{second},
+	}
+	h.advance(time.Millisecond)
+	h.answerPolls(running)
+	h.advance(time.Millisecond)
+	stops := takeAll[jobscheduler.Stop](h)
+	h.is.Equal(len(stops), 1)
+	h.is.Equal(stops[0].Target.ID, "c")
+	running["c"] = jobscheduler.PollAnswer{
+		Ended: []jobscheduler.EndedTask{endedTask(1, second.Task, second.Run, jobwire.Ending_ENDING_STOPPED)},
+	}
+	ordered := false
+	for range 50 {
+		h.advance(100 * time.Millisecond)
+		answerHostLists(h)
+		h.answerPolls(running)
+		h.recordEnds()
+		ordered = ordered || len(takeAll[jobscheduler.Maintain](h)) > 0
+	}
+	h.is.True(ordered)
+}
+
 // A new leader that reaches all workers but one doesn't know which tasks are at work
 // there. It ordered the maintenance of that host as if none were, while the other task of
 // the step was away.
--- a/internal/jobscheduler/poll.go
+++ b/internal/jobscheduler/poll.go
@@ -96,15 +96,11 @@
 	switch {
 	case answer.Gone:
 		s.dropHeldStarts(w)
-		s.workerEnded(w, "another worker has answered at its address")
-		s.forgetWorker(w)
+		s.otherWorkerAnswered(w)
 		return
 	case answer.Restarted:
 		s.workerRestarted(w)
 		return
-	case answer.Refused && w.shuttingDown:
-		s.forgetWorker(w)
-		return
 	case answer.Fenced && a.Target.Epoch < w.epoch:
 		// An order sent after this poll has overtaken it.
 		w.nextPollAt = s.now
@@ -115,7 +111,7 @@
 	}
 	w.setClock(answer.Clock, s.now)
 	w.heardAt, w.answeredAt, w.unresponsive, w.loggedPollFailure = s.now, s.now, false, ""
-	w.disconnectedAt = time.Time{}
+	w.disconnectedAt, w.refusedSince = time.Time{}, time.Time{}
 	w.answeredPollSentAt = answer.SentAt
 	w.acknowledgedEnd = max(w.acknowledgedEnd, a.LastRecordedEnd)
 	if len(s.pendingPlacements) > 0 || w.askedForStart {
@@ -173,6 +169,7 @@
 			"runs", len(w.runs), "lease-left", w.leaseEnd.Sub(s.now), "disconnected", answer.Disconnected, "cause", answer.Cause)
 	}
 	w.unresponsive = true
+	w.noteRefusal(answer.Refused, s.now)
 	if a.LastRecordedEnd > 0 {
 		// A later incarnation that executed it would drop ends that nobody has read.
 		s.raiseEpoch(a.Target)
@@ -185,7 +182,9 @@
 		s.workerDisconnected(w)
 	}
 	w.nextPollAt = s.now.Add(failedPollRetryDelay)
-	s.pollOfEndingWorkerFailed(w, answer.Disconnected)
+	if s.pollOfEndingWorkerFailed(w, answer) {
+		return
+	}
 	if w.info.GetLapsed() {
 		// A heartbeat brings the next poll forward.
 		w.nextPollAt = s.now.Add(untilEventPollDelay)
@@ -340,10 +339,15 @@
 	if st != nil {
 		st.lastRunNumber[key.index] = max(st.lastRunNumber[key.index], key.number)
 	}
-	r := s.addRun(w, st, key, running)
-	r.confirmedAt = s.now
-	r.sentAt = time.Time{}
+	state := running
 	if !wanted {
+		state = stopping
+	}
+	r := s.addRun(w, st, key, state)
+	r.sentAt = time.Time{}
+	if wanted {
+		r.confirmedAt = s.now
+	} else {
 		s.logger.Info("scheduler: worker reports a run that its task does not need; the run is stopped",
 			"task", taskName(key.taskKey), "run", key.number, "worker", w.info.GetId())
 		s.stop(r)
@@ -421,7 +425,7 @@
 // mayBePolled reports whether a poll may be sent. A later incarnation would take one to a former
 // incarnation that has ended for its own, and drop the ends that it acknowledges.
 func (w *worker) mayBePolled() bool {
-	return !w.pollInFlight && !w.recordInFlight && w.endEvidence == ""
+	return !w.pollInFlight && !w.recordInFlight && w.endEvidence == endNone
 }
 
 // formerLeaseBound returns the time since the beginning of this term after which
@@ -518,7 +522,9 @@
 	case !w.info.GetLapsed() && w.nextPollAt.After(s.now.Add(failedPollRetryDelay)):
 		w.nextPollAt = s.now
 	case w.info.GetLapsed() && s.now.Sub(w.heardAt) > lapsedWorkerRetention && len(w.abandonedStarts) == 0:
-		s.forgetWorker(w)
+		s.forgetIfEnded(w, endEvidence{
+			kind: endSilent,
+		})
 	}
 }
 
--- a/internal/jobscheduler/run.go
+++ b/internal/jobscheduler/run.go
@@ -104,7 +104,9 @@
 		r.request = st.request
 		r.reservation = reservationOf(st)
 		r.hosts = st.hostShare
-		st.runs[key.index] = r
+		if current, ok := st.runs[key.index]; !ok || r.replaces(current) {
+			st.runs[key.index] = r
+		}
 		st.runsPerWorker[w.info.GetId()]++
 		st.dequeue(key.index)
 		if !st.occurrence.started && state == starting && s.settings.ObserveStartDelay != nil {
@@ -160,12 +162,38 @@
 	} else {
 		r.step.runsPerWorker[w.info.GetId()]--
 		if r.step.runs[r.key.index] == r {
-			delete(r.step.runs, r.key.index)
+			s.replaceRun(r)
 		}
 	}
 	s.markAllPoolsDirty()
 }
 
+// replaces reports whether a run counts as that of its task in place of another one.
+func (r *run) replaces(other *run) bool {
+	if (r.state == stopping) != (other.state == stopping) {
+		return other.state == stopping
+	}
+	return r.key.number >= other.key.number
+}
+
+// replaceRun has another run of the task, if there is one, count as that of the task.
+func (s *Scheduler) replaceRun(r *run) {
+	delete(r.step.runs, r.key.index)
+	if s.liveRuns[r.key.taskKey] == 0 {
+		return
+	}
+	for _, w := range s.workers {
+		for key, other := range w.runs {
+			if key.taskKey != r.key.taskKey {
+				continue
+			}
+			if current, ok := r.step.runs[key.index]; !ok || other.replaces(current) {
+				r.step.runs[key.index] = other
+			}
+		}
+	}
+}
+
 // markRunLost drops a run that ended without a reported end and requeues its
 // task.
 func (s *Scheduler) markRunLost(r *run, cause string) {
@@ -245,8 +273,7 @@
 		w.disconnectedAt = time.Time{}
 	}
 	if answer == StartGone && w != nil {
-		s.workerEnded(w, "another worker has answered at its address")
-		s.forgetWorker(w)
+		s.otherWorkerAnswered(w)
 		return
 	}
 	if answer == StartUnknown || answer == StartDisconnected {
@@ -415,13 +442,3 @@
 		w.nextPollAt = at
 	}
 }
-
-// forgetWorker removes a worker whose incarnation has ended and requests the
-// removal of the worker from the replicated state.
-func (s *Scheduler) forgetWorker(w *worker) {
-	s.removeWorker(w, "this incarnation of the worker has ended")
-	s.emit(RemoveWorker{
-		ID:   w.info.GetId(),
-		Born: w.info.GetBorn(),
-	})
-}
--- a/internal/jobscheduler/worker.go
+++ b/internal/jobscheduler/worker.go
@@ -75,9 +75,9 @@
 	// lapsedRuns holds the runs that were given up with the lease since the worker last
 	// answered.
 	lapsedRuns []lapsedRun
-	// endEvidence tells how it is known that this incarnation has ended; empty while it
+	// endEvidence tells how it is known that this incarnation has ended; endNone while it
 	// is not. aloneAtEnd is runsAlone of that moment.
-	endEvidence string
+	endEvidence endKind
 	aloneAtEnd  bool
 	// endSettled is true once the end has been counted as a crash or as planned.
 	endSettled bool
@@ -114,6 +114,9 @@
 	// disconnectedAt is when the worker broke or refused the connection; zero since the
 	// last answer.
 	disconnectedAt time.Time
+	// refusedSince is since when each connection for a poll was refused; zero when the last one
+	// was not.
+	refusedSince time.Time
 	// endedWith holds the other workers that broke or refused their connections at the same
 	// time, up to maxEndedWith of them.
 	endedWith []endedWorker
@@ -263,7 +266,7 @@
 	}
 	if ok {
 		w.leaseEnd = s.now.Add(s.leaseBound(s.settings.MaxLease))
-		s.workerEnded(former, "a later incarnation has sent a heartbeat")
+		s.workerEnded(former, endLaterHeartbeat)
 		s.carryOver(former, w)
 		unreconciled := s.unreconciled[info.GetId()] == former
 		s.removeWorker(former, "the worker has restarted")
@@ -387,7 +390,7 @@
 func (s *Scheduler) workerRestarted(w *worker) {
 	s.logger.Info("scheduler: another incarnation of a worker has answered; its runs are lost, and orders that it may still execute are stopped after its heartbeat",
 		"worker", w.info.GetId(), "runs", len(w.runs))
-	s.workerEnded(w, "a later incarnation has answered")
+	s.workerEnded(w, endLaterAnswers)
 	w.unresponsive = true
 	w.nextPollAt = s.now.Add(untilEventPollDelay)
 	for _, r := range w.runs {
@@ -402,6 +405,24 @@
 	}
 }
 
+// noteRefusal notes whether a poll without an answer found its connection refused.
+func (w *worker) noteRefusal(refused bool, now time.Time) {
+	switch {
+	case !refused:
+		w.refusedSince = time.Time{}
+	case w.refusedSince.IsZero():
+		w.refusedSince = now
+	}
+}
+
+// otherWorkerAnswered handles an answer of another worker from the address of a worker.
+func (s *Scheduler) otherWorkerAnswered(w *worker) {
+	s.workerEnded(w, endOtherAnswers)
+	s.forgetIfEnded(w, endEvidence{
+		kind: endOtherAnswers,
+	})
+}
+
 func (s *Scheduler) markPoolDirty(name string) { s.pool(name).dirty = true }
 
 // endFormerWorkersAt removes the workers that had the address of a worker that has answered
@@ -414,8 +435,7 @@
 			continue
 		}
 		s.dropHeldStarts(former)
-		s.workerEnded(former, "another worker has answered at its address")
-		s.forgetWorker(former)
+		s.otherWorkerAnswered(former)
 	}
 }
 
@@ -425,7 +445,7 @@
 	if !ok || w.info.GetBorn() != info.GetBorn() {
 		return
 	}
-	s.workerEnded(w, "the worker was removed from the replicated state")
+	s.workerEnded(w, endRemoved)
 	s.removeWorker(w, "the worker was removed from the replicated state")
 }
 
@@ -482,8 +502,9 @@
 	if !ok || w.info.GetBorn() != born {
 		return
 	}
-	if len(w.runs) == 0 {
-		s.forgetWorker(w)
+	if s.forgetIfEnded(w, endEvidence{
+		kind: endAnnounced,
+	}) {
 		return
 	}
 	w.shuttingDown = true
