jobscheduler: send calls for advice in turn, with timeouts that cover their wait

Cause: four calls were in flight to an adviser that handles one at a time, each with the time of a single call and 1.5 s. Calls timed out while they waited for their turn and were sent again behind the others, so that the adviser decided for callers that had gone. Ruled out by the record: refused calls, and an adviser without time (it was busy all along).

Change: internal/sequencer sends at most two calls, in order of arrival and priority; a timeout covers the calls before it and grows if the service is slower than it says; a failed call keeps its place twice. Tickets count from the answer to the call before, so that they don't age in the line; expired ones are dropped.

TestJobsThatNeedAdviceAtOnceAllStart failed before (2 of 10, 2 of 40, 2 of 70 jobs started, 0 of 10 with short-lived tickets; now all, in 6, 24, 42 and 6 s), and three of four cases of TestStepAsksForAsManyWorkersAsItNeeds did. TestServiceIsBusyForCallersThatWait: 119 answers in 120 s at one, two and four times the rate of one a second.

--- a/internal/jobcontroller/actions.go
+++ b/internal/jobcontroller/actions.go
@@ -152,12 +152,11 @@
 func (c *Controller) advise(ctx context.Context, sched *jobscheduler.Scheduler, a jobscheduler.Advise) {
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
-	sentAt := c.opts.Clock.Now()
 	tickets, valid, err := c.opts.Adviser.Advise(ctx, a)
 	if err != nil {
 		c.opts.Logger.Info("conductor: call to the placement adviser failed; retrying later", "job", a.Step.Job, "step", a.Step.Step, "error", err)
 	}
-	c.withScheduler(sched, func() { sched.Advised(a, sentAt, tickets, valid, err == nil) })
+	c.withScheduler(sched, func() { sched.Advised(a, tickets, valid, err == nil) })
 }
 
 func (c *Controller) listHosts(ctx context.Context, sched *jobscheduler.Scheduler) {
--- a/internal/jobscheduler/scheduler.go
+++ b/internal/jobscheduler/scheduler.go
@@ -17,6 +17,7 @@
 	"github.com/heathermux/heathermux/internal/localizer"
 	"github.com/heathermux/heathermux/internal/prober"
 	"github.com/heathermux/heathermux/internal/rebalancer"
+	"github.com/heathermux/heathermux/internal/sequencer"
 )
 
 // Settings holds the durations that depend on the deployment, and a hook for
@@ -116,9 +117,10 @@
 	runTimes calibrator.Table[taskKind]
 
 	hosts hosts
-	// adviceCallsInFlight is the number of unanswered calls to the placement
-	// adviser.
-	adviceCallsInFlight int
+	// adviceCalls holds the calls to the placement adviser.
+	adviceCalls *sequencer.Line[StepKey]
+	// allowedShares holds what part of the workers the adviser allows, by queue.
+	allowedShares map[string]allowedShare
 	// maintenanceDue holds the workers whose hosts still await maintenance in an
 	// open wave.
 	maintenanceDue map[string]bool
@@ -246,6 +248,14 @@
 		removedStarts:      make(map[string]map[runKey]time.Time),
 
 		removedIncarnations: make(map[string]removedIncarnation),
+		adviceCalls: sequencer.New[StepKey](sequencer.Settings{
+			MaxInFlight:   maxAdviceCallsInFlight,
+			TimeoutMargin: adviceTimeoutMargin,
+			RetryDelay:    adviceRetryDelay,
+			PriorityDelay: advicePriorityDelay,
+			AbsentAfter:   adviceAbsentAfter,
+		}),
+		allowedShares: make(map[string]allowedShare),
 		lateOrders: prober.New[Target](prober.Settings{
 			AnsweredInterval:  answeredProbeInterval,
 			FailedInterval:    failedProbeInterval,
--- a/internal/jobscheduler/waiting.go
+++ b/internal/jobscheduler/waiting.go
@@ -285,7 +285,7 @@
 		cause = waitGang
 	case !s.withinAccountCeiling(st, 1):
 		cause = waitCeiling
-	case s.queueOf(st).GetAdvised() && (st.advice.callInFlight || s.now.Before(st.advice.retryAt)):
+	case s.queueOf(st).GetAdvised() && (s.adviceCalls.InFlight(st.key(0).StepKey) || s.adviceCalls.Waits(st.key(0).StepKey) || s.now.Before(st.advice.retryAt)):
 		cause = waitAdvice
 	}
 	return wait{
