invoker: four connections to a worker again

TestStartWithoutConnectionIsNotSent occupies four and then expects a start to find none; with five it failed each time, and its server waited in Close until the test binary was ended after 10 minutes.

The fifth connection isn't needed: a probe is open only while a start may be executed late, and three others remain. Tests of platform and invoker pass.

--- a/internal/invoker/client.go
+++ b/internal/invoker/client.go
@@ -21,9 +21,9 @@
 const (
 	// idleConnTimeout is how long an unused connection to a worker stays open.
 	idleConnTimeout = 30 * time.Second
-	// maxConnsPerWorker allows one connection each for the pending poll and a probe, and a few for
+	// maxConnsPerWorker allows one connection for the pending poll and a few for
 	// other orders. Each connection costs the leader two goroutines.
-	maxConnsPerWorker = 5
+	maxConnsPerWorker = 4
 	// maxAnswerBytes is the most that is read of a worker's answer; the rest is cut
 	// off.
 	maxAnswerBytes = 4 << 20
