jobscheduler: poll a worker that is about to end each 25 ms, not in each pass

A worker that has announced its end, or whose host was ordered down, was polled in each pass (4 ms in a small fleet) while its connections broke, until 100 ms of refused connections or a listing ended that. Four polls tell as much.

Tests of jobscheduler pass.

--- a/internal/jobscheduler/hostdown.go
+++ b/internal/jobscheduler/hostdown.go
@@ -14,6 +14,10 @@
 	return m.orderAccepted && m.worker != nil && s.workers[m.worker.info.GetId()] == m.worker
 }
 
+// orderedDown reports whether a worker is expected to end because the provider has accepted an
+// order for its host.
+func (s *Scheduler) orderedDown(w *worker) bool { return !s.view(w).orderedDownAt.IsZero() }
+
 // awaitEnd polls the worker of a host that goes down, to learn whether it has ended.
 func (s *Scheduler) awaitEnd(m *hostMaintenance) {
 	if s.ending(m) && !m.worker.pollInFlight {
@@ -23,7 +27,7 @@
 
 // pollOfEndingWorkerFailed handles the failure of a poll of a worker that has announced its end
 // or whose host may be going down, and reports whether the worker has ended. While that is not
-// known it is polled again at once.
+// known it is polled again soon.
 func (s *Scheduler) pollOfEndingWorkerFailed(w *worker, answer PollAnswer) bool {
 	kind := endNone
 	switch {
@@ -39,12 +43,13 @@
 		return true
 	}
 	for _, m := range s.hosts.maintenances {
-		if m.worker == w && (answer.Disconnected || !w.pollSentAt.After(m.acceptedAt)) {
+		if m.worker == w && !w.pollSentAt.After(m.acceptedAt) {
+			// The poll was sent before the answer of the provider.
 			s.awaitEnd(m)
 		}
 	}
-	if w.shuttingDown && answer.Disconnected {
-		w.nextPollAt = s.now
+	if answer.Disconnected && (w.shuttingDown || s.orderedDown(w)) {
+		w.nextPollAt = s.now.Add(failedProbeInterval)
 	}
 	return false
 }
