--- a/internal/jobscheduler/latestart_test.go
+++ b/internal/jobscheduler/latestart_test.go
@@ -106,6 +106,40 @@
 	}
 }
 
+// A former leader may have sent starts that got no answer, which its successor doesn't know. The
+// next incarnation of a worker that is silent at the change executed one before its first
+// heartbeat. Such workers are probed as long as that is possible, and others are not.
+func TestSilentWorkerIsProbedByNewLeader(t *testing.T) {
+	h := newHarness(t)
+	h.addWorker("a")
+	h.addWorker("b")
+	h.startTerm()
+	probes, lastAt := 0, h.now
+	for h.now.Sub(lastAt) < 2*time.Second {
+		h.advance(5 * time.Millisecond)
+		for _, poll := range takeAll[jobscheduler.Poll](h) {
+			if poll.Probe {
+				h.is.Equal(poll.Target.ID, "a")
+				h.is.True(h.now.Sub(lastAt) <= 300*time.Millisecond)
+				probes++
+				lastAt = h.now
+			}
+			silent := poll.Target.ID == "a"
+			h.withScheduler(func() {
+				h.sched.PollAnswered(poll, jobscheduler.PollAnswer{
+					Failed:       silent,
+					Refused:      silent,
+					Disconnected: silent,
+					Clock:        h.clock(),
+					SentAt:       h.now,
+				})
+			})
+		}
+	}
+	h.is.True(probes > 400) // for 15 s, one each 25 ms and a little more
+	h.is.True(probes < 700)
+}
+
 // A poll that acknowledged ends reached a later incarnation, which numbers its ends anew: it
 // forgot an end that nobody had read, and the done task ran again. Ends are acknowledged only to a
 // worker that has just answered.
