--- a/internal/jobscheduler/endevidence.go
+++ b/internal/jobscheduler/endevidence.go
@@ -20,9 +20,8 @@
 	endOtherAnswers
 	// endLaterAnswers means that a later incarnation answers under its id.
 	endLaterAnswers
-	// endLaterHeartbeat means that a heartbeat of a later incarnation has come. It proves less
-	// than an answer to a call, but the former one may not be polled any more without harm to
-	// the later one, if it is there.
+	// endLaterHeartbeat means that a heartbeat of a later incarnation has come. It is weaker than
+	// an answer to a call: another writer can send one.
 	endLaterHeartbeat
 	// endRemoved means that the log has removed the worker.
 	endRemoved
--- a/internal/ordersender/sender_test.go
+++ b/internal/ordersender/sender_test.go
@@ -725,8 +725,8 @@
 }
 
 // The token of a later term must be higher than each of the terms before, however often a
-// worker has restarted or left a start unanswered, and below 2^53: some workers read numbers in JSON as doubles, and
-// would take neighbouring tokens for one.
+// worker has restarted or left a start unanswered, and below 2^53: some workers read numbers in
+// JSON as doubles, and would take neighbouring tokens for one.
 func TestFencingTokenIsBounded(t *testing.T) {
 	tests := map[string]struct {
 		term  uint64
--- a/internal/prober/prober.go
+++ b/internal/prober/prober.go
@@ -1,6 +1,6 @@
-// Package prober decides when the targets are probed at which something may still happen
-// that the caller wants to learn of, or to prevent, as soon as they can be reached. It does
-// no I/O and reads no clock.
+// Package prober decides when targets are probed that have to be reached as soon as possible,
+// although they may be down: often enough for each, and not too often for all together. It does no
+// I/O and reads no clock.
 //
 // Load pattern: a few targets out of thousands, each for some seconds. Most answer. In a bad
 // moment a third of all targets is dark at once, and then the total rate stays bounded.
--- a/internal/sequencer/sequencer.go
+++ b/internal/sequencer/sequencer.go
@@ -7,9 +7,7 @@
 // turn, and a repetition that joins the end of the line, would keep the service busy for nobody.
 package sequencer
 
-import (
-	"time"
-)
+import "time"
 
 // Settings holds the bounds of a Line.
 type Settings struct {
@@ -65,6 +63,7 @@
 	failures int
 }
 
+// goesBefore reports whether a request is sent before another one.
 func (r request) goesBefore(other request) bool {
 	return r.joinedAt.Add(r.delay).Before(other.joinedAt.Add(other.delay))
 }
