--- a/internal/soaker/junk.go
+++ b/internal/soaker/junk.go
@@ -35,6 +35,7 @@
 	`{"service":"pool","address":"127.0.0.1:99999","zone":"z0","state":"ready","capacity":{"cpu":4000},"born":1,"seq":1}`,
 	`{"service":"pool","address":"127.0.0.1:9","zone":"z0","state":"ready","capacity":{"cpu":9223372036854775807,"mem_mb":9223372036854775807},"born":1,"seq":1}`,
 	`{"service":"pool","address":"127.0.0.1:9","zone":"z0","state":"draining","capacity":{"cpu":4000},"born":9223372036854775807,"seq":18446744073709551615}`,
+	`{"service":"pool","address":"127.0.0.1:9","zone":"z0","version":3,"state":"draining","capacity":{"cpu":4000},"born":2,"seq":1}`,
 	`{"service":"pool","labels":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
 }
 
